--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,8 +10,8 @@
 	"slices"
 	"time"
 
-	"reedhub/internal/wire"
-	"reedhub/policy"
+	"lilaccove/internal/wire"
+	"lilaccove/policy"
 )
 
 func main() {
--- a/internal/wire/fields.go
+++ b/internal/wire/fields.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"reedhub/policy"
+	"lilaccove/policy"
 )
 
 // fields is one line, split; err keeps the first thing found wrong with it.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"reedhub/policy"
+	"lilaccove/policy"
 )
 
 // ItemKind tells what an Item of a batch is.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"reedhub/policy"
+	"lilaccove/policy"
 )
 
 const start = "SYNC\t1000\t7\nSELECT\t3\n" +
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"reedhub/policy"
+	"lilaccove/policy"
 )
 
 func Example() {
