--- /dev/null
+++ b/cmd/lilaccove/main.go
@@ -0,0 +1,232 @@
+// Command lilaccove is one gateway: clients on one side, groups of databases on the
+// other, PostgreSQL's protocol on both. DEPLOY tells what its environment holds.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"log"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"lilaccove/internal/backend"
+	"lilaccove/internal/discovery"
+	"lilaccove/internal/front"
+	"lilaccove/internal/gateway"
+	"lilaccove/internal/netloop"
+	"lilaccove/internal/settings"
+	"lilaccove/policy"
+)
+
+// acceptOn is how long clients still come after SIGTERM: the front has to notice.
+const acceptOn = 700 * time.Millisecond
+
+// config is the object at GW_CONFIG.
+type config struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Seed      string          `json:"seed"`
+	Limits    limits          `json:"limits"`
+	Known     json.RawMessage `json:"known"`
+	Settings  json.RawMessage `json:"settings"`
+}
+
+type limits struct {
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  float64 `json:"sockets"`
+}
+
+func main() {
+	log.SetFlags(log.Lmicroseconds)
+	if err := run(); err != nil {
+		log.Printf("event=stopped err=%q", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	cfg, err := load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	listen, err := netip.ParseAddrPort(cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("GW_LISTEN: %w", err)
+	}
+	ask, err := netip.ParseAddrPort(cfg.Discovery)
+	if err != nil {
+		return fmt.Errorf("GW_DISCOVERY: %w", err)
+	}
+	set, err := settings.FromJSON(cfg.Settings)
+	if err != nil {
+		return err
+	}
+	memory := tune(cfg.Limits.MemoryMB)
+	sockets := descriptors(cfg.Limits.Sockets)
+
+	loop, err := netloop.New(sockets, openNow(), memory/4)
+	if err != nil {
+		return err
+	}
+	defer loop.Close()
+	router, err := policy.New(adapt(set), seed(cfg.Seed))
+	if err != nil {
+		return err
+	}
+	core := gateway.New(loop, router, set.MaxOpen)
+	pool := backend.New(loop, core, backend.Options{
+		ConnIdle: set.ConnIdle, DialTimeout: set.DialTimeout, ProbeReport: set.ProbeReport, Reserve: sockets / 4,
+	})
+	watch := discovery.New(loop, core, ask, set.Zones)
+	core.Connect(pool, watch)
+	clients := front.New(loop, core, front.Options{Classes: set.Classes, Reserve: sockets / 8})
+	if err := watch.Known(cfg.Known); err != nil {
+		log.Printf("event=bad_known err=%q", err) // discovery has a newer one
+	}
+	at, err := clients.Listen(listen)
+	if err != nil {
+		return err
+	}
+	log.Printf("event=started name=%s listen=%s discovery=%s sockets=%d memory_mb=%d",
+		cfg.Name, at, ask, sockets, memory>>20)
+
+	end := &ending{loop: loop, front: clients, core: core, pool: pool}
+	loop.OnWake(end.begin)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, unix.SIGTERM, unix.SIGINT)
+	go func() {
+		for range signals {
+			loop.Wake()
+		}
+	}()
+	return loop.Run(func() bool {
+		again := core.Step()
+		end.check()
+		return again
+	})
+}
+
+// load reads the configuration; the three plain variables go before what it says.
+func load(env func(string) string) (config, error) {
+	var cfg config
+	path := env("GW_CONFIG")
+	if path == "" {
+		return cfg, fmt.Errorf("GW_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return cfg, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	if err := json.Unmarshal(text, &cfg); err != nil {
+		return cfg, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	for name, to := range map[string]*string{
+		"GW_NAME": &cfg.Name, "GW_LISTEN": &cfg.Listen, "GW_DISCOVERY": &cfg.Discovery,
+	} {
+		if v := env(name); v != "" {
+			*to = v
+		}
+	}
+	return cfg, nil
+}
+
+// adapt fits the settings to real sockets.
+func adapt(set settings.Settings) policy.Settings {
+	p := set.Policy
+	p.AskForList = true // here the list comes only when asked for
+	p.Classes = append([]policy.Class(nil), p.Classes...)
+	for i, c := range p.Classes {
+		if c.Level == policy.Recent && c.Bound > 2*set.DialTimeout {
+			// The bound counts from the send's last byte, which may have to wait for
+			// a connection as long as one may take to come up.
+			p.Classes[i].Bound -= set.DialTimeout
+		}
+	}
+	return p
+}
+
+// seed makes a number of the hexadecimal text; any other text will do, too.
+func seed(text string) int64 {
+	if n, err := strconv.ParseUint(text, 16, 64); err == nil {
+		return int64(n)
+	}
+	return time.Now().UnixNano()
+}
+
+// tune fits the runtime to one shared core and its memory; it returns the bytes to use.
+// One P is enough: the loop is the only goroutine that works. The collector may let the
+// heap grow well past what lives, and works harder only near the limit.
+func tune(megabytes float64) int {
+	if megabytes <= 0 {
+		megabytes = 192
+	}
+	memory := int(megabytes * (1 << 20))
+	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(400)
+	debug.SetMemoryLimit(int64(memory) * 6 / 10)
+	return memory
+}
+
+// descriptors is how many may be open: the smaller of the limit told and the system's.
+func descriptors(told float64) int {
+	most := 1024
+	if told > 0 {
+		most = int(told)
+	}
+	var r unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &r); err == nil && r.Cur < uint64(most) {
+		most = int(r.Cur)
+	}
+	return most
+}
+
+// openNow is how many descriptors the process has, with some for the runtime's own.
+func openNow() int {
+	const runtimeOwn = 8
+	if list, err := os.ReadDir("/proc/self/fd"); err == nil {
+		return len(list) + runtimeOwn
+	}
+	return 3 + runtimeOwn
+}
+
+// ending is the orderly end after SIGTERM.
+type ending struct {
+	loop    *netloop.Loop
+	front   *front.Front
+	core    *gateway.Gateway
+	pool    *backend.Pool
+	begun   bool
+	drained bool
+}
+
+func (e *ending) begin() {
+	if e.begun {
+		return
+	}
+	e.begun = true
+	log.Printf("event=ending owed=%d", e.core.Owed())
+	e.loop.At(e.loop.Now()+acceptOn, func() {
+		e.front.Drain()
+		e.drained = true
+	})
+}
+
+// check exits once nothing is owed.
+func (e *ending) check() {
+	if !e.drained || e.core.Owed() > 0 || !e.front.Quiet() {
+		return
+	}
+	e.pool.CloseIdle()
+	if e.loop.Lingering() == 0 {
+		log.Printf("event=ended")
+		e.loop.Stop()
+	}
+}
--- /dev/null
+++ b/internal/backend/pool.go
@@ -0,0 +1,235 @@
+// Package backend holds the connections to the databases: a pool per host, the attempts
+// and probes that go over them, and what the databases' answers mean.
+package backend
+
+import (
+	"log"
+	"net/netip"
+	"slices"
+	"time"
+
+	"lilaccove/internal/gateway"
+	"lilaccove/internal/netloop"
+	"lilaccove/internal/pgwire"
+	"lilaccove/policy"
+)
+
+// Core hears how attempts and probes end.
+type Core interface {
+	Resolved(a *gateway.Attempt, o policy.Outcome, r gateway.Reply)
+	Probed(host policy.HostID, o policy.Outcome, r gateway.Reply)
+}
+
+// Options are what the pool is told once.
+type Options struct {
+	ConnIdle    time.Duration // databases close connections that stood idle so long
+	DialTimeout time.Duration // a connection is up by then, or has failed; probes, too
+	ProbeReport bool          // probes ask for the load report
+	Reserve     int           // descriptors left for clients and discovery
+}
+
+// Pool is all connections to databases.
+type Pool struct {
+	loop    *netloop.Loop
+	core    Core
+	opt     Options
+	hosts   map[policy.HostID]*host
+	startup []byte
+}
+
+type host struct {
+	id      policy.HostID
+	addr    netip.AddrPort
+	idle    []*conn // the one used last is the last
+	waiting []*job  // for a connection, oldest first
+	dialing int
+}
+
+// job is an attempt or a probe on its way.
+type job struct {
+	attempt *gateway.Attempt // nil: a probe
+	host    *host
+	until   time.Duration
+	timer   *netloop.Timer
+	conn    *conn // nil: waits for one
+}
+
+// New makes an empty pool.
+func New(loop *netloop.Loop, core Core, opt Options) *Pool {
+	p := &Pool{
+		loop: loop, core: core, opt: opt, hosts: map[policy.HostID]*host{},
+		startup: pgwire.Startup("api", "ledger"),
+	}
+	p.sweep()
+	return p
+}
+
+// Listed keeps the address of a host. Connections to where it was before are of no use.
+func (p *Pool) Listed(id policy.HostID, addr netip.AddrPort, status policy.Status) {
+	h := p.hosts[id]
+	if h == nil {
+		h = &host{id: id}
+		p.hosts[id] = h
+	}
+	if addr != h.addr || status == policy.Gone {
+		p.HangUp(id)
+	}
+	h.addr = addr
+}
+
+// Send starts an attempt.
+func (p *Pool) Send(a *gateway.Attempt) {
+	j := &job{attempt: a, host: p.hosts[a.Host], until: a.Deadline}
+	a.Link = j
+	p.place(j)
+}
+
+// Probe starts a probe.
+func (p *Pool) Probe(id policy.HostID) {
+	j := &job{host: p.hosts[id], until: p.loop.Now() + p.opt.DialTimeout}
+	if j.host == nil {
+		p.core.Probed(id, policy.ConnectFailed, gateway.Reply{})
+		return
+	}
+	p.place(j)
+}
+
+// Cancel gives an attempt up. The database learns of it by the close.
+func (p *Pool) Cancel(a *gateway.Attempt) {
+	if j, ok := a.Link.(*job); ok {
+		p.abandon(j, policy.Cancelled)
+	}
+}
+
+// HangUp closes the idle connections to a host.
+func (p *Pool) HangUp(id policy.HostID) {
+	if h := p.hosts[id]; h != nil {
+		for _, c := range h.idle {
+			c.nc.Close()
+		}
+		h.idle = h.idle[:0]
+	}
+}
+
+// CloseIdle closes all idle connections.
+func (p *Pool) CloseIdle() {
+	for id := range p.hosts {
+		p.HangUp(id)
+	}
+}
+
+// place finds a connection for j: the one used last, or else a new one, or one that
+// comes free before that is up.
+func (p *Pool) place(j *job) {
+	h, now := j.host, p.loop.Now()
+	if h == nil || j.until <= now {
+		p.finish(j, policy.ConnectFailed, gateway.Reply{}) // not a byte was written
+		return
+	}
+	if n := len(h.idle); n > 0 {
+		c := h.idle[n-1]
+		h.idle = h.idle[:n-1]
+		c.start(j)
+		return
+	}
+	h.waiting = append(h.waiting, j)
+	j.timer = p.loop.At(min(j.until, now+p.opt.DialTimeout), func() { p.abandon(j, policy.ConnectFailed) })
+	if h.dialing < len(h.waiting) {
+		p.dial(h)
+	}
+}
+
+func (p *Pool) dial(h *host) {
+	if p.loop.Spare() <= p.opt.Reserve && !p.dropIdle() {
+		log.Printf("event=no_descriptor host=%s spare=%d", h.id, p.loop.Spare())
+		p.dialFailed(h, policy.ConnectFailed)
+		return
+	}
+	c := &conn{pool: p, host: h}
+	nc, err := p.loop.Dial(h.addr, c, pgwire.MostMessage)
+	if err != nil {
+		p.dialFailed(h, policy.ConnectFailed)
+		return
+	}
+	c.nc = nc
+	h.dialing++
+	c.timer = p.loop.At(p.loop.Now()+p.opt.DialTimeout, c.lateUp)
+}
+
+// dropIdle closes the connection that has been idle longest.
+func (p *Pool) dropIdle() bool {
+	var oldest *host
+	for _, h := range p.hosts {
+		if len(h.idle) > 0 && (oldest == nil || h.idle[0].idleAt < oldest.idle[0].idleAt) {
+			oldest = h
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.idle[0].nc.Close()
+	oldest.idle = slices.Delete(oldest.idle, 0, 1)
+	return true
+}
+
+// dialFailed ends the oldest job that no connection on its way is left for.
+func (p *Pool) dialFailed(h *host, o policy.Outcome) {
+	if len(h.waiting) > h.dialing {
+		j := h.waiting[0]
+		h.waiting = h.waiting[1:]
+		p.finish(j, o, gateway.Reply{})
+	}
+}
+
+// free gives a connection to the job that waits longest, or keeps it.
+func (p *Pool) free(c *conn) {
+	h := c.host
+	if len(h.waiting) > 0 {
+		j := h.waiting[0]
+		h.waiting = h.waiting[1:]
+		c.start(j)
+		return
+	}
+	c.idleAt = p.loop.Now()
+	h.idle = append(h.idle, c)
+}
+
+// abandon stops waiting for j; a connection that it was written to is closed, for an
+// answer may yet come on it. What was not written whole cannot have run.
+func (p *Pool) abandon(j *job, o policy.Outcome) {
+	if c := j.conn; c != nil {
+		if c.nc.Pending() > 0 {
+			o = policy.ConnectFailed
+		}
+		c.job = nil
+		c.drop()
+	} else if i := slices.Index(j.host.waiting, j); i >= 0 {
+		j.host.waiting = slices.Delete(j.host.waiting, i, i+1)
+	}
+	p.finish(j, o, gateway.Reply{})
+}
+
+func (p *Pool) finish(j *job, o policy.Outcome, r gateway.Reply) {
+	j.timer.Stop()
+	if j.attempt != nil {
+		p.core.Resolved(j.attempt, o, r)
+	} else {
+		p.core.Probed(j.host.id, o, r)
+	}
+}
+
+// sweep closes connections well before the databases would: a request written to one
+// that the database has just closed ends as a reset, and a write is lost with it.
+func (p *Pool) sweep() {
+	p.loop.At(p.loop.Now()+time.Second, p.sweep)
+	if p.opt.ConnIdle <= 0 {
+		return
+	}
+	oldest := p.loop.Now() - p.opt.ConnIdle*6/10
+	for _, h := range p.hosts {
+		for len(h.idle) > 0 && h.idle[0].idleAt < oldest {
+			h.idle[0].nc.Close()
+			h.idle = slices.Delete(h.idle, 0, 1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,226 @@
+// Package discovery asks for the list of databases and watches its changes. The list
+// in force stays when discovery fails; the decision module says when to ask again.
+package discovery
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"net/netip"
+	"time"
+
+	"lilaccove/internal/gateway"
+	"lilaccove/internal/netloop"
+	"lilaccove/policy"
+)
+
+const (
+	callTime  = 2500 * time.Millisecond // discovery gives up on a call well before
+	quietTime = 3500 * time.Millisecond // a watch says something every 2 s
+	inputMost = 64 << 10
+	mostLine  = 4 << 20
+)
+
+var (
+	errQuiet = errors.New("nothing heard in time")
+	errLine  = errors.New("list is too long")
+	errEnded = errors.New("the answer ended")
+)
+
+// Core takes the news.
+type Core interface {
+	Listed(kind policy.ListKind, entries []gateway.Entry)
+}
+
+// Client is the one watch of a gateway.
+type Client struct {
+	loop  *netloop.Loop
+	core  Core
+	addr  netip.AddrPort
+	zones []string
+	seq   int64
+
+	nc      *netloop.Conn
+	answer  response
+	line    []byte
+	timer   *netloop.Timer
+	heardAt time.Duration
+	told    bool // this watch has brought an object
+}
+
+// New makes a client that asks at addr. Zones are the names in the order of the settings.
+func New(loop *netloop.Loop, core Core, addr netip.AddrPort, zones []string) *Client {
+	return &Client{loop: loop, core: core, addr: addr, zones: zones}
+}
+
+type listing struct {
+	Seq   int64  `json:"seq"`
+	Whole bool   `json:"whole"`
+	Hosts []line `json:"hosts"`
+}
+
+type line struct {
+	Host   string `json:"host"`
+	Dial   string `json:"dial"`
+	Site   string `json:"site"`
+	Block  int    `json:"block"`
+	Health string `json:"health"`
+	Role   string `json:"role"`
+	BornMS int64  `json:"born_ms"`
+}
+
+// Known takes the list that the gateway had before it started, which may be old.
+func (c *Client) Known(text []byte) error {
+	if len(text) == 0 {
+		return nil
+	}
+	var l listing
+	if err := json.Unmarshal(text, &l); err != nil {
+		return fmt.Errorf("known list: %w", err)
+	}
+	c.seq = l.Seq
+	c.core.Listed(policy.ListCached, c.entries(l.Hosts))
+	return nil
+}
+
+func (c *Client) entries(lines []line) []gateway.Entry {
+	list := make([]gateway.Entry, 0, len(lines))
+	for _, e := range lines {
+		dial, err := netip.ParseAddrPort(e.Dial)
+		if err != nil && e.Health != "terminated" {
+			log.Printf("event=bad_entry host=%s dial=%q", e.Host, e.Dial)
+		}
+		list = append(list, gateway.Entry{Dial: dial, Member: policy.Member{
+			Host: policy.HostID(e.Host), Group: policy.GroupID(e.Block), Zone: c.zone(e.Site),
+			Status: status(e.Health), Primary: e.Role == "primary",
+			StartedAt: time.Duration(e.BornMS) * time.Millisecond,
+		}})
+	}
+	return list
+}
+
+func (c *Client) zone(name string) int {
+	for i, z := range c.zones {
+		if z == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// status of a word nobody knows is that of a host which wants nothing new.
+func status(word string) policy.Status {
+	switch word {
+	case "in_service":
+		return policy.Healthy
+	case "terminated":
+		return policy.Gone
+	}
+	return policy.Draining
+}
+
+// Subscribe begins a watch, unless one is on.
+func (c *Client) Subscribe() {
+	if c.nc != nil {
+		return
+	}
+	c.answer, c.line, c.told = response{}, c.line[:0], false
+	nc, err := c.loop.Dial(c.addr, c, inputMost)
+	if err != nil {
+		c.fail(err)
+		return
+	}
+	c.nc = nc
+	c.listen(c.loop.Now() + callTime)
+}
+
+// listen sets until when discovery must have been heard again.
+func (c *Client) listen(until time.Duration) {
+	c.timer.Stop()
+	c.timer = c.loop.At(until, func() { c.fail(errQuiet) })
+}
+
+// fail ends the watch, if there is one, and tells the module, which asks again after
+// a while of its own choice.
+func (c *Client) fail(err error) {
+	log.Printf("event=discovery_failed err=%q told=%t seq=%d", err, c.told, c.seq)
+	if c.nc != nil {
+		c.nc.Close()
+		c.nc = nil
+	}
+	c.timer.Stop()
+	c.core.Listed(policy.ListFailed, nil)
+}
+
+// Connected asks.
+func (c *Client) Connected() {
+	c.nc.Write(fmt.Appendf(nil, "GET /api/targets?watch=1&after=%d HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n",
+		c.seq, c.addr))
+}
+
+// Received takes in the answer.
+func (c *Client) Received() {
+	n, err := c.answer.feed(c.nc.Input(), c.data)
+	c.nc.Consume(n)
+	switch {
+	case err != nil:
+	case c.answer.headed && c.answer.status != 200:
+		err = fmt.Errorf("status %d", c.answer.status)
+	case c.answer.done:
+		err = errEnded
+	case c.told:
+		c.listen(c.loop.Now() + quietTime)
+	}
+	if err != nil {
+		c.fail(err)
+	}
+}
+
+// Ended tells that the watch is over.
+func (c *Client) Ended(err error) { c.fail(err) }
+
+// data takes bytes of the body: a JSON object a line, or an empty line.
+func (c *Client) data(b []byte) error {
+	if c.answer.status != 200 {
+		return nil
+	}
+	for len(b) > 0 {
+		end := bytes.IndexByte(b, '\n')
+		if end < 0 {
+			if len(c.line)+len(b) > mostLine {
+				return errLine
+			}
+			c.line = append(c.line, b...)
+			return nil
+		}
+		whole := b[:end]
+		if len(c.line) > 0 {
+			whole = append(c.line, whole...)
+			c.line = whole[:0]
+		}
+		b = b[end+1:]
+		if err := c.object(bytes.TrimSpace(whole)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Client) object(text []byte) error {
+	if len(text) == 0 {
+		return nil
+	}
+	var l listing
+	if err := json.Unmarshal(text, &l); err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	kind := policy.ListDelta
+	if l.Whole {
+		kind = policy.ListFull
+	}
+	c.seq, c.told = l.Seq, true
+	c.core.Listed(kind, c.entries(l.Hosts))
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,299 @@
+// Package gateway leads requests through their lives: what happens is gathered as
+// events, the decision module takes them in one Step, and its actions are carried out.
+// It knows fronts and backends by small interfaces only and no protocol, so that a
+// second front goes through the same decisions and keeps the same rules.
+package gateway
+
+import (
+	"log"
+	"math"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"lilaccove/internal/netloop"
+	"lilaccove/policy"
+)
+
+// lateBy is how long after a request's deadline the gateway ends it itself. The module
+// does so a tick before; this guards the rule that each request gets its answer in time.
+const lateBy = 2 * time.Millisecond
+
+// Client is the front's side of one request. Exactly one of the first three is called,
+// once, unless Gone came first.
+type Client interface {
+	Served(value []byte) // the value as the backend gave it, good during the call
+	Refused(retryAfter time.Duration)
+	Failed()
+	Released() // nobody needs the statement any more; the last call
+}
+
+// Backends sends attempts and probes. Every Send leads to one Gateway.Resolved, every
+// Probe to one Gateway.Probed, whatever happens to the socket.
+type Backends interface {
+	Send(a *Attempt)
+	Cancel(a *Attempt)
+	Probe(host policy.HostID)
+	HangUp(host policy.HostID)
+	Listed(host policy.HostID, addr netip.AddrPort, status policy.Status)
+}
+
+// Discovery asks for the list and its changes.
+type Discovery interface {
+	Subscribe()
+}
+
+// Router decides.
+type Router interface {
+	Step(now time.Duration, events []policy.Event) []policy.Action
+}
+
+// Request is one request that a front has taken. The front fills it in.
+type Request struct {
+	Client    Client
+	Statement any // for the backend; the core does not look into it
+	Class     int
+	Group     policy.GroupID
+	Session   policy.SessionID
+	After     time.Duration // the position it must see; 0: none
+	Deadline  time.Duration
+
+	id       policy.RequestID
+	attempts []*Attempt
+	out      int
+	over     bool // it has its answer, or the client is gone
+	overdue  *netloop.Timer
+}
+
+// Attempt is one request on its way to one host.
+type Attempt struct {
+	Host      policy.HostID
+	Statement any
+	Deadline  time.Duration
+	Link      any // the backend's own
+
+	q      *Request
+	number int
+	sentAt time.Duration
+	done   bool
+}
+
+// Reply is what a backend learned with the end of an attempt or a probe.
+type Reply struct {
+	Value       []byte
+	Role        policy.Role
+	Position    time.Duration
+	HasPosition bool
+	Report      policy.Report
+}
+
+// Entry is one line of the list.
+type Entry struct {
+	policy.Member
+	Dial netip.AddrPort
+}
+
+// Gateway is the life of all requests. Everything runs on the loop's goroutine.
+type Gateway struct {
+	loop      *netloop.Loop
+	router    Router
+	backends  Backends
+	discovery Discovery
+	requests  map[policy.RequestID]*Request
+	events    []policy.Event
+	spare     []policy.Event
+	seq       uint64
+	owed      int // requests without an answer
+	most      int
+	probes    map[policy.HostID]time.Duration
+}
+
+// New makes a gateway that holds at most so many unanswered requests; 0: no limit.
+func New(loop *netloop.Loop, router Router, most int) *Gateway {
+	if most <= 0 {
+		most = math.MaxInt
+	}
+	return &Gateway{
+		loop: loop, router: router, most: most,
+		requests: map[policy.RequestID]*Request{}, probes: map[policy.HostID]time.Duration{},
+	}
+}
+
+// Connect sets what the gateway acts on.
+func (g *Gateway) Connect(b Backends, d Discovery) { g.backends, g.discovery = b, d }
+
+// Owed is how many requests have no answer yet.
+func (g *Gateway) Owed() int { return g.owed }
+
+// Take accepts a request. Its answer may come before Take returns.
+func (g *Gateway) Take(q *Request) {
+	now := g.loop.Now()
+	if g.owed >= g.most {
+		q.over = true
+		q.Client.Refused(0)
+		q.Client.Released()
+		return
+	}
+	g.seq++
+	g.owed++
+	// The client's own id would do, were it certain that none comes twice.
+	q.id = policy.RequestID(strconv.FormatUint(g.seq, 36))
+	g.requests[q.id] = q
+	q.overdue = g.loop.At(q.Deadline+lateBy, func() { g.expire(q) })
+	e := policy.Request{
+		ID: q.id, Class: q.Class, Group: q.Group, Session: q.Session, Budget: q.Deadline - now,
+	}
+	if q.After > 0 {
+		e.TokenAge = max(1, now-q.After) // 0 would mean that there is no token
+	}
+	g.events = append(g.events, e)
+}
+
+// Gone tells that the client of q has left: nothing more is owed.
+func (g *Gateway) Gone(q *Request) {
+	if g.end(q) {
+		g.events = append(g.events, policy.Lapsed{Request: q.id})
+		g.release(q)
+	}
+}
+
+func (g *Gateway) expire(q *Request) {
+	if g.end(q) {
+		log.Printf("event=overdue request=%s attempts=%d out=%d", q.id, len(q.attempts), q.out)
+		q.Client.Failed()
+		g.events = append(g.events, policy.Lapsed{Request: q.id})
+		g.release(q)
+	}
+}
+
+// end marks the final answer; false: there was one already.
+func (g *Gateway) end(q *Request) bool {
+	if q.over {
+		return false
+	}
+	q.over = true
+	q.overdue.Stop()
+	g.owed--
+	return true
+}
+
+// release forgets a request that is over and has nothing out.
+func (g *Gateway) release(q *Request) {
+	if q.over && q.out == 0 && q.Client != nil {
+		delete(g.requests, q.id)
+		q.Client.Released()
+		q.Client = nil
+	}
+}
+
+// Resolved tells how an attempt ended. The first value goes to the client at once.
+func (g *Gateway) Resolved(a *Attempt, o policy.Outcome, r Reply) {
+	if a.done {
+		return
+	}
+	a.done = true
+	q := a.q
+	q.out--
+	if o == policy.OK && g.end(q) {
+		q.Client.Served(r.Value)
+	}
+	g.events = append(g.events, policy.Result{
+		Request: q.id, Attempt: a.number, Host: a.Host, Outcome: o, Latency: g.loop.Now() - a.sentAt,
+		Finished: q.over, Role: r.Role, Position: r.Position, HasPosition: r.HasPosition, Report: r.Report,
+	})
+	g.release(q)
+}
+
+// Probed tells how a probe ended.
+func (g *Gateway) Probed(host policy.HostID, o policy.Outcome, r Reply) {
+	g.events = append(g.events, policy.Probed{
+		Host: host, Outcome: o, Latency: g.loop.Now() - g.probes[host], Report: r.Report,
+	})
+}
+
+// Listed passes on news of the list.
+func (g *Gateway) Listed(kind policy.ListKind, entries []Entry) {
+	m := policy.Members{Kind: kind, Entries: make([]policy.Member, len(entries))}
+	for i, e := range entries {
+		m.Entries[i] = e.Member
+		g.backends.Listed(e.Host, e.Dial, e.Status)
+	}
+	g.events = append(g.events, m)
+}
+
+// Step lets the module decide on all that was gathered. It tells whether carrying the
+// actions out has led to new events.
+func (g *Gateway) Step() (again bool) {
+	if len(g.events) == 0 {
+		return false
+	}
+	events := g.events
+	g.events = g.spare[:0]
+	for _, a := range g.router.Step(g.loop.Now(), events) {
+		g.act(a)
+	}
+	clear(events)
+	g.spare = events[:0]
+	return len(g.events) > 0
+}
+
+func (g *Gateway) act(a policy.Action) {
+	switch a := a.(type) {
+	case policy.Send:
+		g.send(a)
+	case policy.Refuse:
+		if q := g.requests[a.Request]; q != nil && g.end(q) {
+			q.Client.Refused(a.RetryAfter)
+			g.release(q)
+		}
+	case policy.Fail:
+		if q := g.requests[a.Request]; q != nil && g.end(q) {
+			q.Client.Failed()
+			g.release(q)
+		}
+	case policy.Cancel:
+		if q := g.requests[a.Request]; q != nil && a.Attempt < len(q.attempts) && !q.attempts[a.Attempt].done {
+			g.backends.Cancel(q.attempts[a.Attempt])
+		}
+	case policy.Probe:
+		g.probes[a.Host] = g.loop.Now()
+		g.backends.Probe(a.Host)
+	case policy.HangUp:
+		g.backends.HangUp(a.Host)
+	case policy.Timer:
+		token := a.Timer
+		g.loop.At(g.loop.Now()+a.After, func() { g.events = append(g.events, policy.Elapsed{Timer: token}) })
+	case policy.Subscribe:
+		g.discovery.Subscribe()
+	case policy.Log:
+		log.Printf("event=policy text=%q", a.Text)
+	}
+}
+
+// send starts an attempt; the timeout becomes a deadline here. One for a request that
+// is over is never sent.
+func (g *Gateway) send(s policy.Send) {
+	now := g.loop.Now()
+	q := g.requests[s.Request]
+	if q == nil || q.over {
+		n := 0
+		if q != nil {
+			n = len(q.attempts)
+			q.attempts = append(q.attempts, &Attempt{q: q, number: n, done: true})
+		}
+		g.events = append(g.events, policy.Result{
+			Request: s.Request, Attempt: n, Host: s.Host, Outcome: policy.Moot, Finished: true,
+		})
+		return
+	}
+	a := &Attempt{
+		Host: s.Host, Statement: q.Statement, Deadline: q.Deadline,
+		q: q, number: len(q.attempts), sentAt: now,
+	}
+	if s.Timeout != 0 {
+		a.Deadline = min(a.Deadline, now+s.Timeout)
+	}
+	q.attempts = append(q.attempts, a)
+	q.out++
+	g.backends.Send(a)
+}
--- /dev/null
+++ b/internal/netloop/conn.go
@@ -0,0 +1,443 @@
+package netloop
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Handler is told what happens to a connection. After Ended it hears no more.
+type Handler interface {
+	Connected()      // a dialled connection is up
+	Received()       // Input has more
+	Ended(err error) // the peer or the network ended it; not called after Close
+}
+
+// Conn is one non-blocking connection.
+type Conn struct {
+	loop     *Loop
+	fd       int // -1: closed
+	gen      int32
+	h        Handler
+	interest uint32
+	up       bool
+	in       []byte // read, from r on not yet consumed
+	r        int
+	most     int    // Input holds so much at most; reading stops there until some is consumed
+	out      []byte // accepted by Write, not yet by the kernel
+	sent     int    // of out
+	lost     int    // was pending when the connection ended
+	linger   *Timer // closed by us, waits for the peer to read the rest
+	handing  bool   // Received is running: the input buffer stays
+}
+
+// Dial begins to connect. A failure that is known at once is returned; later ones
+// end the connection.
+func (l *Loop) Dial(addr netip.AddrPort, h Handler, inputMost int) (*Conn, error) {
+	if l.Spare() <= 0 {
+		return nil, ErrDescriptors
+	}
+	fd, err := unix.Socket(family(addr), unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("socket: %w", err)
+	}
+	l.open++
+	err = unix.Connect(fd, sockaddr(addr))
+	if err != nil && err != unix.EINPROGRESS && err != unix.EINTR {
+		unix.Close(fd)
+		l.open--
+		return nil, fmt.Errorf("connect: %w", err)
+	}
+	c, err := l.adopt(fd, unix.EPOLLIN|unix.EPOLLOUT|unix.EPOLLRDHUP)
+	if err != nil {
+		return nil, err
+	}
+	c.Handle(h, inputMost)
+	return c, nil
+}
+
+func (l *Loop) adopt(fd int, interest uint32) (*Conn, error) {
+	// Answers are small and each is written whole: none is to wait for another.
+	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	c := &Conn{loop: l, fd: fd, interest: interest}
+	if err := l.register(fd, interest, slot{conn: c}); err != nil {
+		unix.Close(fd)
+		l.open--
+		return nil, err
+	}
+	return c, nil
+}
+
+// Handle sets who is told of the connection and how much input it holds at most.
+func (c *Conn) Handle(h Handler, inputMost int) { c.h, c.most = h, inputMost }
+
+// Closed tells whether the connection is over.
+func (c *Conn) Closed() bool { return c.fd < 0 || c.linger != nil }
+
+// Input is what has been read and not consumed. It is good until the handler returns.
+func (c *Conn) Input() []byte { return c.in[c.r:] }
+
+// Consume drops the first n bytes of the input.
+func (c *Conn) Consume(n int) {
+	c.r += n
+	if c.r >= len(c.in) {
+		c.in, c.r = c.in[:0], 0
+		if !c.handing {
+			c.loop.buffers.put(c.in)
+			c.in = nil
+		}
+	}
+	c.want()
+}
+
+// Take consumes the first n bytes and hands them over for good. A buffer that holds
+// nothing else goes as it is; otherwise the bytes are copied. It is given back by Free.
+func (c *Conn) Take(n int) []byte {
+	if c.r == 0 && n == len(c.in) {
+		b := c.in
+		c.in = nil
+		c.want()
+		return b
+	}
+	b := c.loop.buffers.add(nil, c.in[c.r:c.r+n])
+	c.Consume(n)
+	return b
+}
+
+// Free gives a buffer from Take back.
+func (l *Loop) Free(b []byte) { l.buffers.put(b) }
+
+// Pending is how much of what was written the kernel has not accepted; of an ended
+// connection, how much it had not accepted by then.
+func (c *Conn) Pending() int { return len(c.out) - c.sent + c.lost }
+
+// Write sends the parts behind all written before, gathered in one call where the kernel
+// has room, and keeps a copy of what it does not accept. An error is told by Ended, in
+// a later round: the caller is not called back from within its own call.
+func (c *Conn) Write(parts ...[]byte) {
+	if c.Closed() {
+		return
+	}
+	total, n := 0, 0
+	for _, p := range parts {
+		total += len(p)
+	}
+	if c.up && c.Pending() == 0 && total > 0 {
+		var err error
+		for {
+			if n, err = unix.Writev(c.fd, parts); err != unix.EINTR {
+				break
+			}
+		}
+		n = max(n, 0) // on an error all is kept; epoll reports what broke
+	}
+	if n < total {
+		c.keep(parts, n)
+	}
+	c.want()
+}
+
+func (c *Conn) keep(parts [][]byte, skip int) {
+	if c.Pending() == 0 {
+		c.out, c.sent = c.out[:0], 0
+	}
+	for _, p := range parts {
+		k := min(skip, len(p))
+		skip -= k
+		if len(p) > k {
+			c.out = c.loop.buffers.add(c.out, p[k:])
+		}
+	}
+}
+
+// ready handles what epoll tells of the connection.
+func (c *Conn) ready(events uint32) {
+	if !c.up {
+		if events&(unix.EPOLLOUT|unix.EPOLLERR|unix.EPOLLHUP) == 0 {
+			return
+		}
+		if err := c.socketError(); err != nil {
+			c.end(err)
+			return
+		}
+		c.up = true
+		c.h.Connected()
+		if c.fd < 0 {
+			return
+		}
+	}
+	if events&unix.EPOLLOUT != 0 && c.Pending() > 0 {
+		if err := c.flush(); err != nil {
+			// What the peer said before it closed is still to be read.
+			c.read()
+			c.end(err)
+			return
+		}
+	}
+	if c.fd >= 0 && events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+		if err := c.read(); err != nil {
+			c.end(err)
+			return
+		}
+	}
+	if c.fd >= 0 {
+		if c.interest&unix.EPOLLIN == 0 && events&(unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+			c.end(ErrPeerClosed) // reading has stopped: its input is full
+			return
+		}
+		c.want()
+	}
+}
+
+func (c *Conn) socketError() error {
+	n, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+	if err == nil && n != 0 {
+		err = unix.Errno(n)
+	}
+	return err
+}
+
+func (c *Conn) flush() error {
+	for c.Pending() > 0 {
+		n, err := unix.Write(c.fd, c.out[c.sent:])
+		switch err {
+		case nil:
+			c.sent += n
+		case unix.EINTR:
+		case unix.EAGAIN:
+			return nil
+		default:
+			return err
+		}
+	}
+	c.loop.buffers.put(c.out)
+	c.out, c.sent = nil, 0
+	if c.linger != nil {
+		_ = unix.Shutdown(c.fd, unix.SHUT_WR)
+	}
+	return nil
+}
+
+// read takes in what has come and hands it on before an end that came behind it.
+func (c *Conn) read() error {
+	for range readMost {
+		if c.linger != nil {
+			if err := c.discard(); err != nil {
+				return err
+			}
+			continue
+		}
+		room := c.space()
+		if room == nil {
+			if len(c.Input()) >= c.most {
+				return nil
+			}
+			return ErrMemory
+		}
+		n, err := unix.Read(c.fd, room)
+		switch {
+		case err == unix.EINTR:
+			continue
+		case err == unix.EAGAIN:
+			c.Consume(0)
+			return nil
+		case err != nil:
+			return err
+		case n == 0:
+			return ErrPeerClosed
+		}
+		c.in = c.in[:len(c.in)+n]
+		c.handing = true
+		c.h.Received()
+		c.handing = false
+		if c.fd < 0 {
+			return nil
+		}
+		c.Consume(0)
+		if n < len(room) {
+			return nil // level-triggered: an end behind it is told in the next round
+		}
+	}
+	return nil
+}
+
+var waste [16 << 10]byte
+
+func (c *Conn) discard() error {
+	n, err := unix.Read(c.fd, waste[:])
+	switch {
+	case err == unix.EAGAIN, err == unix.EINTR:
+		return nil
+	case err != nil:
+		return err
+	case n == 0:
+		return ErrPeerClosed
+	}
+	return nil
+}
+
+// space is where the next read goes; nil if the input is full or memory is short.
+func (c *Conn) space() []byte {
+	if c.in == nil {
+		if c.in = c.loop.buffers.get(1); c.in == nil {
+			return nil
+		}
+	}
+	if c.r > 0 {
+		c.in = c.in[:copy(c.in, c.in[c.r:])]
+		c.r = 0
+	}
+	if len(c.in) == cap(c.in) && len(c.in) < c.most {
+		c.in = c.loop.buffers.grow(c.in)
+	}
+	return c.in[len(c.in):min(cap(c.in), max(c.most, len(c.in)))]
+}
+
+// want tells epoll what the connection waits for.
+func (c *Conn) want() {
+	if c.fd < 0 || !c.up {
+		return
+	}
+	interest := uint32(unix.EPOLLRDHUP)
+	if len(c.Input()) < c.most || c.linger != nil {
+		interest |= unix.EPOLLIN
+	}
+	if c.Pending() > 0 {
+		interest |= unix.EPOLLOUT
+	}
+	if interest == c.interest {
+		return
+	}
+	c.interest = interest
+	e := unix.EpollEvent{Events: interest, Fd: int32(c.fd), Pad: c.loop.slots[c.fd].gen}
+	_ = unix.EpollCtl(c.loop.ep, unix.EPOLL_CTL_MOD, c.fd, &e)
+}
+
+// Close ends the connection at once; what is pending is lost.
+func (c *Conn) Close() {
+	if c.fd < 0 {
+		return
+	}
+	if c.linger != nil {
+		c.linger.Stop()
+		c.loop.lingering--
+	}
+	c.loop.release(c.fd)
+	c.fd, c.lost = -1, c.Pending()
+	c.loop.buffers.put(c.in)
+	c.loop.buffers.put(c.out)
+	c.in, c.out, c.r, c.sent = nil, nil, 0, 0
+}
+
+// Finish ends the connection once the peer has what was written: a plain close with
+// unread input would reset it and take the last answer along. The handler hears no
+// more. A peer that has not closed by the given moment is cut off.
+func (c *Conn) Finish(until time.Duration) {
+	if c.Closed() {
+		return
+	}
+	c.h = ended{}
+	c.loop.lingering++
+	c.linger = c.loop.At(until, c.Close)
+	c.loop.buffers.put(c.in)
+	c.in, c.r = nil, 0
+	if c.Pending() == 0 {
+		_ = unix.Shutdown(c.fd, unix.SHUT_WR)
+	}
+	c.want()
+}
+
+type ended struct{}
+
+func (ended) Connected()  {}
+func (ended) Received()   {}
+func (ended) Ended(error) {}
+
+func (c *Conn) end(err error) {
+	if c.fd < 0 {
+		return
+	}
+	h := c.h
+	c.Close()
+	h.Ended(err)
+}
+
+// pool keeps buffers of a few sizes and bounds how much all of them hold.
+type pool struct {
+	most, held int
+	free       [sizes][][]byte
+}
+
+const (
+	smallest = 2 << 10
+	sizes    = 9 // 2 KiB to 512 KiB
+	keepMost = 64
+)
+
+func class(n int) int {
+	k := 0
+	for smallest<<k < n && k < sizes-1 {
+		k++
+	}
+	return k
+}
+
+// get returns an empty buffer for n bytes; nil if there is no memory to spare.
+func (p *pool) get(n int) []byte {
+	k := class(n)
+	size := smallest << k
+	if p.held+size > p.most {
+		return nil
+	}
+	p.held += size
+	if list := p.free[k]; len(list) > 0 {
+		b := list[len(list)-1]
+		p.free[k] = list[:len(list)-1]
+		return b
+	}
+	return make([]byte, 0, size)
+}
+
+func (p *pool) put(b []byte) {
+	if cap(b) == 0 {
+		return
+	}
+	k := class(cap(b))
+	if smallest<<k != cap(b) {
+		return // made outside the bound, see add
+	}
+	p.held -= smallest << k
+	if len(p.free[k]) < keepMost>>k {
+		p.free[k] = append(p.free[k], b[:0])
+	}
+}
+
+// grow moves b to a buffer of the next size; without memory for it, b stays.
+func (p *pool) grow(b []byte) []byte {
+	next := p.get(cap(b) + 1)
+	if next == nil || cap(next) <= cap(b) {
+		return b
+	}
+	next = append(next, b...)
+	p.put(b)
+	return next
+}
+
+// add appends to a buffer whose size its writer bounds. What is over the largest size
+// or finds no memory to spare gets an odd capacity, by which put knows it.
+func (p *pool) add(b, more []byte) []byte {
+	need := len(b) + len(more)
+	if need <= cap(b) {
+		return append(b, more...)
+	}
+	next := p.get(need)
+	if cap(next) < need {
+		p.put(next)
+		next = make([]byte, 0, need|1)
+	}
+	next = append(append(next, b...), more...)
+	p.put(b)
+	return next
+}
--- /dev/null
+++ b/internal/netloop/loop.go
@@ -0,0 +1,353 @@
+// Package netloop is one epoll loop with non-blocking connections, a heap of
+// timers, bounded buffers and a count of descriptors. One goroutine runs the
+// loop and owns all that hangs on it; nothing here is locked.
+//
+// Moments are durations since the Unix epoch. The system's clock is read once,
+// at the start; from then on the monotonic clock moves the time, so that a step
+// of the system's clock moves no deadline.
+package netloop
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	perRound   = 256 // events taken from the kernel at once
+	acceptMost = 64  // connections taken from one listener in a round
+	readMost   = 4   // reads from one connection in a round: a fast peer holds up nobody
+)
+
+// Errors that end a connection, besides those of the system.
+var (
+	ErrPeerClosed  = errors.New("peer closed the connection")
+	ErrDescriptors = errors.New("no descriptor to spare")
+	ErrMemory      = errors.New("no buffer memory to spare")
+	ErrLinger      = errors.New("peer kept a closed connection open")
+)
+
+// Loop is the epoll loop. Use New.
+type Loop struct {
+	ep, wake  int
+	base      time.Time
+	epoch     time.Duration
+	now       time.Duration
+	slots     []slot // by descriptor
+	gen       int32
+	timers    timers
+	open      int
+	limit     int
+	buffers   pool
+	stopped   bool
+	lingering int
+	onWake    func()
+	events    [perRound]unix.EpollEvent
+}
+
+// slot is what a descriptor stands for. The generation tells an event of a closed
+// descriptor from one of the descriptor that has its number now.
+type slot struct {
+	gen  int32
+	conn *Conn
+	ln   *Listener
+}
+
+// New makes a loop that may hold so many descriptors and so many bytes of buffers.
+// The descriptors that are open at that time count, too: taken tells how many.
+func New(descriptors, taken, buffered int) (*Loop, error) {
+	l := &Loop{base: time.Now(), limit: descriptors, open: taken, buffers: pool{most: buffered}}
+	l.epoch = time.Duration(l.base.UnixNano())
+	l.tick()
+	var err error
+	if l.ep, err = unix.EpollCreate1(unix.EPOLL_CLOEXEC); err != nil {
+		return nil, fmt.Errorf("epoll: %w", err)
+	}
+	if l.wake, err = unix.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC); err != nil {
+		unix.Close(l.ep)
+		return nil, fmt.Errorf("eventfd: %w", err)
+	}
+	l.open += 2
+	if err := l.register(l.wake, unix.EPOLLIN, slot{}); err != nil {
+		return nil, err
+	}
+	return l, nil
+}
+
+// Now is the moment at which the round began.
+func (l *Loop) Now() time.Duration { return l.now }
+
+func (l *Loop) tick() { l.now = l.epoch + time.Since(l.base) }
+
+// Spare is how many more descriptors may be opened.
+func (l *Loop) Spare() int { return l.limit - l.open }
+
+// Lingering is how many connections were finished and not yet closed by their peers.
+func (l *Loop) Lingering() int { return l.lingering }
+
+// Stop ends Run after the round.
+func (l *Loop) Stop() { l.stopped = true }
+
+// OnWake sets what Wake leads to, on the loop's goroutine.
+func (l *Loop) OnWake(do func()) { l.onWake = do }
+
+// Wake may be called from any goroutine: it is how a signal gets into the loop.
+func (l *Loop) Wake() {
+	one := [8]byte{1}
+	for {
+		if _, err := unix.Write(l.wake, one[:]); err != unix.EINTR {
+			return
+		}
+	}
+}
+
+// Run gathers all that is ready, then calls step, until Stop. Step may ask for another
+// round at once by returning true.
+func (l *Loop) Run(step func() (again bool)) error {
+	again := false
+	for !l.stopped {
+		n, err := unix.EpollWait(l.ep, l.events[:], l.patience(again))
+		l.tick()
+		if err != nil && err != unix.EINTR {
+			return fmt.Errorf("epoll_wait: %w", err)
+		}
+		for i := range max(n, 0) {
+			l.dispatch(&l.events[i])
+		}
+		l.fire()
+		again = step()
+	}
+	return nil
+}
+
+// patience is how many milliseconds the next round may wait for events: until the
+// next timer, rounded up, so that the loop does not spin through its last millisecond.
+func (l *Loop) patience(again bool) int {
+	if again || l.stopped {
+		return 0
+	}
+	if len(l.timers) == 0 {
+		return -1
+	}
+	left := l.timers[0].at - (l.epoch + time.Since(l.base))
+	return int(min(max(0, left+time.Millisecond-1)/time.Millisecond, 60_000))
+}
+
+func (l *Loop) dispatch(e *unix.EpollEvent) {
+	if int(e.Fd) == l.wake {
+		var b [8]byte
+		_, _ = unix.Read(l.wake, b[:])
+		if l.onWake != nil {
+			l.onWake()
+		}
+		return
+	}
+	s := l.slots[e.Fd]
+	switch {
+	case s.gen != e.Pad: // closed earlier in this round
+	case s.conn != nil:
+		s.conn.ready(e.Events)
+	case s.ln != nil:
+		s.ln.accept()
+	}
+}
+
+func (l *Loop) register(fd int, interest uint32, s slot) error {
+	l.gen++
+	s.gen = l.gen
+	for len(l.slots) <= fd {
+		l.slots = append(l.slots, slot{})
+	}
+	l.slots[fd] = s
+	e := unix.EpollEvent{Events: interest, Fd: int32(fd), Pad: s.gen}
+	if err := unix.EpollCtl(l.ep, unix.EPOLL_CTL_ADD, fd, &e); err != nil {
+		l.slots[fd] = slot{}
+		return fmt.Errorf("epoll_ctl: %w", err)
+	}
+	return nil
+}
+
+// release closes a registered descriptor; that takes it out of epoll as well.
+func (l *Loop) release(fd int) {
+	l.slots[fd] = slot{}
+	unix.Close(fd)
+	l.open--
+}
+
+// Close closes every descriptor of the loop.
+func (l *Loop) Close() {
+	for fd, s := range l.slots {
+		if s.conn != nil || s.ln != nil {
+			l.release(fd)
+		}
+	}
+	unix.Close(l.wake)
+	unix.Close(l.ep)
+}
+
+// Listener accepts connections.
+type Listener struct {
+	loop   *Loop
+	fd     int
+	accept func()
+	Addr   netip.AddrPort // where it listens, the port found where 0 was asked for
+}
+
+// Listen accepts connections at addr; each is handed to take, which must set its
+// handler, or may close it.
+func (l *Loop) Listen(addr netip.AddrPort, take func(*Conn)) (*Listener, error) {
+	fd, err := unix.Socket(family(addr), unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("socket: %w", err)
+	}
+	ln := &Listener{loop: l, fd: fd}
+	// A gateway that starts again finds connections of its predecessor in TIME_WAIT.
+	err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err == nil {
+		err = unix.Bind(fd, sockaddr(addr))
+	}
+	if err == nil {
+		err = unix.Listen(fd, 4096)
+	}
+	var bound unix.Sockaddr
+	if err == nil {
+		bound, err = unix.Getsockname(fd)
+	}
+	if err == nil {
+		ln.Addr = addrPort(bound)
+		ln.accept = func() { ln.take(take) }
+		err = l.register(fd, unix.EPOLLIN, slot{ln: ln})
+	}
+	if err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("listen at %s: %w", addr, err)
+	}
+	l.open++
+	return ln, nil
+}
+
+func (ln *Listener) take(take func(*Conn)) {
+	for range acceptMost {
+		if ln.loop.Spare() <= 0 {
+			ln.rest()
+			return
+		}
+		fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch err {
+		case nil:
+		case unix.EINTR, unix.ECONNABORTED:
+			continue
+		case unix.EAGAIN:
+			return
+		default:
+			ln.rest()
+			return
+		}
+		ln.loop.open++
+		if c, err := ln.loop.adopt(fd, unix.EPOLLIN|unix.EPOLLRDHUP); err == nil {
+			c.up = true
+			take(c)
+		}
+	}
+}
+
+// rest leaves new connections in the queue for a moment: epoll would go on reporting
+// them, and the loop would spin, while there is no descriptor for them.
+func (ln *Listener) rest() {
+	watch := func(interest uint32) {
+		if ln.fd >= 0 {
+			e := unix.EpollEvent{Events: interest, Fd: int32(ln.fd), Pad: ln.loop.slots[ln.fd].gen}
+			_ = unix.EpollCtl(ln.loop.ep, unix.EPOLL_CTL_MOD, ln.fd, &e)
+		}
+	}
+	watch(0)
+	ln.loop.At(ln.loop.now+20*time.Millisecond, func() { watch(unix.EPOLLIN) })
+}
+
+// Close takes what is still in the queue, then stops listening: the machine has
+// accepted those connections, and requests may have been written to them.
+func (ln *Listener) Close() {
+	if ln.fd < 0 {
+		return
+	}
+	ln.accept()
+	ln.loop.release(ln.fd)
+	ln.fd = -1
+}
+
+// Timer is a moment at which something is to be done. Stop may be called at any time.
+type Timer struct {
+	at    time.Duration
+	do    func()
+	index int // in the heap; -1: fired or stopped
+	loop  *Loop
+}
+
+// At has do called in the first round that begins at or after the moment.
+func (l *Loop) At(at time.Duration, do func()) *Timer {
+	t := &Timer{at: at, do: do, loop: l}
+	heap.Push(&l.timers, t)
+	return t
+}
+
+// Stop keeps a timer from firing; a nil timer is none.
+func (t *Timer) Stop() {
+	if t != nil && t.index >= 0 {
+		heap.Remove(&t.loop.timers, t.index)
+	}
+}
+
+func (l *Loop) fire() {
+	for len(l.timers) > 0 && l.timers[0].at <= l.now {
+		heap.Pop(&l.timers).(*Timer).do()
+	}
+}
+
+type timers []*Timer
+
+func (h timers) Len() int           { return len(h) }
+func (h timers) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timers) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *timers) Push(x any) {
+	t := x.(*Timer)
+	t.index = len(*h)
+	*h = append(*h, t)
+}
+func (h *timers) Pop() any {
+	n := len(*h) - 1
+	t := (*h)[n]
+	(*h)[n], *h = nil, (*h)[:n]
+	t.index = -1
+	return t
+}
+
+func family(a netip.AddrPort) int {
+	if a.Addr().Is4() {
+		return unix.AF_INET
+	}
+	return unix.AF_INET6
+}
+
+func sockaddr(a netip.AddrPort) unix.Sockaddr {
+	if a.Addr().Is4() {
+		return &unix.SockaddrInet4{Port: int(a.Port()), Addr: a.Addr().As4()}
+	}
+	return &unix.SockaddrInet6{Port: int(a.Port()), Addr: a.Addr().As16()}
+}
+
+func addrPort(sa unix.Sockaddr) netip.AddrPort {
+	switch sa := sa.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(sa.Addr), uint16(sa.Port))
+	case *unix.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(sa.Addr), uint16(sa.Port))
+	}
+	return netip.AddrPort{}
+}
--- /dev/null
+++ b/internal/pgwire/message.go
@@ -0,0 +1,229 @@
+// Package pgwire frames the messages of version 3 of PostgreSQL's protocol and reads
+// the comment that heads a statement. It knows bytes only, no sockets.
+package pgwire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"strconv"
+)
+
+// MostValue is the largest value the platform knows; a statement carries it as hex.
+const (
+	MostValue   = 64 << 10
+	MostMessage = 2*MostValue + 16<<10
+	mostStartup = 10_000 // as PostgreSQL itself bounds it
+)
+
+// Codes of ErrorResponse.
+const (
+	CodeTooManyConnections = "53300" // refused, or turned away: it never ran
+	CodeCannotConnectNow   = "57P03"
+	CodeReadOnly           = "25006" // a write at a server that is no primary
+	CodeTooFarBehind       = "72000" // a read at a replica that lags
+	CodeProtocolViolation  = "08P01"
+	CodeUnsupported        = "0A000"
+	CodeUnknownOutcome     = "40003" // a statement that may have run
+	CodeInvalidParameter   = "22023"
+	CodeTooLarge           = "54000"
+	CodeAdminShutdown      = "57P01"
+)
+
+// Message types.
+const (
+	AuthRequest     = 'R'
+	BackendKey      = 'K'
+	CommandComplete = 'C'
+	DataRow         = 'D'
+	EmptyQuery      = 'I'
+	ErrorMsg        = 'E'
+	Notice          = 'N'
+	ParameterStatus = 'S'
+	Query           = 'Q'
+	Ready           = 'Z'
+	RowDescription  = 'T'
+	Terminate       = 'X'
+)
+
+// Errors of framing.
+var (
+	ErrLength  = errors.New("message length out of bounds")
+	ErrVersion = errors.New("protocol version is not 3")
+	ErrText    = errors.New("text is not terminated")
+)
+
+// Next splits the first message off b. n is its length with its head; 0: it has not
+// come whole. A length over most is an error as soon as it is seen.
+func Next(b []byte, most int) (kind byte, body []byte, n int, err error) {
+	if len(b) < 5 {
+		return 0, nil, 0, nil
+	}
+	size := int(int32(binary.BigEndian.Uint32(b[1:])))
+	if size < 4 || size > most {
+		return b[0], nil, 0, fmt.Errorf("%w: %d bytes in message %q", ErrLength, size, b[0])
+	}
+	if len(b) < 1+size {
+		return b[0], nil, 0, nil
+	}
+	return b[0], b[5 : 1+size], 1 + size, nil
+}
+
+// Hello is what a client's first packet asks for.
+type Hello uint8
+
+// The kinds of first packet.
+const (
+	HelloPartial Hello = iota // not whole yet
+	HelloStart
+	HelloTLS
+	HelloGSS
+	HelloCancel
+)
+
+// ParseHello reads a first packet, which has a length but no type.
+func ParseHello(b []byte) (kind Hello, n int, err error) {
+	if len(b) < 4 {
+		return HelloPartial, 0, nil
+	}
+	size := int(int32(binary.BigEndian.Uint32(b)))
+	if size < 8 || size > mostStartup {
+		return HelloPartial, 0, fmt.Errorf("%w: %d bytes in the first packet", ErrLength, size)
+	}
+	if len(b) < size {
+		return HelloPartial, 0, nil
+	}
+	switch code := binary.BigEndian.Uint32(b[4:]); {
+	case code == 80877102:
+		return HelloCancel, size, nil
+	case code == 80877103:
+		return HelloTLS, size, nil
+	case code == 80877104:
+		return HelloGSS, size, nil
+	case code>>16 != 3:
+		return HelloPartial, 0, fmt.Errorf("%w but %d.%d", ErrVersion, code>>16, code&0xffff)
+	}
+	return HelloStart, size, nil
+}
+
+// Startup is the packet with which a gateway greets a database.
+func Startup(user, database string) []byte {
+	b := binary.BigEndian.AppendUint32(nil, 0)
+	b = binary.BigEndian.AppendUint32(b, 3<<16)
+	for _, s := range []string{"user", user, "database", database, "application_name", "lilaccove", ""} {
+		b = append(append(b, s...), 0)
+	}
+	binary.BigEndian.PutUint32(b, uint32(len(b)))
+	return b
+}
+
+// Append adds one message made of the texts, each terminated by a zero.
+func appendTexts(b []byte, kind byte, texts ...string) []byte {
+	at := len(b)
+	b = append(b, kind, 0, 0, 0, 0)
+	for _, s := range texts {
+		b = append(append(b, s...), 0)
+	}
+	return closeMessage(b, at)
+}
+
+func closeMessage(b []byte, at int) []byte {
+	binary.BigEndian.PutUint32(b[at+1:], uint32(len(b)-at-1))
+	return b
+}
+
+// AppendWelcome adds what a server answers to a startup packet. Nobody can cancel with
+// the key: a client gives up by closing its connection.
+func AppendWelcome(b []byte) []byte {
+	b = append(b, AuthRequest, 0, 0, 0, 8, 0, 0, 0, 0)
+	for _, p := range [][2]string{
+		{"server_version", "15.0 (lilaccove)"}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"},
+		{"DateStyle", "ISO, MDY"}, {"integer_datetimes", "on"}, {"standard_conforming_strings", "on"},
+	} {
+		b = appendTexts(b, ParameterStatus, p[0], p[1])
+	}
+	b = append(b, BackendKey, 0, 0, 0, 12, 0, 0, 0, 0, 0, 0, 0, 0)
+	return AppendReady(b)
+}
+
+// AppendReady adds ReadyForQuery, outside a transaction.
+func AppendReady(b []byte) []byte { return append(b, Ready, 0, 0, 0, 5, 'I') }
+
+// AppendEmpty adds EmptyQueryResponse.
+func AppendEmpty(b []byte) []byte { return append(b, EmptyQuery, 0, 0, 0, 4) }
+
+// AppendError adds an ErrorResponse; detail may be empty.
+func AppendError(b []byte, severity, code, message, detail string) []byte {
+	texts := []string{"S" + severity, "V" + severity, "C" + code, "M" + message}
+	if detail != "" {
+		texts = append(texts, "D"+detail)
+	}
+	return appendTexts(b, ErrorMsg, append(texts, "")...)
+}
+
+// AppendQuery adds a simple query.
+func AppendQuery(b []byte, text string) []byte { return appendTexts(b, Query, text) }
+
+// QueryHead is the head of a Query message whose body, with its zero, has so many bytes.
+func QueryHead(body int) [5]byte {
+	h := [5]byte{Query}
+	binary.BigEndian.PutUint32(h[1:], uint32(body+4))
+	return h
+}
+
+// ErrorCode is the code of an ErrorResponse, from its body; empty if there is none.
+func ErrorCode(body []byte) []byte { return errorField(body, 'C') }
+
+// ErrorText is its message.
+func ErrorText(body []byte) []byte { return errorField(body, 'M') }
+
+func errorField(body []byte, field byte) []byte {
+	for len(body) > 0 && body[0] != 0 {
+		end := bytes.IndexByte(body, 0)
+		if end < 0 {
+			return nil
+		}
+		if body[0] == field {
+			return body[1:end]
+		}
+		body = body[end+1:]
+	}
+	return nil
+}
+
+// Pair reads a ParameterStatus.
+func Pair(body []byte) (name, value []byte, err error) {
+	name, rest, ok := bytes.Cut(body, []byte{0})
+	value, _, ok2 := bytes.Cut(rest, []byte{0})
+	if !ok || !ok2 {
+		return nil, nil, ErrText
+	}
+	return name, value, nil
+}
+
+// Column reads a DataRow of one column, as the platform's rows are.
+func Column(body []byte) (value []byte, ok bool) {
+	if len(body) < 6 || binary.BigEndian.Uint16(body) != 1 {
+		return nil, false
+	}
+	size := int32(binary.BigEndian.Uint32(body[2:]))
+	if size == -1 && len(body) == 6 {
+		return nil, true
+	}
+	return body[6:], size >= 0 && len(body) == 6+int(size)
+}
+
+// Text is the text of a Query, from its body.
+func Text(body []byte) ([]byte, error) {
+	if n := len(body); n == 0 || bytes.IndexByte(body, 0) != n-1 {
+		return nil, ErrText
+	}
+	return body[:len(body)-1], nil
+}
+
+// Blank tells an empty query: nothing but white space and semicolons.
+func Blank(text []byte) bool { return len(bytes.Trim(text, " \t\r\n\f\v;")) == 0 }
+
+// AppendMillis adds a number of milliseconds.
+func AppendMillis(b []byte, ms int64) []byte { return strconv.AppendInt(b, ms, 10) }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"lilaccove/internal/settings"
 	"lilaccove/policy"
 )
 
@@ -168,9 +169,11 @@
 	switch f.name() {
 	case "PROVISION":
 		it.Kind, it.Seed = Start, f.int(1)
-		var zero time.Duration
-		it.Settings, zero = parseSettings(f, 2)
-		r.zero[router] = zero
+		set, err := settings.FromPairs(f.part[min(2, len(f.part)):])
+		if err != nil {
+			f.fail("%v", err)
+		}
+		it.Settings, r.zero[router] = set.Policy, set.Zero
 	case "RETIRE":
 		it.Kind = Stop
 	case "VIEW":
