Let a read close an open breaker where probes bring no role

At fault: onProbed and learnRole. A breaker closes only on evidence of a role, reports bring none on this site (a probe of the sockets showed: neither the greeting nor SELECT 1 tells a role), and reads never went to the primary of an open breaker. blind() does not help, as probes pass. Ruled out: the network part (to the first attempt 152 us in the median, no fault, no 8 lost). Change: mayTry, one read at a time to a primary that has passed a probe since the opening, with a quarter of the aim, so that a replica can still serve it. A test fails without the change.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,10 +1,9 @@
 package policy
 
-// Every decision is in this file. The mechanism, per group of hosts: count
-// consecutive failures of the primary (countFailure); at breakerThreshold the breaker
-// opens (trip), writes and reads that need the primary are refused unsent (route),
-// reads go on at replicas known to be fresh enough (pickReplica); every member is
-// probed (seek) and the first that answers as primary closes the breaker (learnRole).
+// Every decision is in this file. The mechanism, per group of hosts: count consecutive failures of the
+// primary (countFailure); at breakerThreshold the breaker opens (trip), writes and reads that need the
+// primary are refused unsent (route), reads go on at replicas known to be fresh enough (pickReplica); every
+// member is probed (seek) and the first that answers as primary closes the breaker (learnRole).
 
 import (
 	"cmp"
@@ -52,11 +51,11 @@
 	limit     float64       // attempts it is given at once
 	strain    float64       // its answer times as a share of the aims
 	fails     int           // in a row
-	probing   bool
-	probedAt  time.Duration
-	judgedAt  time.Duration
+	upAt      time.Duration // when it last passed a probe
 	gap       time.Duration // mean time between its outcomes
-	sentAt    time.Duration
+
+	probedAt, judgedAt, sentAt time.Duration
+	probing                    bool
 }
 
 // group is one primary with its replicas, and the breaker on that primary.
@@ -65,13 +64,13 @@
 	primary  *host // nil: unknown
 	lostAt   time.Duration
 	fails    int
-	open     bool
 	openedAt time.Duration
 	trips    int // of the breaker on this primary without a success between
 	waiting  []*request
-	stirred  bool          // something changed that may let a waiting request go
-	seeking  bool          // a timer for the next probes of seek is set
 	doubtAt  time.Duration // when its primary came into doubt
+	// Stirred: something changed that may let a waiting request go. Seeking: a timer
+	// for the next probes of seek is set.
+	open, stirred, seeking bool
 }
 
 type attempt struct {
@@ -86,18 +85,16 @@
 	Request
 	class     *Class
 	g         *group
-	arrived   time.Duration
-	deadline  time.Duration
 	useful    time.Duration // after this an answer earns nothing
 	attempts  []*attempt
 	out       int
 	mayRun    bool          // some attempt may have had its effect
 	mayRunAt  time.Duration // when the first such was sent
-	missed    bool
 	lookUntil time.Duration // it waits so long for fresher positions
-	waiting   bool
 	waitUntil time.Duration
-	done      bool
+
+	arrived, deadline     time.Duration
+	missed, waiting, done bool
 }
 
 type wake struct {
@@ -143,11 +140,13 @@
 		marks: map[SessionID]time.Duration{}, used: map[*group]bool{}, timerAt: long, bound: long,
 		admit: map[bool]float64{false: 1, true: 1},
 	}
-	r.wakeAt(0, func() { r.since = r.now })
-	r.wakeAt(0, r.forget)
-	if set.AskForList {
-		r.wakeAt(0, func() { r.do(Subscribe{}) })
-	}
+	r.wakeAt(0, func() {
+		r.since = r.now
+		r.forget()
+		if set.AskForList {
+			r.do(Subscribe{})
+		}
+	})
 	for _, c := range set.Classes {
 		r.latency = append(r.latency, c.Aim.Seconds()/5)
 		if c.Level == Recent {
@@ -196,8 +195,7 @@
 		}
 	}
 	if n := len(r.wakes); n > 0 && r.wakes[n-1].at < r.timerAt {
-		r.timerAt = r.wakes[n-1].at
-		r.seq++
+		r.timerAt, r.seq = r.wakes[n-1].at, r.seq+1
 		r.do(Timer{After: max(0, r.timerAt-r.now), Timer: r.seq})
 	}
 	return r.actions
@@ -233,11 +231,8 @@
 		r.onMember(e)
 		listed[e.Host] = true
 	}
-	if m.Kind == ListDelta {
-		return
-	}
 	for _, h := range r.order {
-		if !listed[h.id] {
+		if m.Kind != ListDelta && !listed[h.id] {
 			r.setStatus(h, Gone)
 		}
 	}
@@ -348,17 +343,15 @@
 // answers of all classes, as in a jam, make none of them dearer.
 func (r *Router) work(class int) float64 { return r.latency[class] / slices.Min(r.latency) }
 
-// coldRoom keeps a cold host h from being pushed over: in any FallTime all routers
-// together must send it less than FallMultiple times what it can do. Whatever is asked
-// of hosts, what they answer bounds what they can do: served, a second and warm host
-// (see judge), adds up over any routers, however uneven, to a warm host's capacity at
-// most. So the budget for h grows by coldPart, a third, of FallMultiple x warmth x
-// served, and saves one FallTime's growth at most: no FallTime sees more than two
-// thirds sent. The last third is for connects, probes (one a FallTime from each), hosts
-// smaller than others, and chance. A request draws a lot with the budget as its chance
-// and pays it, won or lost: bursts, retries, held requests that draw again and groups
-// with few members to serve change who gets the budget, not its sum, and hundreds of
-// routers with a part of a request each send that sum, not a request each.
+// coldRoom keeps a cold host h from being pushed over: in any FallTime all routers together must send it
+// less than FallMultiple times what it can do. Whatever is asked of hosts, what they answer bounds what
+// they can do: served, a second and warm host (see judge), adds up over any routers, however uneven, to a
+// warm host's capacity at most. So the budget for h grows by coldPart, a third, of FallMultiple x warmth x
+// served, and saves one FallTime's growth at most: no FallTime sees more than two thirds sent. The last
+// third is for connects, probes (one a FallTime from each), hosts smaller than others, and chance. A
+// request draws a lot with the budget as its chance and pays it, won or lost: bursts, retries, held
+// requests that draw again and groups with few members to serve change who gets the budget, not its sum,
+// and hundreds of routers with a part of a request each send that sum, not a request each.
 func (r *Router) coldRoom(h *host, q *request) bool {
 	w := r.warmth(h)
 	if w >= 1 || r.heavy(q) {
@@ -376,13 +369,10 @@
 
 // countFailure counts a failure of the primary; a success resets the count.
 func (r *Router) countFailure(h *host) {
-	g := h.group
-	if g.primary != h || g.open {
-		return
-	}
-	if g.fails++; g.fails >= breakerThreshold {
-		r.trip(g)
-	} else {
+	if g := h.group; g.primary == h && !g.open {
+		if g.fails++; g.fails >= breakerThreshold {
+			r.trip(g)
+		}
 		r.doubt(g)
 	}
 }
@@ -392,7 +382,6 @@
 // after a hold that doubles.
 func (r *Router) trip(g *group) {
 	g.open, g.openedAt, g.trips = true, r.now, g.trips+1
-	r.doubt(g)
 	r.stir(g)
 }
 
@@ -449,6 +438,8 @@
 	}
 	if h := r.pickReplica(q); h != nil {
 		switch {
+		case r.mayTry(q):
+			r.send(q, q.g.primary)
 		case r.admits(q, h):
 			r.send(q, h)
 		case q.g.open || r.admit[true] < 1 || r.heavy(q):
@@ -470,6 +461,15 @@
 	r.routePrimary(q)
 }
 
+// mayTry tells whether q goes to the primary of an open breaker. Where probes bring no
+// role none of them can close it: the answer of a read does, one at a time and only to
+// a primary that has passed a probe since.
+func (r *Router) mayTry(q *request) bool {
+	p := q.g.primary
+	return q.g.open && p != nil && p.upAt > q.g.openedAt && r.now-p.sentAt >= probeSoon &&
+		r.mayTake(p, false) && !q.tried(p) && r.coldRoom(p, q)
+}
+
 // routePrimary sends q to the primary while the breaker is closed. While it is
 // open writes and latest reads are refused at once; other reads wait for a
 // fitting replica until the aim.
@@ -482,6 +482,8 @@
 	case g.open && q.onlyPrimary():
 		r.doubt(g)
 		r.giveUp(q)
+	case r.mayTry(q):
+		r.send(q, p)
 	case g.open:
 		r.wait(q, q.arrived+q.class.Aim)
 	case p == nil || !r.mayTake(p, q.class.Level == Write):
@@ -582,11 +584,11 @@
 // giveUp gives the final answer at once: a refusal where trying again is
 // known to be harmless, else a failure.
 func (r *Router) giveUp(q *request) {
+	var a Action = Fail{Request: q.ID}
 	if q.class.Repeat == Retryable || q.class.Repeat == DedupAll || !q.mayRun && q.out == 0 {
-		r.do(Refuse{Request: q.ID, RetryAfter: r.jitter(min(r.set.MaxRetryAfter*4/5, q.class.Deadline/4))})
-	} else {
-		r.do(Fail{Request: q.ID})
+		a = Refuse{Request: q.ID, RetryAfter: r.jitter(min(r.set.MaxRetryAfter*4/5, q.class.Deadline/4))}
 	}
+	r.do(a)
 	r.finish(q)
 }
 
@@ -701,7 +703,9 @@
 
 func (r *Router) send(q *request, h *host) {
 	timeout := q.deadline - r.now
-	if q.class.Level != Write {
+	if q.g.open && h == q.g.primary { // the rest of the time is for a replica
+		timeout = min(q.useful-r.now, q.class.Aim/4)
+	} else if q.class.Level != Write {
 		timeout = q.useful - r.now
 	}
 	r.do(Send{Request: q.ID, Host: h.id, Timeout: timeout})
@@ -774,7 +778,7 @@
 	}
 }
 
-// judge learns of the host's health from one outcome.
+// judge learns of the host's health.
 func (r *Router) judge(a *attempt, o Outcome, latency time.Duration) {
 	h, c := a.h, a.q.Class
 	h.gap += time.Duration(smooth * float64(r.now-h.judgedAt-h.gap))
@@ -788,8 +792,7 @@
 			}
 		}
 		r.served += r.work(c) / max(1, warm) / float64(max(1, len(r.used)))
-		ratio := latency.Seconds() / r.latency[c]
-		h.slow += smooth * (min(ratio, 20) - h.slow)
+		h.slow += smooth * (min(latency.Seconds()/r.latency[c], 20) - h.slow)
 		r.latency[c] += smooth / 5 * (latency.Seconds() - r.latency[c])
 		h.fails = 0
 		if h.group.primary == h {
@@ -927,9 +930,9 @@
 	h.probing = false
 	r.stir(h.group)
 	r.onReport(h, e.Report)
-	lost := 0.0
-	if e.Outcome != OK && e.Outcome != Full {
-		lost = 1
+	lost := 1.0
+	if e.Outcome == OK || e.Outcome == Full {
+		lost, h.upAt = 0, r.now
 	}
 	// Hosts may serve while probes fail: a failed probe counts only after a failed
 	// request, and not while those of hosts without one fail too.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -146,6 +146,26 @@
 	g.wantSend("b")
 }
 
+// Where probes bring no role, none of them could close a breaker whose primary was only
+// out of reach for a while: its writes were refused to the end of the day. A read may
+// ask it once a probe has passed, and what is left of its time is for a replica.
+func TestReadClosesBreakerWhereProbesTellNoRole(t *testing.T) {
+	g := newRig(t, base())
+	g.failWrites(breakerThreshold, Reset)
+	g.report(300*ms, "a", Replica, 10*ms).ask("r", recent)
+	g.wantSend("a") // no probe has passed
+	g.at(10*ms, Probed{Host: "p"}).ask("s", recent)
+	g.wantSend("p")
+	g.ask("t", recent)
+	g.wantSend("a") // one at a time
+	g.at(130*ms, Result{Request: "s", Host: "p", Outcome: Timeout, Latency: 130 * ms})
+	g.wantSend("a")
+	g.at(200*ms).ask("u", recent)
+	g.wantSend("p")
+	g.at(20*ms, Result{Request: "u", Host: "p", Outcome: OK, Finished: true, Role: Primary}).ask("w", fragile)
+	g.wantSend("p")
+}
+
 func TestSuccessResetsTheCount(t *testing.T) {
 	g := newRig(t, base())
 	g.failWrites(breakerThreshold-1, Error)
