Read what has come before letting clients go; test the core by itself

At fault, found by reading: Front.Drain closed each idle client without a last read, so a request that the machine had accepted in the same moment would have been lost. Conn.Poll reads first; its test fails when Poll does nothing. The backend's input bound was a byte short of the largest message. Idle peers that vanish are noticed by keep-alive.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -27,6 +27,8 @@
 	Reserve     int           // descriptors left for clients and discovery
 }
 
+const inputMost = pgwire.MostMessage + 4096 // the largest message fits with its head
+
 // Pool is all connections to databases.
 type Pool struct {
 	loop    *netloop.Loop
@@ -146,7 +148,7 @@
 		return
 	}
 	c := &conn{pool: p, host: h}
-	nc, err := p.loop.Dial(h.addr, c, pgwire.MostMessage)
+	nc, err := p.loop.Dial(h.addr, c, inputMost)
 	if err != nil {
 		p.dialFailed(h, policy.ConnectFailed)
 		return
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -76,6 +76,7 @@
 	f.ln.Close()
 	f.closing = true
 	for c := range f.open {
+		c.nc.Poll() // a request may have come that no round has read yet
 		c.leave()
 	}
 }
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lilaccove/internal/netloop"
+	"lilaccove/policy"
+)
+
+// script is a router that acts as it is told and keeps what it heard.
+type script struct {
+	heard []policy.Event
+	next  []policy.Action
+}
+
+func (s *script) Step(_ time.Duration, events []policy.Event) []policy.Action {
+	s.heard = append([]policy.Event(nil), events...)
+	next := s.next
+	s.next = nil
+	return next
+}
+
+// world is the rest: a client, the backends and discovery.
+type world struct {
+	said             []string
+	sent, cancelled  []*Attempt
+	probed, hungUp   []policy.HostID
+	listed, askedFor int
+}
+
+func (w *world) Served(value []byte)                                 { w.said = append(w.said, "served "+string(value)) }
+func (w *world) Refused(after time.Duration)                         { w.said = append(w.said, "refused "+after.String()) }
+func (w *world) Failed()                                             { w.said = append(w.said, "failed") }
+func (w *world) Released()                                           { w.said = append(w.said, "released") }
+func (w *world) Send(a *Attempt)                                     { w.sent = append(w.sent, a) }
+func (w *world) Cancel(a *Attempt)                                   { w.cancelled = append(w.cancelled, a) }
+func (w *world) Probe(h policy.HostID)                               { w.probed = append(w.probed, h) }
+func (w *world) HangUp(h policy.HostID)                              { w.hungUp = append(w.hungUp, h) }
+func (w *world) Subscribe()                                          { w.askedFor++ }
+func (w *world) Listed(policy.HostID, netip.AddrPort, policy.Status) { w.listed++ }
+
+func newWorld(t *testing.T) (*netloop.Loop, *Gateway, *script, *world) {
+	loop, err := netloop.New(16, 0, 1<<20)
+	require.NoError(t, err)
+	t.Cleanup(loop.Close)
+	r, w := &script{}, &world{}
+	g := New(loop, r, 2)
+	g.Connect(w, w)
+	return loop, g, r, w
+}
+
+func (g *Gateway) take(w *world, left time.Duration) *Request {
+	q := &Request{Client: w, Deadline: g.loop.Now() + left, After: g.loop.Now() + time.Hour}
+	g.Take(q)
+	g.Step()
+	return q
+}
+
+// Of all that may end a request only the first is told, and the statement is given back
+// when the last attempt is over.
+func TestOneFinalAnswer(t *testing.T) {
+	_, g, r, w := newWorld(t)
+	q := g.take(w, time.Second)
+	e := r.heard[0].(policy.Request)
+	assert.Equal(t, time.Duration(1), e.TokenAge, "a token from the future is still one")
+	r.next = []policy.Action{policy.Send{Request: e.ID, Host: "a", Timeout: time.Millisecond}, policy.Send{Request: e.ID, Host: "b"}}
+	g.events = append(g.events, policy.Elapsed{})
+	g.Step()
+	require.Len(t, w.sent, 2)
+	assert.Equal(t, g.loop.Now()+time.Millisecond, w.sent[0].Deadline)
+	assert.Equal(t, q.Deadline, w.sent[1].Deadline, "no time-out: until the client gives up")
+
+	g.Resolved(w.sent[1], policy.OK, Reply{Value: []byte("v")})
+	g.Resolved(w.sent[1], policy.Reset, Reply{})
+	g.Gone(q)
+	r.next = []policy.Action{
+		policy.Refuse{Request: e.ID}, policy.Fail{Request: e.ID}, policy.Cancel{Request: e.ID, Attempt: 0},
+		policy.Cancel{Request: e.ID, Attempt: 1}, policy.Cancel{Request: "none"}, policy.Send{Request: e.ID, Host: "c"},
+	}
+	assert.True(t, g.Step())
+	assert.Len(t, r.heard, 1)
+	assert.True(t, r.heard[0].(policy.Result).Finished)
+	assert.Equal(t, []*Attempt{w.sent[0]}, w.cancelled)
+	assert.Len(t, w.sent, 2, "nothing is sent for a request that is over")
+	assert.Equal(t, []string{"served v"}, w.said)
+	g.Step()
+	moot := r.heard[0].(policy.Result)
+	assert.Equal(t, policy.Moot, moot.Outcome)
+	assert.Equal(t, 2, moot.Attempt)
+
+	g.Resolved(w.sent[0], policy.OK, Reply{Value: []byte("w")})
+	assert.Equal(t, []string{"served v", "released"}, w.said)
+	assert.Zero(t, g.Owed())
+	assert.Empty(t, g.requests)
+}
+
+func TestOtherEnds(t *testing.T) {
+	loop, g, r, w := newWorld(t)
+	gone := g.take(w, time.Second)
+	g.take(w, time.Millisecond)
+	g.take(w, time.Second) // over the limit: refused unheard
+	assert.Equal(t, []string{"refused 0s", "released"}, w.said)
+	assert.Equal(t, 2, g.Owed())
+
+	w.said = nil
+	g.Gone(gone)
+	g.Gone(gone)
+	assert.Equal(t, []string{"released"}, w.said)
+
+	// A request that the module leaves without an answer fails at its deadline.
+	w.said = nil
+	assert.NoError(t, loop.Run(func() bool {
+		g.Step()
+		if g.Owed() == 0 {
+			loop.Stop()
+		}
+		return false
+	}))
+	assert.Equal(t, []string{"failed", "released"}, w.said)
+	assert.IsType(t, policy.Lapsed{}, r.heard[len(r.heard)-1])
+}
+
+func TestCarriesOutTheRest(t *testing.T) {
+	loop, g, r, w := newWorld(t)
+	r.next = []policy.Action{
+		policy.Probe{Host: "a"}, policy.HangUp{Host: "b"}, policy.Subscribe{}, policy.Log{Text: "x"},
+		policy.Timer{After: time.Millisecond, Timer: 7}, policy.Send{Request: "unknown", Host: "a"},
+	}
+	g.Listed(policy.ListFull, make([]Entry, 3))
+	assert.True(t, g.Step())
+	assert.Equal(t, []policy.HostID{"a"}, w.probed)
+	assert.Equal(t, []policy.HostID{"b"}, w.hungUp)
+	assert.Equal(t, 3, w.listed)
+	assert.Equal(t, 1, w.askedFor)
+	g.Step()
+	assert.Equal(t, policy.Moot, r.heard[0].(policy.Result).Outcome)
+	g.Probed("a", policy.OK, Reply{})
+	assert.NoError(t, loop.Run(func() bool {
+		g.Step()
+		if _, ok := r.heard[len(r.heard)-1].(policy.Elapsed); ok {
+			loop.Stop()
+		}
+		return false
+	}))
+	assert.Equal(t, policy.Elapsed{Timer: 7}, r.heard[len(r.heard)-1])
+}
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -61,6 +61,8 @@
 func (l *Loop) adopt(fd int, interest uint32) (*Conn, error) {
 	// Answers are small and each is written whole: none is to wait for another.
 	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	// A peer that vanished while idle is noticed in the end and gives its descriptor back.
+	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1)
 	c := &Conn{loop: l, fd: fd, interest: interest}
 	if err := l.register(fd, interest, slot{conn: c}); err != nil {
 		unix.Close(fd)
@@ -191,6 +193,13 @@
 	}
 }
 
+// Poll takes in at once what has come, as if epoll had told of it.
+func (c *Conn) Poll() {
+	if !c.Closed() && c.up && c.interest&unix.EPOLLIN != 0 {
+		c.ready(unix.EPOLLIN)
+	}
+}
+
 func (c *Conn) socketError() error {
 	n, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
 	if err == nil && n != 0 {
--- a/internal/netloop/netloop_test.go
+++ b/internal/netloop/netloop_test.go
@@ -142,6 +142,45 @@
 	assert.True(t, err == nil || l.Spare() == 0)
 }
 
+// What came behind the kernel's last word is taken in before a connection is let go, or a
+// request that its client has written would be lost with it.
+func TestPollTakesInWhatNoRoundHasRead(t *testing.T) {
+	var other *Conn
+	lates, got := make(chan net.Conn, 1), make(chan bool, 1)
+	addr, _, _, stop := serve(t, 64, 1<<10, func(c *Conn) {
+		word := string(c.Input())
+		c.Consume(len(word))
+		switch word {
+		case "other":
+			other = c
+			c.Write([]byte("x"))
+		case "late":
+			c.Write([]byte("y"))
+		case "poll":
+			late := <-lates
+			_, _ = late.Write([]byte("late"))
+			for until := time.Now().Add(patience); other.Pending() == 0 && time.Now().Before(until); {
+				other.Poll()
+				_ = late.SetReadDeadline(time.Now().Add(time.Millisecond))
+				if n, _ := late.Read(make([]byte, 1)); n == 1 {
+					got <- true
+					return
+				}
+			}
+			got <- false
+		}
+	})
+	late := dial(t, addr)
+	_, _ = late.Write([]byte("other"))
+	_, err := io.ReadFull(late, make([]byte, 1))
+	require.NoError(t, err)
+	lates <- late
+	c := dial(t, addr)
+	_, _ = c.Write([]byte("poll"))
+	assert.True(t, <-got)
+	stop()
+}
+
 func TestTimersFireInOrderAndStop(t *testing.T) {
 	l, err := New(16, 0, 1<<20)
 	require.NoError(t, err)
