--- a/cmd/lilaccove/main_test.go
+++ b/cmd/lilaccove/main_test.go
@@ -135,6 +135,22 @@
 	}
 }
 
+// A database that admits nobody has run nothing: that is a refusal, and soon.
+func TestFullDatabaseIsARefusal(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, nil)
+	for _, d := range []*database{s.p, s.a, s.b} {
+		d.mu.Lock()
+		d.full = true
+		d.mu.Unlock()
+	}
+	c := s.client()
+	for _, class := range []string{"write", "browse", "own"} {
+		assert.Equal(t, pgwire.CodeTooManyConnections, c.ask(stmt(class, 1000, "")).code)
+	}
+	assert.Empty(t, s.p.seen())
+}
+
 // A read may be sent again; its value comes whole from one database.
 func TestBrokenValueIsNotPassedOn(t *testing.T) {
 	t.Parallel()
--- a/cmd/lilaccove/rig_test.go
+++ b/cmd/lilaccove/rig_test.go
@@ -53,6 +53,7 @@
 	mu      sync.Mutex
 	handle  func(d *database, c net.Conn, text string) // nil: serves
 	lag     time.Duration
+	full    bool // admits nobody
 	texts   []string
 	dials   int
 	hangups int
@@ -86,6 +87,13 @@
 		return
 	}
 	d.count(&d.dials)
+	d.mu.Lock()
+	full := d.full
+	d.mu.Unlock()
+	if full {
+		_, _ = c.Write(pgwire.AppendError(nil, "FATAL", "53300", "too many connections", ""))
+		return
+	}
 	_, _ = c.Write(pgwire.AppendWelcome(nil))
 	for {
 		kind, body, err := readMessage(in)
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -108,7 +108,7 @@
 // Run gathers all that is ready, then calls step, until Stop. Step may ask for another
 // round at once by returning true.
 func (l *Loop) Run(step func() (again bool)) error {
-	again := false
+	again := true // what was prepared before the first round does not wait for a timer
 	for !l.stopped {
 		n, err := unix.EpollWait(l.ep, l.events[:], l.patience(again))
 		l.tick()
--- a/internal/netloop/netloop_test.go
+++ b/internal/netloop/netloop_test.go
@@ -200,6 +200,21 @@
 	none.Stop()
 }
 
+// The list known before the start, and the first question to discovery, waited a second for
+// the first timer.
+func TestFirstRoundComesAtOnce(t *testing.T) {
+	l, err := New(16, 0, 1<<20)
+	require.NoError(t, err)
+	defer l.Close()
+	late := false
+	l.At(l.Now()+time.Second, func() { late = true })
+	require.NoError(t, l.Run(func() bool {
+		l.Stop()
+		return false
+	}))
+	assert.False(t, late)
+}
+
 func TestPoolBoundsWhatIsHeld(t *testing.T) {
 	p := pool{most: 8 << 10}
 	a, b := p.get(1), p.get(3000)
