--- a/internal/discovery/http_test.go
+++ b/internal/discovery/http_test.go
@@ -56,3 +56,29 @@
 	_, err = r.feed(make([]byte, mostChunkHead+1), nil)
 	assert.ErrorIs(t, err, errChunk)
 }
+
+// However an answer is cut, the same bytes come out of it.
+func FuzzResponse(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"), 50)
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"), 7)
+	f.Fuzz(func(t *testing.T, in []byte, cut int) {
+		run := func(parts ...[]byte) (string, bool) {
+			var r response
+			var body, left []byte
+			for _, p := range parts {
+				left = append(left, p...)
+				n, err := r.feed(left, func(b []byte) error { body = append(body, b...); return nil })
+				if err != nil {
+					return "", false
+				}
+				left = left[n:]
+			}
+			return string(body), r.done
+		}
+		cut = min(max(cut, 0), len(in))
+		a, doneA := run(in)
+		b, doneB := run(in[:cut:cut], in[cut:])
+		assert.Equal(t, doneA, doneB)
+		assert.Equal(t, a, b)
+	})
+}
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -133,3 +133,27 @@
 		}
 	}
 }
+
+// No bytes of a client or a database make the parsers panic or read outside of them.
+func FuzzParsers(f *testing.F) {
+	f.Add(AppendQuery(nil, "/* id=1,c=a,d=5,cluster=2,after=9 */ SELECT 'x'"))
+	f.Add(AppendError(nil, "ERROR", "53300", "m", "d"))
+	f.Add(Startup("api", "ledger"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		_, n, err := ParseHello(in)
+		assert.True(t, err != nil || n <= len(in))
+		_, body, n, err := Next(in, 1<<16)
+		assert.True(t, err != nil || n <= len(in))
+		ErrorCode(body)
+		_, _ = Column(body)
+		_, _, _ = Pair(body)
+		text, err := Text(body)
+		if err != nil {
+			text = in
+		}
+		if h, err := ParseHead(text); err == nil {
+			before, behind := h.Around(text)
+			assert.Less(t, len(before)+len(behind), len(text))
+		}
+	})
+}
