--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -323,7 +323,7 @@
 
 // Failed promises nothing.
 func (a *call) Failed() {
-	a.answer(pgwire.AppendError(nil, "ERROR", pgwire.CodeUnknownOutcome, "no answer in time", ""))
+	a.answer(pgwire.AppendError(nil, "ERROR", pgwire.CodeUnknownOutcome, "failed, the statement may have run", ""))
 }
 
 func (a *call) answer(message []byte) {
