Let the module answer first in a round that comes late

Found by reading: when a round came over 7 ms late, the gateway's own guard and the module's timer were due together, and the guard in Gateway.expire went first: reads failed that the module would have refused with a time to come back. The guard now runs behind the Step. A test fails without the change (failed instead of refused 1s).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,6 +102,7 @@
 	requests  map[policy.RequestID]*Request
 	events    []policy.Event
 	spare     []policy.Event
+	late      []*Request // past their deadlines in this round
 	seq       uint64
 	owed      int // requests without an answer
 	most      int
@@ -139,7 +140,8 @@
 	// The client's own id would do, were it certain that none comes twice.
 	q.id = policy.RequestID(strconv.FormatUint(g.seq, 36))
 	g.requests[q.id] = q
-	q.overdue = g.loop.At(q.Deadline+lateBy, func() { g.expire(q) })
+	// A round that comes late finds the module's own timer due with this one: the module goes first.
+	q.overdue = g.loop.At(q.Deadline+lateBy, func() { g.late = append(g.late, q) })
 	e := policy.Request{
 		ID: q.id, Class: q.Class, Group: q.Group, Session: q.Session, Budget: q.Deadline - now,
 	}
@@ -224,9 +226,17 @@
 // Step lets the module decide on all that was gathered. It tells whether carrying the
 // actions out has led to new events.
 func (g *Gateway) Step() (again bool) {
-	if len(g.events) == 0 {
-		return false
+	if len(g.events) > 0 {
+		g.decide()
+	}
+	for _, q := range g.late {
+		g.expire(q)
 	}
+	g.late = g.late[:0]
+	return len(g.events) > 0
+}
+
+func (g *Gateway) decide() {
 	events := g.events
 	g.events = g.spare[:0]
 	for _, a := range g.router.Step(g.loop.Now(), events) {
@@ -234,7 +244,6 @@
 	}
 	clear(events)
 	g.spare = events[:0]
-	return len(g.events) > 0
 }
 
 func (g *Gateway) act(a policy.Action) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -125,6 +125,25 @@
 	assert.IsType(t, policy.Lapsed{}, r.heard[len(r.heard)-1])
 }
 
+// In a round that comes late the module's own answer goes before the gateway's, which
+// promises less.
+func TestModuleAnswersFirstInALateRound(t *testing.T) {
+	loop, g, r, w := newWorld(t)
+	q := g.take(w, time.Millisecond)
+	for time.Duration(time.Now().UnixNano()) < q.Deadline+5*lateBy { // the round is late
+	}
+	loop.At(q.Deadline, func() { g.events = append(g.events, policy.Elapsed{}) })
+	assert.NoError(t, loop.Run(func() bool {
+		r.next = []policy.Action{policy.Refuse{Request: q.id, RetryAfter: time.Second}}
+		g.Step()
+		if g.Owed() == 0 {
+			loop.Stop()
+		}
+		return false
+	}))
+	assert.Equal(t, []string{"refused 1s", "released"}, w.said)
+}
+
 func TestCarriesOutTheRest(t *testing.T) {
 	loop, g, r, w := newWorld(t)
 	r.next = []policy.Action{
