Reload on SIGHUP: the discovery of the file goes into force, the watch moves at once

At fault: cmd/lilaccove asked for SIGTERM and SIGINT only, and nothing could move the watch. Now: the file is read again, its discovery goes before GW_DISCOVERY, the old watch is dropped and the new address asked at once; list, version and connections stay. A file that cannot be read or parsed changes nothing and is logged. TestReload holds that, over and over and beside a SIGTERM; it fails without the change (the process ends).

--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -53,6 +53,9 @@
 }
 
 func run() error {
+	// From the first moment on: a signal that nobody has asked for would end the process.
+	signals := make(chan os.Signal, 16)
+	signal.Notify(signals, unix.SIGTERM, unix.SIGINT, unix.SIGHUP)
 	cfg, err := load(os.Getenv)
 	if err != nil {
 		return err
@@ -102,11 +105,19 @@
 		cfg.Name, at, ask, sockets, memory>>20)
 
 	end := &ending{loop: loop, front: clients, core: core, pool: pool}
-	loop.OnWake(end.begin)
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, unix.SIGTERM, unix.SIGINT)
+	heard := make(chan os.Signal, cap(signals))
+	loop.OnWake(func() {
+		for len(heard) > 0 {
+			if sig := <-heard; sig == unix.SIGHUP {
+				reload(os.Getenv, watch)
+			} else {
+				end.begin()
+			}
+		}
+	})
 	go func() {
-		for range signals {
+		for sig := range signals {
+			heard <- sig
 			loop.Wake()
 		}
 	}()
@@ -120,16 +131,8 @@
 // load reads the configuration; the three plain variables go before what it says.
 func load(env func(string) string) (config, error) {
 	var cfg config
-	path := env("GW_CONFIG")
-	if path == "" {
-		return cfg, fmt.Errorf("GW_CONFIG is not set")
-	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return cfg, fmt.Errorf("GW_CONFIG: %w", err)
-	}
-	if err := json.Unmarshal(text, &cfg); err != nil {
-		return cfg, fmt.Errorf("GW_CONFIG: %w", err)
+	if err := read(env, &cfg); err != nil {
+		return cfg, err
 	}
 	for name, to := range map[string]*string{
 		"GW_NAME": &cfg.Name, "GW_LISTEN": &cfg.Listen, "GW_DISCOVERY": &cfg.Discovery,
@@ -141,6 +144,42 @@
 	return cfg, nil
 }
 
+// read fills to from the file at GW_CONFIG.
+func read(env func(string) string, to any) error {
+	path := env("GW_CONFIG")
+	if path == "" {
+		return fmt.Errorf("GW_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err == nil {
+		err = json.Unmarshal(text, to)
+	}
+	if err != nil {
+		return fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	return nil
+}
+
+// reload reads the file again, after SIGHUP. What it says of discovery goes before
+// GW_DISCOVERY, which is as old as the process; all else is for the next start. A file
+// that is no good changes nothing.
+func reload(env func(string) string, watch *discovery.Client) {
+	var cfg struct {
+		Discovery string `json:"discovery"`
+	}
+	err := read(env, &cfg)
+	var ask netip.AddrPort
+	if err == nil {
+		ask, err = netip.ParseAddrPort(cfg.Discovery)
+	}
+	if err != nil {
+		log.Printf("event=reload_failed err=%q", err)
+		return
+	}
+	log.Printf("event=reloaded discovery=%s", ask)
+	watch.Move(ask)
+}
+
 // adapt fits the settings to real sockets.
 func adapt(set settings.Settings) policy.Settings {
 	p := set.Policy
--- a/cmd/lilaccove/main_test.go
+++ b/cmd/lilaccove/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"regexp"
 	"slices"
 	"strconv"
@@ -353,6 +354,53 @@
 	s.eventually("the failure is logged", func() bool { return strings.Contains(s.logged(), "list: ") })
 }
 
+// SIGHUP moves the watch to where the file says now, whatever GW_DISCOVERY says; a file
+// that is no good changes nothing. Neither costs a connection, or the process.
+func TestReload(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, nil)
+	c := s.client()
+	s.meet(c)
+	watches := func(d *discovered, n int) func() bool {
+		return func() bool {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			return d.watches == n
+		}
+	}
+	s.eventually("it watches", watches(s.disc, 1))
+	for _, bad := range []string{"{", `{"discovery":"nowhere"}`, ""} {
+		failed := strings.Count(s.logged(), "event=reload_failed")
+		if require.NoError(t, os.WriteFile(s.config, []byte(bad), 0o600)); bad == "" {
+			require.NoError(t, os.Remove(s.config))
+		}
+		s.hup()
+		s.eventually("the file is read", func() bool { return strings.Count(s.logged(), "event=reload_failed") > failed })
+		assert.True(t, watches(s.disc, 1)(), "the old watch stays")
+	}
+	for range 3 {
+		old, next := s.disc, newDiscovery(t)
+		next.list = list(9, false, entry(s.a, "terminating", 0))
+		s.disc = next
+		s.configure(next.addr, "{}")
+		s.hup()
+		s.eventually("it asks at the new address", watches(next, 1))
+		s.eventually("the old watch ends", watches(old, 0))
+		assert.Equal(t, "p", c.ask(stmt("write", 1000, "")).value, "the client's connection stays")
+	}
+	s.disc.mu.Lock()
+	assert.Equal(t, "9", s.disc.after, "it goes on from the version that it has")
+	s.disc.mu.Unlock()
+	s.term()
+	s.hup()
+	select {
+	case err := <-s.exited:
+		assert.NoError(t, err)
+	case <-time.After(patience):
+		t.Error("it does not exit")
+	}
+}
+
 // After SIGTERM clients still come for a moment; all that was taken is answered.
 func TestTermAnswersWhatWasTaken(t *testing.T) {
 	t.Parallel()
--- a/cmd/lilaccove/rig_test.go
+++ b/cmd/lilaccove/rig_test.go
@@ -173,6 +173,8 @@
 	mu      sync.Mutex
 	list    string // empty: down
 	asked   int
+	watches int // on now
+	after   string
 }
 
 func newDiscovery(t *testing.T) *discovered {
@@ -188,8 +190,15 @@
 func (d *discovered) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d.mu.Lock()
 	d.asked++
+	d.watches++
+	d.after = r.URL.Query().Get("after")
 	list := d.list
 	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		d.watches--
+		d.mu.Unlock()
+	}()
 	if list == "" {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -232,6 +241,7 @@
 	logMu    sync.Mutex
 	settings string
 	sockets  int
+	config   string // the path of its file
 }
 
 // newSite starts the program; change may alter what it is told before.
@@ -245,16 +255,10 @@
 	if change != nil {
 		change(s)
 	}
-	text, err := json.Marshal(map[string]any{
-		"name": "n1", "listen": "127.0.0.1:0", "discovery": s.disc.addr, "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": s.sockets},
-		"known":  json.RawMessage(known), "settings": json.RawMessage(s.settings),
-	})
-	require.NoError(t, err)
-	path := filepath.Join(t.TempDir(), "config.json")
-	require.NoError(t, os.WriteFile(path, text, 0o600))
+	s.config = filepath.Join(t.TempDir(), "config.json")
+	s.configure(s.disc.addr, known)
 	s.cmd = exec.Command(os.Args[0])
-	s.cmd.Env = append(os.Environ(), "LILACCOVE_RUN=1", "GW_CONFIG="+path)
+	s.cmd.Env = append(os.Environ(), "LILACCOVE_RUN=1", "GW_CONFIG="+s.config, "GW_DISCOVERY="+s.disc.addr)
 	out, err := s.cmd.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, s.cmd.Start())
@@ -285,12 +289,25 @@
 	return s
 }
 
+// configure writes the file at GW_CONFIG.
+func (s *site) configure(discovery, known string) {
+	text, err := json.Marshal(map[string]any{
+		"name": "n1", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": s.sockets},
+		"known":  json.RawMessage(known), "settings": json.RawMessage(s.settings),
+	})
+	require.NoError(s.t, err)
+	require.NoError(s.t, os.WriteFile(s.config, text, 0o600))
+}
+
 func (s *site) logged() string {
 	s.logMu.Lock()
 	defer s.logMu.Unlock()
 	return s.log.String()
 }
 
+func (s *site) hup() { require.NoError(s.t, s.cmd.Process.Signal(syscall.SIGHUP)) }
+
 func (s *site) term() { require.NoError(s.t, s.cmd.Process.Signal(syscall.SIGTERM)) }
 
 // eventually waits for a condition, which the test must not outlive.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -136,22 +136,38 @@
 	c.listen(c.loop.Now() + callTime)
 }
 
+// Move asks at another address from now on, at once. The list, its version and all
+// connections to databases stay; a watch that is on at that address goes on.
+func (c *Client) Move(addr netip.AddrPort) {
+	if addr == c.addr && c.nc != nil {
+		return
+	}
+	c.addr = addr
+	c.drop()
+	c.Subscribe()
+}
+
 // listen sets until when discovery must have been heard again.
 func (c *Client) listen(until time.Duration) {
 	c.timer.Stop()
 	c.timer = c.loop.At(until, func() { c.fail(errQuiet) })
 }
 
-// fail ends the watch, if there is one, and tells the module, which asks again after
+// fail ends the watch and tells the module, which asks again after
 // a while of its own choice.
 func (c *Client) fail(err error) {
 	log.Printf("event=discovery_failed err=%q told=%t seq=%d", err, c.told, c.seq)
+	c.drop()
+	c.core.Listed(policy.ListFailed, nil)
+}
+
+// drop ends the watch, if there is one.
+func (c *Client) drop() {
 	if c.nc != nil {
 		c.nc.Close()
 		c.nc = nil
 	}
 	c.timer.Stop()
-	c.core.Listed(policy.ListFailed, nil)
 }
 
 // Connected asks.
