Close silent clients within 2 s and let them make room for clients that ask

The log has 600 lines a second of event=client_refused reason=descriptors: connections that say nothing held the clients' half. At fault: Front.accept made room only from connections that had said hello (dropIdle, in the order of a map), and expect() gave a first packet 10 s. Ruled out: CPU (1.6 s of a quarter core over 22 s), memory (15 of 64 MB). An id of an open request is an error. What a closed client goes on sending is dropped by the kernel (MSG_TRUNC), uncopied. TestSilentClientsKeepNobodyOut and TestIdOfAnOpenRequest fail without the change.

--- a/cmd/lilaccove/main_test.go
+++ b/cmd/lilaccove/main_test.go
@@ -331,6 +331,63 @@
 	})
 }
 
+// Whoever connects and says nothing, or half a packet, is closed soon, and however many do
+// so at once, those that ask are served meanwhile.
+func TestSilentClientsKeepNobodyOut(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, func(s *site) { s.sockets = 64 })
+	begun := time.Now()
+	var silent []*client
+	hello := string(pgwire.Startup("api", "ledger"))
+	for i := range 150 {
+		c := s.raw()
+		c.write([]string{"", hello[:9], hello, hello + "Q\x00\x00\x02\x00half"}[i%4])
+		silent = append(silent, c)
+		if i%10 == 0 {
+			other := s.client()
+			assert.Equal(t, "p", other.ask(stmt("write", 1000, "")).value)
+			other.c.Close()
+		}
+	}
+	for _, c := range silent {
+		for !c.read().ended {
+		}
+	}
+	assert.Less(t, time.Since(begun), 6*time.Second, "they are owed an end within 3 s; the rest is for a busy machine")
+	assert.NotContains(t, s.logged(), "reason=descriptors")
+}
+
+// An error reaches a client that goes on sending what nobody will read.
+func TestErrorOutlivesUnreadInput(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, nil)
+	c := s.client()
+	c.write("Q\x03\x93\x87\x00" + strings.Repeat("x", 8<<20))
+	got := c.read()
+	assert.Equal(t, "08P01", got.code)
+	assert.True(t, got.ended)
+}
+
+// A database would take one of two open requests with one id for the other.
+func TestIdOfAnOpenRequest(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, nil)
+	release := make(chan struct{})
+	s.p.will(func(d *database, c net.Conn, _ string) {
+		<-release
+		d.answer(c, "late")
+	})
+	c, thief := s.client(), s.client()
+	text := stmt("write", 3000, "")
+	c.write(query(text))
+	s.eventually("the write arrives", func() bool { return len(s.p.seen()) == 1 })
+	assert.Equal(t, "08P01", thief.ask(text).code)
+	close(release)
+	assert.Equal(t, "late", c.read().value)
+	assert.Len(t, s.p.seen(), 1)
+	assert.Equal(t, "late", thief.ask(text).value, "it is free again")
+}
+
 // Without discovery the known list stays in force, and it is asked again.
 func TestServesOnWithoutDiscovery(t *testing.T) {
 	t.Parallel()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -4,6 +4,8 @@
 package front
 
 import (
+	"container/list"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"net/netip"
@@ -23,12 +25,34 @@
 }
 
 const (
-	inputMost   = pgwire.MostMessage + 4096 // one statement, and the head of the next
-	patience    = 10 * time.Second          // for a first packet, or the rest of a message
-	lastWords   = time.Second               // a closed connection may take so long to read its answer
-	refusedMost = 32                        // connections being turned away at once
+	inputMost = pgwire.MostMessage + 4096 // one statement, and the head of the next
+	sweepTime = 100 * time.Millisecond
+	keepSmall = 4 << 10 // a connection that holds no more is no use against a want of memory
 )
 
+// place is what a connection is at. In each place they queue, the one that came first in
+// front, so that the end of a limit and the choice of whom to close are at hand.
+type place int
+
+const (
+	busy    place = iota // the core has a request of it
+	fresh                // it has not sent a whole query yet, or not even a hello
+	partial              // a packet has begun
+	unread               // it has not read its answer
+	idle                 // between requests
+	leaving              // finished: it may read its last answer
+	places
+)
+
+// limits are how long a connection may stay in its place. Who connects and does not ask
+// is owed an error or a close within 3 s; the protocol lets idle ones be closed after 2 s.
+var limits = [places]time.Duration{
+	fresh: 2 * time.Second, partial: 2 * time.Second, unread: 10 * time.Second, idle: 5 * time.Second,
+	leaving: 2 * time.Second,
+}
+
+var errOpen = errors.New("a request with this id is open")
+
 // Options are what the front is told once.
 type Options struct {
 	Classes []string // their names, by number
@@ -41,8 +65,9 @@
 	core    Core
 	opt     Options
 	classes map[string]int
+	ids     map[string]struct{} // of open requests, as the clients named them
 	ln      *netloop.Listener
-	open    map[*conn]struct{}
+	queues  [places]list.List // of *conn
 	welcome []byte
 	closing bool
 	crowded netloop.Sparse
@@ -52,12 +77,13 @@
 // New makes a front that hands requests to core.
 func New(loop *netloop.Loop, core Core, opt Options) *Front {
 	f := &Front{
-		loop: loop, core: core, opt: opt, classes: map[string]int{}, open: map[*conn]struct{}{},
+		loop: loop, core: core, opt: opt, classes: map[string]int{}, ids: map[string]struct{}{},
 		welcome: pgwire.AppendWelcome(nil),
 	}
 	for i, name := range opt.Classes {
 		f.classes[name] = i
 	}
+	f.sweep()
 	return f
 }
 
@@ -75,54 +101,95 @@
 func (f *Front) Drain() {
 	f.ln.Close()
 	f.closing = true
-	for c := range f.open {
-		c.nc.Poll() // a request may have come that no round has read yet
-		c.leave()
+	for p := busy; p < leaving; p++ {
+		for _, c := range f.all(p) {
+			c.nc.Poll() // a request may have come that no round has read yet
+			c.leave()
+		}
+	}
+}
+
+// all is who is at p, as a list of its own: what is done to them moves them.
+func (f *Front) all(p place) (list []*conn) {
+	for e := f.queues[p].Front(); e != nil; e = e.Next() {
+		list = append(list, e.Value.(*conn))
 	}
+	return list
 }
 
 // Quiet tells that no client is owed bytes.
 func (f *Front) Quiet() bool {
-	for c := range f.open {
-		if c.q != nil || c.nc.Pending() > 0 {
-			return false
+	f.reread()
+	return f.queues[busy].Len() == 0 && f.queues[unread].Len() == 0
+}
+
+// reread finds those that have read their answers: the loop writes out what it kept
+// without a word to the front.
+func (f *Front) reread() {
+	for _, c := range f.all(unread) {
+		c.file()
+	}
+}
+
+// sweep closes whoever has been at its place too long.
+func (f *Front) sweep() {
+	f.reread()
+	now := f.loop.Now()
+	f.loop.At(now+sweepTime, f.sweep)
+	for p := fresh; p < places; p++ {
+		for e := f.queues[p].Front(); e != nil && e.Value.(*conn).since+limits[p] <= now; e = f.queues[p].Front() {
+			c := e.Value.(*conn)
+			if p != idle && p != leaving {
+				f.bad.Printf(now, "event=client_closed reason=slow started=%t pending=%d", c.started, c.nc.Pending())
+			}
+			c.close()
 		}
 	}
-	return true
 }
 
 func (f *Front) accept(nc *netloop.Conn) {
 	c := &conn{front: f, nc: nc}
 	nc.Handle(c, inputMost)
-	if f.loop.Spare() < f.opt.Reserve && !f.dropIdle() {
-		f.turnAway(c)
+	if f.loop.Spare() < f.opt.Reserve && !f.makeRoom() {
+		f.crowded.Printf(f.loop.Now(), "event=client_refused reason=descriptors spare=%d busy=%d", f.loop.Spare(), f.queues[busy].Len())
+		nc.Write(pgwire.AppendError(nil, "FATAL", pgwire.CodeTooManyConnections, "too many clients", ""))
+		c.finish()
 		return
 	}
-	f.open[c] = struct{}{}
-	c.expect()
+	c.file()
 }
 
-// turnAway refuses a client for want of descriptors. It keeps a few of them while those
-// clients read why; beyond that they are cut off.
-func (f *Front) turnAway(c *conn) {
-	f.crowded.Printf(f.loop.Now(), "event=client_refused reason=descriptors spare=%d open=%d", f.loop.Spare(), len(f.open))
-	if f.loop.Spare() <= f.opt.Reserve-refusedMost {
-		c.nc.Close()
-		return
+// makeRoom frees a descriptor: of one that was told its end already, else of the one that
+// has said nothing for longest, else of the one idle for longest. Silent connections,
+// however many, must not keep out those that ask.
+func (f *Front) makeRoom() bool {
+	for _, p := range [...]place{leaving, fresh, idle} {
+		for e := f.queues[p].Front(); e != nil; e = f.queues[p].Front() {
+			c := e.Value.(*conn)
+			open := c.nc.Open()
+			c.nc.Poll() // what it has sent by now counts
+			if c.place == p && c.at == e {
+				c.close()
+				if open {
+					return true
+				}
+			}
+		}
 	}
-	c.nc.Write(pgwire.AppendError(nil, "FATAL", pgwire.CodeTooManyConnections, "too many clients", ""))
-	c.nc.Finish(f.loop.Now() + lastWords)
+	return false
 }
 
-// dropIdle closes a client's connection between its requests, as the protocol allows.
-func (f *Front) dropIdle() bool {
-	for c := range f.open {
-		if c.started && c.q == nil && len(c.nc.Input()) == 0 && c.nc.Pending() == 0 {
-			c.close()
-			return true
+// relieve frees buffers while they are short, other than those of c, which is at work:
+// first of those that have not sent a whole packet for longest. A usual request is small.
+func (f *Front) relieve(c *conn) {
+	for p := fresh; p < idle && f.loop.Pressed(); p++ {
+		for _, x := range f.all(p) {
+			if x != c && x.nc.Held() > keepSmall && f.loop.Pressed() {
+				f.bad.Printf(f.loop.Now(), "event=client_closed reason=memory held=%d", x.nc.Held())
+				x.close()
+			}
 		}
 	}
-	return false
 }
 
 // conn is one client's connection. It has one request with the core at most; what is
@@ -130,10 +197,42 @@
 type conn struct {
 	front   *Front
 	nc      *netloop.Conn
-	started bool
+	started bool // it has said hello
+	asked   bool // it has sent a whole query
 	q       *gateway.Request
-	timer   *netloop.Timer // the peer owes bytes until then
-	inside  bool           // serve is running: answers that come within it do not call it
+	inside  bool // serve is running: answers that come within it do not call it
+	place   place
+	at      *list.Element
+	since   time.Duration
+}
+
+// file puts the connection where it belongs; who stays keeps the time of its coming.
+func (c *conn) file() {
+	p := idle
+	switch {
+	case c.nc.Closed():
+		p = leaving
+	case c.q != nil:
+		p = busy
+	case c.nc.Pending() > 0:
+		p = unread
+	case !c.asked:
+		p = fresh
+	case len(c.nc.Input()) > 0:
+		p = partial
+	}
+	if c.at == nil || p != c.place {
+		c.unfile()
+		c.place, c.since = p, c.front.loop.Now()
+		c.at = c.front.queues[p].PushBack(c)
+	}
+}
+
+func (c *conn) unfile() {
+	if c.at != nil {
+		c.front.queues[c.place].Remove(c.at)
+		c.at = nil
+	}
 }
 
 // Connected is for dialled connections.
@@ -144,14 +243,19 @@
 
 // Ended tells that the client is gone.
 func (c *conn) Ended(error) {
-	delete(c.front.open, c)
-	c.timer.Stop()
+	c.unfile()
 	if q := c.q; q != nil {
-		c.q = nil
+		c.over()
 		c.front.core.Gone(q)
 	}
 }
 
+// over takes the request out of the books: it has its answer, or its client is gone.
+func (c *conn) over() {
+	delete(c.front.ids, c.q.Client.(*call).id)
+	c.q = nil
+}
+
 func (c *conn) serve() {
 	if c.inside {
 		return
@@ -160,32 +264,14 @@
 	for c.q == nil && !c.nc.Closed() && c.next() {
 	}
 	c.inside = false
-	if !c.nc.Closed() {
-		if c.front.closing {
-			c.leave()
-		}
-		c.expect()
-	}
-}
-
-// expect sets the moment by which a packet that has begun must be whole, and an answer
-// read: a slow peer does not keep its descriptor for ever.
-func (c *conn) expect() {
-	owes := !c.started || c.q == nil && len(c.nc.Input()) > 0 || c.nc.Pending() > 0
-	if owes == (c.timer != nil) {
+	if c.nc.Closed() {
 		return
 	}
-	c.timer.Stop()
-	c.timer = nil
-	if owes {
-		c.timer = c.front.loop.At(c.front.loop.Now()+patience, func() {
-			c.timer = nil
-			if c.q == nil && (!c.started || len(c.nc.Input()) > 0 || c.nc.Pending() > 0) {
-				c.front.bad.Printf(c.front.loop.Now(), "event=client_closed reason=slow started=%t pending=%d", c.started, c.nc.Pending())
-				c.close()
-			}
-		})
+	if c.front.closing {
+		c.leave()
 	}
+	c.file()
+	c.front.relieve(c)
 }
 
 // next handles one packet; false: there is none that is whole.
@@ -233,6 +319,8 @@
 
 // query hands a statement to the core.
 func (c *conn) query(body []byte, n int) bool {
+	c.asked = true
+	c.unfile() // its time in any place begins anew
 	text, err := pgwire.Text(body)
 	if err == nil && pgwire.Blank(text) {
 		c.nc.Consume(n)
@@ -247,6 +335,9 @@
 	if err == nil && !known {
 		err = fmt.Errorf("unknown class %q", head.Class)
 	}
+	if _, open := c.front.ids[string(head.ID)]; open && err == nil {
+		err = errOpen // databases would take one of the two for the other
+	}
 	if err != nil {
 		c.front.bad.Printf(c.front.loop.Now(), "event=bad_query err=%q", err)
 		c.nc.Consume(n)
@@ -260,8 +351,10 @@
 	}
 	// The buffer goes with the request: the statement is written out from where it was
 	// read, and the head's places count from the start of its text.
+	id := string(head.ID)
+	c.front.ids[id] = struct{}{}
 	buffer := c.nc.Take(n)
-	c.q.Client = &call{conn: c, buffer: buffer}
+	c.q.Client = &call{conn: c, id: id, buffer: buffer}
 	c.q.Statement = &pgwire.Statement{Text: buffer[n-len(body) : n-1], Head: head}
 	c.front.core.Take(c.q)
 	return c.q == nil
@@ -292,20 +385,19 @@
 }
 
 func (c *conn) finish() {
-	delete(c.front.open, c)
-	c.timer.Stop()
-	c.nc.Finish(c.front.loop.Now() + lastWords)
+	c.nc.Finish(c.front.loop.Now() + limits[leaving])
+	c.file()
 }
 
 func (c *conn) close() {
-	delete(c.front.open, c)
-	c.timer.Stop()
+	c.unfile()
 	c.nc.Close()
 }
 
 // call is the front's side of one request.
 type call struct {
 	conn   *conn
+	id     string // as the client named it
 	buffer []byte // the statement's
 }
 
@@ -331,10 +423,8 @@
 	if c.q == nil || c.nc.Closed() {
 		return
 	}
-	c.q = nil
+	c.over()
 	c.nc.Write(message, ready)
-	c.timer.Stop()
-	c.timer = nil
 	c.serve()
 }
 
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -78,6 +78,12 @@
 // Closed tells whether the connection is over.
 func (c *Conn) Closed() bool { return c.fd < 0 || c.linger != nil }
 
+// Open tells whether the connection still has its descriptor.
+func (c *Conn) Open() bool { return c.fd >= 0 }
+
+// Held is how many bytes of buffers the connection holds.
+func (c *Conn) Held() int { return cap(c.in) + cap(c.out) }
+
 // Input is what has been read and not consumed. It is good until the handler returns.
 func (c *Conn) Input() []byte { return c.in[c.r:] }
 
@@ -272,10 +278,12 @@
 	return nil
 }
 
-var waste [16 << 10]byte
+// waste is never written to: MSG_TRUNC has the kernel drop what came, so that a peer who
+// goes on sending after its end costs neither memory nor copies.
+var waste [256 << 10]byte
 
 func (c *Conn) discard() error {
-	n, err := unix.Read(c.fd, waste[:])
+	n, _, err := unix.Recvfrom(c.fd, waste[:], unix.MSG_TRUNC)
 	switch {
 	case err == unix.EAGAIN, err == unix.EINTR:
 		return nil
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -86,6 +86,9 @@
 // Spare is how many more descriptors may be opened.
 func (l *Loop) Spare() int { return l.limit - l.open }
 
+// Pressed tells that buffers run short: a quarter of what they may hold is left.
+func (l *Loop) Pressed() bool { return l.buffers.held > l.buffers.most*3/4 }
+
 // Lingering is how many connections were finished and not yet closed by their peers.
 func (l *Loop) Lingering() int { return l.lingering }
 
