Believe only answers of the right form, and let connections rest behind an answer

At fault: conn.message took a DataRow without reading the row's own length, accepted messages in any order, and judged the shape only at ReadyForQuery; Ended took a refusal for whole although noise followed, which would have let a write that had run go out again; ready() handed a connection to the next job with bytes left over; what came on an idle one was read as a greeting's rest. Each of these was a way to serve a value that was not made for the request. Now NextAnswer checks form and lengths as soon as the head is there, fits() the order; a spoilt answer is a reset and ends its connection at once. A connection stays unused for 2 ms behind an answer and must be silent (MSG_PEEK) when a job starts on it. Positions past the clock and unreadable load reports are passed over. Hosts that left the list go from the pool after a minute, probes' times with their ends; bad_answer lines are rate-limited.

--- a/cmd/lilaccove/main_test.go
+++ b/cmd/lilaccove/main_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -167,6 +168,63 @@
 	}
 }
 
+// What is spoilt is not passed on: a read is asked elsewhere, long before its time is over,
+// and a write has failed, for it has run. What comes behind a good answer, or on an idle
+// connection, is not the next answer.
+func TestSpoiltAnswers(t *testing.T) {
+	t.Parallel()
+	good := row("good", "")
+	spoilt := map[string]string{
+		"noise":                 "\x93\x01noise",
+		"unknown message":       "?\x00\x00\x00\x08abcd",
+		"endless line":          strings.Repeat("x", 300),
+		"negative length":       "D\xff\xff\xff\xf0",
+		"row of another length": strings.Replace(string(good), "\x04good", "\x03good", 1),
+		"value of 3 GB":         strings.Replace(string(good), "\x00\x00\x00\x04good", "\xb2\xd0\x5e\x00good", 1),
+		"row first":             string(good[30:]),
+		"ready first":           string(pgwire.AppendReady(nil)),
+		"noise before its end":  string(good[:len(good)-6]) + "\x93\x01noise",
+		"two rows":              string(good[:len(good)-6]) + string(good),
+		"refusal, then noise":   string(pgwire.AppendError(nil, "ERROR", "53300", "no", "")) + "noise",
+	}
+	for name, text := range spoilt {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, nil)
+			c := s.client()
+			c.t = t
+			s.meet(c)
+			spoil := func(_ *database, c net.Conn, _ string) { _, _ = c.Write([]byte(text)) }
+			s.a.will(spoil)
+			s.p.will(spoil)
+			begun := time.Now()
+			for range 4 {
+				assert.Equal(t, "b", c.ask(stmt("browse", 1100, "")).value)
+			}
+			assert.Less(t, time.Since(begun), 2*time.Second, "the attempts do not run out of time")
+			n := len(s.p.seen())
+			assert.Equal(t, pgwire.CodeUnknownOutcome, c.ask(stmt("write", 3000, "")).code)
+			assert.Len(t, s.p.seen(), n+1)
+		})
+	}
+	for name, more := range map[string]string{"a second copy": string(good), "noise": "noise", "a bad report": ""} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, nil)
+			var n atomic.Int64
+			s.p.will(func(_ *database, c net.Conn, _ string) {
+				notes := "S\x00\x00\x00\x0eload\x00x0=\xff\x00"
+				_, _ = c.Write(row(strconv.FormatInt(n.Add(1), 10), notes))
+				_, _ = c.Write([]byte(more))
+			})
+			c := s.client()
+			for i := range 20 {
+				assert.Equal(t, strconv.Itoa(i+1), c.ask(stmt("write", 2000, "")).value)
+			}
+		})
+	}
+}
+
 // Rule 3: nothing new goes to a database that drains.
 func TestDrainingDatabaseGetsNothingNew(t *testing.T) {
 	t.Parallel()
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -2,7 +2,7 @@
 
 import (
 	"bytes"
-	"log"
+	"errors"
 	"strconv"
 	"time"
 
@@ -17,7 +17,7 @@
 	pool   *Pool
 	host   *host
 	nc     *netloop.Conn
-	timer  *netloop.Timer // by which it must be up
+	timer  *netloop.Timer // by which it must be up, or has rested
 	up     bool           // the database has greeted it
 	idleAt time.Duration
 	job    *job
@@ -26,17 +26,18 @@
 
 // answer is what has come for the current job, or for the greeting.
 type answer struct {
-	value   []byte // RowDescription, DataRow and CommandComplete as they came
-	shape   []byte // the kinds of those messages
-	column  []byte // of a probe's row
-	code    string // of an ErrorResponse
-	text    string
-	reply   gateway.Reply
-	digits  [20]byte
-	kinds   [8]byte
-	reports bool
+	value  []byte // RowDescription, DataRow and CommandComplete as they came
+	shape  []byte // the kinds of those messages
+	column []byte // of a probe's row
+	code   string // of an ErrorResponse
+	text   string
+	reply  gateway.Reply
+	digits [20]byte
+	kinds  [len(answered)]byte
 }
 
+var errOrder = errors.New("a message out of turn")
+
 const keepValue = 8 << 10 // an idle connection keeps no larger buffer
 
 func (a *answer) reset() {
@@ -95,43 +96,59 @@
 
 // Received takes in the database's messages.
 func (c *conn) Received() {
-	for {
-		kind, body, n, err := pgwire.Next(c.nc.Input(), pgwire.MostMessage)
+	for !c.nc.Closed() && len(c.nc.Input()) > 0 {
+		kind, body, n, err := pgwire.NextAnswer(c.nc.Input())
+		if err == nil && !c.fits(c.nc.Input()[0]) {
+			err = errOrder
+		}
 		if err != nil {
-			log.Printf("event=bad_answer host=%s err=%q", c.host.id, err)
-			c.Ended(err)
+			c.spoil(err)
 			return
 		}
 		if n == 0 {
 			return
 		}
+		c.message(kind, body, c.nc.Input()[:n])
+		c.nc.Consume(n)
 		if kind == pgwire.Ready {
-			c.nc.Consume(n)
 			c.ready()
-		} else {
-			c.message(kind, body, c.nc.Input()[:n])
-			c.nc.Consume(n)
-		}
-		if c.nc.Closed() {
-			return
 		}
 	}
 }
 
+// fits tells whether a message of the kind may come now.
+func (c *conn) fits(kind byte) bool {
+	a := &c.answer
+	switch {
+	case c.up && c.job == nil:
+		return false // nothing was asked
+	case kind == pgwire.ParameterStatus, kind == pgwire.Notice:
+		return true
+	case !c.up:
+		return kind != pgwire.RowDescription && kind != pgwire.DataRow && kind != pgwire.CommandComplete
+	case kind == pgwire.Ready:
+		return a.whole()
+	case a.whole():
+		return false
+	case kind == pgwire.ErrorMsg:
+		return true
+	}
+	return kind == answered[len(a.shape)]
+}
+
+// answered is the shape of an answer with a value.
+const answered = "TDC"
+
 func (c *conn) message(kind byte, body, whole []byte) {
 	a := &c.answer
 	switch kind {
 	case pgwire.ParameterStatus:
 		if name, value, err := pgwire.Pair(body); err == nil {
-			a.parameter(name, value)
+			a.parameter(name, value, c.pool.loop.Now())
 		}
 	case pgwire.RowDescription, pgwire.DataRow, pgwire.CommandComplete:
-		if len(a.shape) == cap(a.shape) {
-			c.pool.broken(c, "too many messages")
-			return
-		}
 		a.shape = append(a.shape, kind)
-		if c.job != nil && c.job.attempt != nil {
+		if c.job.attempt != nil {
 			a.value = append(a.value, whole...)
 		} else if kind == pgwire.DataRow {
 			col, _ := pgwire.Column(body)
@@ -139,36 +156,33 @@
 		}
 	case pgwire.ErrorMsg:
 		a.code, a.text = string(pgwire.ErrorCode(body)), string(pgwire.ErrorText(body))
-		if a.code == "" {
-			a.code = "unnamed"
-		}
-	case pgwire.AuthRequest:
-		if len(body) < 4 || !bytes.Equal(body[:4], []byte{0, 0, 0, 0}) {
-			c.pool.broken(c, "it asks for a password")
-		}
-	case pgwire.BackendKey, pgwire.Notice:
-	default:
-		c.pool.broken(c, "unexpected message "+strconv.QuoteRune(rune(kind)))
 	}
 }
 
-// broken ends a connection on which the database leaves the protocol.
-func (p *Pool) broken(c *conn, why string) {
-	log.Printf("event=bad_answer host=%s err=%q", c.host.id, why)
-	c.Ended(netloop.ErrPeerClosed)
+// spoil ends a connection on which something came that does not belong there: whatever
+// follows cannot be told from an answer. What it carried may have run; nothing that was
+// said of it is believed.
+func (c *conn) spoil(err error) {
+	c.pool.spoilt.Printf(c.pool.loop.Now(), "event=bad_answer host=%s busy=%t err=%q", c.host.id, c.job != nil, err)
+	c.answer.reset()
+	c.Ended(err)
 }
 
+// ahead is how far a position may be past the clock, which all machines share: one that
+// is believed can never be taken back.
+const ahead = time.Second
+
 // parameter keeps what an answer tells of the database.
-func (a *answer) parameter(name, value []byte) {
+func (a *answer) parameter(name, value []byte, now time.Duration) {
 	switch string(name) {
 	case "role":
 		a.reply.Role = roleOf(string(value))
 	case "applied_ms":
-		if ms, err := strconv.ParseInt(string(value), 10, 64); err == nil && ms > 0 {
+		if ms, err := strconv.ParseInt(string(value), 10, 64); err == nil && ms > 0 && ms <= int64((now+ahead)/time.Millisecond) {
 			a.reply.Position, a.reply.HasPosition = time.Duration(ms)*time.Millisecond, true
 		}
 	case "load":
-		a.report(value)
+		a.report(value, now)
 	}
 }
 
@@ -182,39 +196,50 @@
 	return policy.RoleUnknown
 }
 
-// report reads name=value pairs; names nobody here reads are skipped.
-func (a *answer) report(text []byte) {
+// report reads name=value pairs; names nobody here reads are skipped. One that cannot be
+// read, or tells of the future, is no report at all.
+func (a *answer) report(text []byte, now time.Duration) {
+	var r policy.Report
 	for pair := range bytes.SplitSeq(text, []byte{','}) {
 		name, value, _ := bytes.Cut(pair, []byte{'='})
 		x, err := strconv.ParseFloat(string(value), 64)
 		if err != nil {
-			continue
+			return
 		}
 		switch string(name) {
 		case "x0":
-			a.reply.Report.Position = time.Duration(x * float64(time.Second))
-			a.reply.Report.HasPosition = true
+			if !(x >= 0 && x <= (now+ahead).Seconds()) {
+				return
+			}
+			r.Position, r.HasPosition = time.Duration(x*float64(time.Second)), true
 		case "x1":
-			a.reply.Report.Role = policy.Replica
+			r.Role = policy.Replica
 			if x == 1 {
-				a.reply.Report.Role = policy.Primary
+				r.Role = policy.Primary
 			}
 		}
 	}
+	a.reply.Report = r
 }
 
 // ready handles ReadyForQuery: the end of the greeting or of an answer.
 func (c *conn) ready() {
+	j := c.job
 	if !c.up {
 		c.up = true
 		c.timer.Stop()
 		c.host.dialing--
-		c.pool.free(c)
-		return
-	}
-	if j := c.job; j != nil {
+	} else {
 		c.job = nil
 		c.settle(j)
+	}
+	switch {
+	case c.host.gone || len(c.nc.Input()) > 0: // more than the answer came with it
+		c.drop()
+		c.pool.fill(c.host)
+	case j != nil:
+		c.pool.rest(c)
+	default:
 		c.pool.free(c)
 	}
 }
@@ -223,32 +248,29 @@
 func (c *conn) settle(j *job) {
 	a := &c.answer
 	if j.attempt == nil && a.column != nil && c.pool.opt.ProbeReport {
-		a.report(a.column)
+		a.report(a.column, c.pool.loop.Now())
 	}
 	a.reply.Value = a.value
-	c.pool.finish(j, a.outcome(c.host.id), a.reply)
+	c.pool.finish(j, c.pool.outcome(a, c.host.id), a.reply)
 }
 
 // outcome is the protocol's table.
-func (a *answer) outcome(id policy.HostID) policy.Outcome {
+func (p *Pool) outcome(a *answer, id policy.HostID) policy.Outcome {
 	switch a.code {
 	case "":
-		if string(a.shape) == "TDC" {
-			return policy.OK
-		}
-		log.Printf("event=bad_answer host=%s shape=%q", id, a.shape)
+		return policy.OK
 	case pgwire.CodeReadOnly, pgwire.CodeTooFarBehind:
 		return policy.Miss
 	case pgwire.CodeTooManyConnections, pgwire.CodeCannotConnectNow:
 		return policy.Full
 	case pgwire.CodeProtocolViolation:
-		log.Printf("event=bad_statement host=%s text=%q", id, a.text)
+		p.spoilt.Printf(p.loop.Now(), "event=bad_statement host=%s text=%q", id, a.text)
 	}
 	return policy.Error
 }
 
 // whole tells whether the answer is complete though ReadyForQuery did not come.
-func (a *answer) whole() bool { return a.code != "" || string(a.shape) == "TDC" }
+func (a *answer) whole() bool { return a.code != "" || string(a.shape) == answered }
 
 // Ended settles what the connection carried.
 func (c *conn) Ended(error) {
@@ -273,7 +295,8 @@
 		}
 	default:
 		c.drop()
-		c.host.idle = without(c.host.idle, c)
+		c.host.idle, c.host.resting = without(c.host.idle, c), without(c.host.resting, c)
+		c.pool.fill(c.host)
 	}
 }
 
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -37,16 +37,28 @@
 	hosts   map[policy.HostID]*host
 	startup []byte
 	short   netloop.Sparse
+	spoilt  netloop.Sparse
 }
 
 type host struct {
 	id      policy.HostID
 	addr    netip.AddrPort
+	gone    bool // from the list
+	goneAt  time.Duration
 	idle    []*conn // the one used last is the last
+	resting []*conn // they have just answered
 	waiting []*job  // for a connection, oldest first
 	dialing int
 }
 
+// restTime is how long a connection stays unused behind an answer: a second copy or
+// noise that comes straight after would be taken for the next answer.
+const restTime = 2 * time.Millisecond
+
+// keepGone is how long the address of a host that left the list is kept: the module may
+// take the list for advice, and attempts may be out.
+const keepGone = time.Minute
+
 // job is an attempt or a probe on its way.
 type job struct {
 	attempt *gateway.Attempt // nil: a probe
@@ -66,17 +78,36 @@
 	return p
 }
 
-// Listed keeps the address of a host. Connections to where it was before are of no use.
-func (p *Pool) Listed(id policy.HostID, addr netip.AddrPort, status policy.Status) {
-	h := p.hosts[id]
-	if h == nil {
-		h = &host{id: id}
-		p.hosts[id] = h
+// Listed keeps the addresses of hosts. Connections to where one was before, or to one
+// that is gone, are of no use; a list that is not of changes holds all that are not gone.
+func (p *Pool) Listed(kind policy.ListKind, entries []gateway.Entry) {
+	named := map[policy.HostID]bool{}
+	for _, e := range entries {
+		named[e.Host] = true
+		h := p.hosts[e.Host]
+		if h == nil {
+			h = &host{id: e.Host}
+			p.hosts[e.Host] = h
+		}
+		if e.Dial != h.addr || e.Status == policy.Gone {
+			p.HangUp(e.Host)
+		}
+		h.addr = e.Dial
+		p.leave(h, e.Status == policy.Gone)
 	}
-	if addr != h.addr || status == policy.Gone {
-		p.HangUp(id)
+	for id, h := range p.hosts {
+		if (kind == policy.ListFull || kind == policy.ListCached) && !named[id] {
+			p.HangUp(id)
+			p.leave(h, true)
+		}
 	}
-	h.addr = addr
+}
+
+func (p *Pool) leave(h *host, gone bool) {
+	if gone && !h.gone {
+		h.goneAt = p.loop.Now()
+	}
+	h.gone = gone
 }
 
 // Send starts an attempt.
@@ -106,10 +137,13 @@
 // HangUp closes the idle connections to a host.
 func (p *Pool) HangUp(id policy.HostID) {
 	if h := p.hosts[id]; h != nil {
-		for _, c := range h.idle {
-			c.nc.Close()
+		for _, c := range slices.Concat(h.idle, h.resting) {
+			c.drop()
 		}
-		h.idle = h.idle[:0]
+		clear(h.idle)
+		clear(h.resting)
+		h.idle, h.resting = h.idle[:0], h.resting[:0]
+		p.fill(h)
 	}
 }
 
@@ -128,15 +162,23 @@
 		p.finish(j, policy.ConnectFailed, gateway.Reply{}) // not a byte was written
 		return
 	}
-	if n := len(h.idle); n > 0 {
+	for n := len(h.idle); n > 0; n = len(h.idle) {
 		c := h.idle[n-1]
 		h.idle = h.idle[:n-1]
-		c.start(j)
-		return
+		if c.nc.Silent() {
+			c.start(j)
+			return
+		}
+		c.drop() // it has ended, or something came on it that nobody asked for
 	}
 	h.waiting = append(h.waiting, j)
 	j.timer = p.loop.At(min(j.until, now+p.opt.DialTimeout), func() { p.abandon(j, policy.ConnectFailed) })
-	if h.dialing < len(h.waiting) {
+	p.fill(h)
+}
+
+// fill opens a connection where more jobs wait than will have one.
+func (p *Pool) fill(h *host) {
+	if h.dialing+len(h.resting) < len(h.waiting) {
 		p.dial(h)
 	}
 }
@@ -176,13 +218,27 @@
 
 // dialFailed ends the oldest job that no connection on its way is left for.
 func (p *Pool) dialFailed(h *host, o policy.Outcome) {
-	if len(h.waiting) > h.dialing {
+	if len(h.waiting) > h.dialing+len(h.resting) {
 		j := h.waiting[0]
 		h.waiting = h.waiting[1:]
 		p.finish(j, o, gateway.Reply{})
 	}
 }
 
+// rest keeps a connection apart for a moment.
+func (p *Pool) rest(c *conn) {
+	c.host.resting = append(c.host.resting, c)
+	c.timer = p.loop.At(p.loop.Now()+restTime, func() {
+		c.host.resting = without(c.host.resting, c)
+		if c.nc.Silent() {
+			p.free(c)
+		} else {
+			c.drop()
+			p.fill(c.host)
+		}
+	})
+}
+
 // free gives a connection to the job that waits longest, or keeps it.
 func (p *Pool) free(c *conn) {
 	h := c.host
@@ -224,12 +280,12 @@
 // that the database has just closed ends as a reset, and a write is lost with it.
 func (p *Pool) sweep() {
 	p.loop.At(p.loop.Now()+time.Second, p.sweep)
-	if p.opt.ConnIdle <= 0 {
-		return
-	}
 	oldest := p.loop.Now() - p.opt.ConnIdle*6/10
-	for _, h := range p.hosts {
-		for len(h.idle) > 0 && h.idle[0].idleAt < oldest {
+	for id, h := range p.hosts {
+		if h.gone && p.loop.Now()-h.goneAt > keepGone && len(h.waiting) == 0 {
+			delete(p.hosts, id) // attempts on their way keep it for themselves
+		}
+		for p.opt.ConnIdle > 0 && len(h.idle) > 0 && h.idle[0].idleAt < oldest {
 			h.idle[0].nc.Close()
 			h.idle = slices.Delete(h.idle, 0, 1)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,7 +35,7 @@
 	Cancel(a *Attempt)
 	Probe(host policy.HostID)
 	HangUp(host policy.HostID)
-	Listed(host policy.HostID, addr netip.AddrPort, status policy.Status)
+	Listed(kind policy.ListKind, entries []Entry)
 }
 
 // Discovery asks for the list and its changes.
@@ -211,6 +211,7 @@
 	g.events = append(g.events, policy.Probed{
 		Host: host, Outcome: o, Latency: g.loop.Now() - g.probes[host], Report: r.Report,
 	})
+	delete(g.probes, host) // one is out at a time; hosts come and go
 }
 
 // Listed passes on news of the list.
@@ -218,8 +219,8 @@
 	m := policy.Members{Kind: kind, Entries: make([]policy.Member, len(entries))}
 	for i, e := range entries {
 		m.Entries[i] = e.Member
-		g.backends.Listed(e.Host, e.Dial, e.Status)
 	}
+	g.backends.Listed(kind, entries)
 	g.events = append(g.events, m)
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/netip"
 	"testing"
 	"time"
 
@@ -33,16 +32,16 @@
 	listed, askedFor int
 }
 
-func (w *world) Served(value []byte)                                 { w.said = append(w.said, "served "+string(value)) }
-func (w *world) Refused(after time.Duration)                         { w.said = append(w.said, "refused "+after.String()) }
-func (w *world) Failed()                                             { w.said = append(w.said, "failed") }
-func (w *world) Released()                                           { w.said = append(w.said, "released") }
-func (w *world) Send(a *Attempt)                                     { w.sent = append(w.sent, a) }
-func (w *world) Cancel(a *Attempt)                                   { w.cancelled = append(w.cancelled, a) }
-func (w *world) Probe(h policy.HostID)                               { w.probed = append(w.probed, h) }
-func (w *world) HangUp(h policy.HostID)                              { w.hungUp = append(w.hungUp, h) }
-func (w *world) Subscribe()                                          { w.askedFor++ }
-func (w *world) Listed(policy.HostID, netip.AddrPort, policy.Status) { w.listed++ }
+func (w *world) Served(value []byte)                 { w.said = append(w.said, "served "+string(value)) }
+func (w *world) Refused(after time.Duration)         { w.said = append(w.said, "refused "+after.String()) }
+func (w *world) Failed()                             { w.said = append(w.said, "failed") }
+func (w *world) Released()                           { w.said = append(w.said, "released") }
+func (w *world) Send(a *Attempt)                     { w.sent = append(w.sent, a) }
+func (w *world) Cancel(a *Attempt)                   { w.cancelled = append(w.cancelled, a) }
+func (w *world) Probe(h policy.HostID)               { w.probed = append(w.probed, h) }
+func (w *world) HangUp(h policy.HostID)              { w.hungUp = append(w.hungUp, h) }
+func (w *world) Subscribe()                          { w.askedFor++ }
+func (w *world) Listed(_ policy.ListKind, e []Entry) { w.listed += len(e) }
 
 func newWorld(t *testing.T) (*netloop.Loop, *Gateway, *script, *world) {
 	loop, err := netloop.New(16, 0, 1<<20)
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -199,6 +199,17 @@
 	}
 }
 
+// Silent tells that nothing has come that is not consumed, not even an end: what is
+// written now cannot be what the peer answers already.
+func (c *Conn) Silent() bool {
+	if c.Closed() || len(c.Input()) > 0 {
+		return false
+	}
+	var one [1]byte
+	_, _, err := unix.Recvfrom(c.fd, one[:], unix.MSG_PEEK)
+	return err == unix.EAGAIN
+}
+
 // Poll takes in at once what has come, as if epoll had told of it.
 func (c *Conn) Poll() {
 	if !c.Closed() && c.up && c.interest&unix.EPOLLIN != 0 {
--- a/internal/pgwire/message.go
+++ b/internal/pgwire/message.go
@@ -52,6 +52,7 @@
 	ErrLength  = errors.New("message length out of bounds")
 	ErrVersion = errors.New("protocol version is not 3")
 	ErrText    = errors.New("text is not terminated")
+	ErrAnswer  = errors.New("no database says this")
 )
 
 // Next splits the first message off b. n is its length with its head; 0: it has not
@@ -70,6 +71,71 @@
 	return b[0], b[5 : 1+size], 1 + size, nil
 }
 
+// answerMost is how long the messages of an answer may be.
+var answerMost = [256]int{
+	AuthRequest: 8, BackendKey: 12, CommandComplete: 68, DataRow: MostMessage, ErrorMsg: 16 << 10, Notice: 16 << 10,
+	ParameterStatus: 16 << 10, Ready: 5, RowDescription: 1 << 10,
+}
+
+// NextAnswer splits the first message of a database off b, as Next does, and checks its
+// form. What no database says is an error as soon as it shows: the rest of it may never
+// come, and a request that waited for it would lose the time for another attempt.
+func NextAnswer(b []byte) (kind byte, body []byte, n int, err error) {
+	if len(b) > 0 && answerMost[b[0]] == 0 {
+		return b[0], nil, 0, fmt.Errorf("%w: message %q", ErrAnswer, b[0])
+	}
+	if len(b) < 5 {
+		return 0, nil, 0, nil
+	}
+	if kind, body, n, err = Next(b, answerMost[b[0]]); err != nil {
+		return kind, nil, 0, err
+	}
+	if kind == DataRow && len(b) >= 11 {
+		// The row's head tells its length a second time.
+		size, row := int64(binary.BigEndian.Uint32(b[1:])), int64(binary.BigEndian.Uint32(b[7:]))
+		if binary.BigEndian.Uint16(b[5:]) != 1 || size != 4+2+4+row {
+			return kind, nil, 0, fmt.Errorf("%w: a row of %d bytes in a message of %d", ErrAnswer, row, size)
+		}
+	}
+	if n > 0 && !wellFormed(kind, body) {
+		return kind, nil, 0, fmt.Errorf("%w: malformed message %q", ErrAnswer, kind)
+	}
+	return kind, body, n, nil
+}
+
+func wellFormed(kind byte, body []byte) bool {
+	switch kind {
+	case AuthRequest:
+		return bytes.Equal(body, []byte{0, 0, 0, 0}) // no password is asked for
+	case BackendKey:
+		return len(body) == 8
+	case CommandComplete:
+		text, err := Text(body)
+		return err == nil && len(text) > 0 && bytes.IndexFunc(text, func(r rune) bool { return r < ' ' || r > '~' }) < 0
+	case DataRow:
+		value, ok := Column(body)
+		return ok && value != nil
+	case ErrorMsg:
+		return codeLike(ErrorCode(body)) && bytes.HasSuffix(body, []byte{0, 0})
+	case ParameterStatus:
+		_, _, err := Pair(body)
+		return err == nil
+	case Ready:
+		return len(body) == 1 && bytes.IndexByte([]byte("ITE"), body[0]) >= 0
+	case RowDescription:
+		// One column: its name and 18 bytes on it.
+		end := bytes.IndexByte(body[min(2, len(body)):], 0)
+		return end >= 0 && binary.BigEndian.Uint16(body) == 1 && len(body) == 2+end+1+18
+	}
+	return true
+}
+
+// codeLike tells whether b can be an SQLSTATE.
+func codeLike(b []byte) bool {
+	other := func(r rune) bool { return !(r >= '0' && r <= '9' || r >= 'A' && r <= 'Z') }
+	return len(b) == 5 && bytes.IndexFunc(b, other) < 0
+}
+
 // Hello is what a client's first packet asks for.
 type Hello uint8
 
@@ -195,8 +261,8 @@
 // Pair reads a ParameterStatus.
 func Pair(body []byte) (name, value []byte, err error) {
 	name, rest, ok := bytes.Cut(body, []byte{0})
-	value, _, ok2 := bytes.Cut(rest, []byte{0})
-	if !ok || !ok2 {
+	value, rest, ok2 := bytes.Cut(rest, []byte{0})
+	if !ok || !ok2 || len(rest) > 0 {
 		return nil, nil, ErrText
 	}
 	return name, value, nil
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -36,6 +36,49 @@
 	}
 }
 
+// What no database says shows as soon as its head is there.
+func TestNextAnswer(t *testing.T) {
+	const columns = "T\x00\x00\x00\x1d\x00\x01blob\x00" + "\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01"
+	refusal := string(AppendError(nil, "ERROR", CodeTooManyConnections, "no", ""))
+	tests := []struct {
+		name, in string
+		ok       bool
+	}{
+		{"columns", columns, true},
+		{"columns cut off", columns[:9], true},
+		{"two columns", strings.Replace(columns, "\x00\x01blob", "\x00\x02blob", 1), false},
+		{"a column's end is missing", "T\x00\x00\x00\x0b\x00\x01blob\x00", false},
+		{"row", "D\x00\x00\x00\x0b\x00\x01\x00\x00\x00\x01x", true},
+		{"row's head", "D\x00\x00\x00\x0b\x00\x01", true},
+		{"row too short for its value", "D\x00\x00\x00\x0b\x00\x01\x00\x00\x00\x02", false},
+		{"row too long for its value", "D\x00\x00\x01\x0b\x00\x01\x00\x00\x00\x02", false},
+		{"value of 3 GB", "D\x00\x00\x01\x0b\x00\x01\xb2\xd0\x5e\x00", false},
+		{"row of 3 GB", "D\xb2\xd0\x5e\x00", false},
+		{"row of two", "D\x00\x00\x00\x0b\x00\x02\x00\x00\x00\x01", false},
+		{"no value", "D\x00\x00\x00\x0a\x00\x01\xff\xff\xff\xff", false},
+		{"complete", "C\x00\x00\x00\x0dSELECT 1\x00", true},
+		{"complete without an end", "C\x00\x00\x00\x0cSELECT 1", false},
+		{"complete with noise", "C\x00\x00\x00\x0dSELE\x03\x041\x00\x00", false},
+		{"endless complete", "C\x00\x01\x00\x00", false},
+		{"ready", "Z\x00\x00\x00\x05I", true},
+		{"ready for something else", "Z\x00\x00\x00\x05?", false},
+		{"long ready", "Z\x00\x00\x00\x09", false},
+		{"error", refusal, true},
+		{"error without a code", strings.Replace(refusal, "C53300", "D53300", 1), false},
+		{"error with half a code", strings.Replace(refusal, "C53300", "C533\x00N", 1), false},
+		{"error that goes on", refusal[:4] + string(refusal[4]-1) + refusal[5:], false},
+		{"parameter", "S\x00\x00\x00\x11role\x00primary\x00", true},
+		{"parameter with more behind", "S\x00\x00\x00\x12role\x00primary\x00x", false},
+		{"password", "R\x00\x00\x00\x08\x00\x00\x00\x03", false},
+		{"noise, by its first byte", "q", false},
+		{"a client's message", "Q\x00\x00\x00\x05\x00", false},
+	}
+	for _, tt := range tests {
+		_, _, _, err := NextAnswer([]byte(tt.in))
+		assert.Equal(t, tt.ok, err == nil, "%s: %v", tt.name, err)
+	}
+}
+
 func TestParseHello(t *testing.T) {
 	start := string(Startup("api", "ledger"))
 	tests := []struct {
