--- a/policy/policy.go
+++ b/policy/policy.go
@@ -121,7 +121,7 @@
 	bound    time.Duration    // the tightest of a Recent class
 	probes   float64          // probes in hand
 	lost     float64          // share of the probes lost, of hosts without a failed request
-	turn     int              // of the member probed next among all
+	turn     int              // of the probes in turn
 	latency  []float64        // by class, of answers, in seconds
 	admit    map[bool]float64 // share of requests sent at all; true: to primaries
 	used     map[*group]bool  // those that requests asked for
@@ -836,11 +836,22 @@
 
 // Probes and upkeep.
 
-// forget halves served and the time it covers, and drops marks that replicas are
-// bound to be past; until they are known to be, base stands for them.
+// left tells that h is off the list for good: machines that replace others have new ids.
+func (r *Router) left(h *host) bool { return h.status == Gone && !r.set.GoneIsAdvice }
+
+// forget halves served and the time it covers, drops hosts that left, and marks that replicas
+// are bound to be past; until they are known to be, base stands for them.
 func (r *Router) forget() {
 	r.wakeAt(r.now+markAge, r.forget)
 	r.served, r.since = r.served/2, r.now-(r.now-r.since)/2
+	r.order = slices.DeleteFunc(r.order, func(h *host) bool {
+		if r.left(h) && len(h.out) == 0 && h != h.group.primary {
+			delete(r.hosts, h.id)
+			h.group.hosts = slices.DeleteFunc(h.group.hosts, func(o *host) bool { return o == h })
+			return true
+		}
+		return false
+	})
 	for s, commit := range r.marks {
 		if commit < r.now-markAge {
 			r.base = max(r.base, commit)
@@ -857,16 +868,24 @@
 		return
 	}
 	r.probes--
-	r.turn++
-	if r.turn%2 == 0 {
-		r.probe(r.order[r.turn/2%len(r.order)])
-		return
+	list := g.hosts
+	if r.turn++; r.turn%2 == 0 {
+		list = r.order
+	}
+	// Who has left is passed over: never probed again, it would stay the one probed longest ago.
+	var next *host
+	for _, h := range list {
+		if !r.left(h) && (next == nil || h.probedAt < next.probedAt) {
+			next = h
+		}
+	}
+	if next != nil {
+		r.probe(next)
 	}
-	r.probe(slices.MinFunc(g.hosts, func(a, b *host) int { return cmp.Compare(a.probedAt, b.probedAt) }))
 }
 
 func (r *Router) probe(h *host) {
-	if !r.set.Probes || h.probing || h.status == Gone && !r.set.GoneIsAdvice ||
+	if !r.set.Probes || h.probing || r.left(h) ||
 		r.warmth(h) < 1 && r.now-h.probedAt < r.set.FallTime {
 		return
 	}
