--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,7 @@
 package policy
 
 // Every decision is in this file. The mechanism, per group of hosts: count consecutive failures of the
-// primary (countFailure); at breakerThreshold the breaker opens (trip), writes and reads that need the
+// primary (countFailure); at breakerThreshold the breaker opens, writes and reads that need the
 // primary are refused unsent (route), reads go on at replicas known to be fresh enough (pickReplica); every
 // member is probed (seek) and the first that answers as primary closes the breaker (learnRole).
 
@@ -15,17 +15,17 @@
 
 const (
 	breakerThreshold = 5                      // consecutive primary failures that open a breaker
-	probeShare       = 0.1                    // probes of members in turn, as a share of requests
+	probeShare       = 0.05                   // probes of members in turn, as a share of requests
 	probeSoon        = 200 * time.Millisecond // between probes of a member that is in doubt
 	markAge          = time.Minute
-	coldPart         = 1.0 / 3 // of FallMultiple that the budget of a cold host grows by, see coldRoom
-	smooth           = 0.1     // weight of a new observation of a host
-	equalCost        = 1.5     // members within this factor count as equals
-	strained         = 0.33    // mean answer time, as a share of the aim, at which a host gets less
-	admitMore        = 1.1     // factors of the admitted share after an answer in good time,
-	admitLate        = 0.88    // a late one or none,
-	admitFull        = 0.6     // and a rejection
-	admitDrift       = 0.005   // what each request adds to it
+	coldPart         = 0.4   // of FallMultiple that the budget of a cold host grows by, see coldRoom
+	smooth           = 0.1   // weight of a new observation of a host
+	equalCost        = 1.5   // members within this factor count as equals
+	strained         = 0.25  // mean answer time, as a share of the aim, at which a host gets less
+	admitMore        = 1.1   // factors of the admitted share after an answer in good time,
+	admitLate        = 0.88  // a late one or none,
+	admitFull        = 0.6   // and a rejection
+	admitDrift       = 0.005 // what each request adds to it
 	admitLeast       = 0.05
 	lostProbes       = 0.4             // share from which on probes tell nothing of a host
 	seldom           = 2 * time.Second // between outcomes of a host: too rare to learn its limit
@@ -91,10 +91,9 @@
 	mayRun    bool          // some attempt may have had its effect
 	mayRunAt  time.Duration // when the first such was sent
 	lookUntil time.Duration // it waits so long for fresher positions
-	waitUntil time.Duration
 
-	arrived, deadline     time.Duration
-	missed, waiting, done bool
+	waitUntil, arrived, deadline time.Duration
+	missed, waiting, done        bool
 }
 
 type wake struct {
@@ -279,16 +278,13 @@
 // mayTake tells whether the list lets h have new work. A primary that drains
 // still takes writes for part of the grace: it hands over meanwhile.
 func (r *Router) mayTake(h *host, write bool) bool {
-	if h.status == Healthy || h.status == Gone && r.set.GoneIsAdvice && !h.drained {
-		return true
-	}
-	return write && h.status == Draining && r.now-h.toldAt < r.set.DrainGrace/2
+	return h.status == Healthy || h.status == Gone && r.set.GoneIsAdvice && !h.drained ||
+		write && h.status == Draining && r.now-h.toldAt < r.set.DrainGrace/2
 }
 
 // Member state.
 
-// learnRole orders evidence by when it was true: what is told late does not
-// unseat what is known to be newer.
+// learnRole orders evidence by when it was true: what is told late does not unseat what is known to be newer.
 func (r *Router) learnRole(h *host, role Role, at time.Duration) {
 	if role == RoleUnknown || at < h.roleAt {
 		return
@@ -345,19 +341,19 @@
 // coldRoom keeps a cold host h from being pushed over: in any FallTime all routers together must send it
 // less than FallMultiple times what it can do. Whatever is asked of hosts, what they answer bounds what
 // they can do: served, a second and warm host (see judge), adds up over any routers, however uneven, to a
-// warm host's capacity at most. So the budget for h grows by coldPart, a third, of FallMultiple x warmth x
-// served, and saves one FallTime's growth at most: no FallTime sees more than two thirds sent. The last
-// third is for connects, probes (one a FallTime from each), hosts smaller than others, and chance. A
-// request draws a lot with the budget as its chance and pays it, won or lost: bursts, retries, held
-// requests that draw again and groups with few members to serve change who gets the budget, not its sum,
-// and hundreds of routers with a part of a request each send that sum, not a request each.
+// warm host's capacity at most. So the budget for h grows by coldPart, two fifths, of FallMultiple x warmth x
+// served, and saves half a FallTime's growth at most: no FallTime sees more than three fifths sent. The rest
+// is for connects, probes (one a FallTime from each), hosts smaller than others, and chance. A request draws
+// a lot with the budget as its chance and pays it, won or lost: bursts, retries, held requests that draw
+// again and groups with few members to serve change who gets the budget, not its sum, and hundreds of
+// routers with a part of a request each send that sum, not a request each.
 func (r *Router) coldRoom(h *host, q *request) bool {
 	w := r.warmth(h)
 	if w >= 1 || r.heavy(q) {
 		return w >= 1
 	}
 	grow := coldPart * r.set.FallMultiple * w * r.served / (r.now - r.since + r.set.FallTime).Seconds()
-	most := grow * r.set.FallTime.Seconds()
+	most := grow * r.set.FallTime.Seconds() / 2 // a burst spends no more
 	budget := min(most, h.budget+grow*(r.now-h.budgetAt).Seconds())
 	pay := min(budget, r.work(q.Class))
 	h.budget, h.budgetAt = budget-pay, r.now
@@ -366,23 +362,19 @@
 
 // Breaker.
 
-// countFailure counts a failure of the primary; a success resets the count.
+// countFailure counts a failure of the primary; a success resets the count. A primary that loses answers
+// passes its probes: when its breaker opens again without an ordinary success between, probes may close it
+// only after a hold that doubles.
 func (r *Router) countFailure(h *host) {
 	if g := h.group; g.primary == h && !g.open {
 		if g.fails++; g.fails >= breakerThreshold {
-			r.trip(g)
+			g.open, g.openedAt, g.trips = true, r.now, g.trips+1
+			r.stir(g)
 		}
 		r.doubt(g)
 	}
 }
 
-// trip opens the breaker. A primary that loses answers passes its probes: when it trips again
-// without an ordinary success between, probes may close it only after a hold that doubles.
-func (r *Router) trip(g *group) {
-	g.open, g.openedAt, g.trips = true, r.now, g.trips+1
-	r.stir(g)
-}
-
 // Requests.
 
 func (r *Router) onRequest(e Request) {
@@ -560,8 +552,7 @@
 	}
 }
 
-// checkOverdue counts an attempt that outlived its aim as a failure of its
-// host, before its time-out.
+// checkOverdue counts an attempt that outlived its aim as a failure of its host, before its time-out.
 func (r *Router) checkOverdue(q *request) {
 	for _, a := range q.attempts {
 		if !a.resolved && !a.overdue && r.now-a.sentAt >= q.class.Aim {
@@ -668,10 +659,9 @@
 
 // Attempts.
 
-// throttle keeps queues short where a router sees each host too rarely to learn
-// its limit: the answers of all replicas, or of all primaries, in time or not, set
-// the share of requests that is sent at all. It holds against any shortage that
-// many quiet routers share; some slow hosts among many make it refuse too much.
+// throttle keeps queues short where a router sees each host too rarely to learn its limit: the answers of all
+// replicas, or of all primaries, in time or not, set the share of requests that is sent at all. It holds
+// against any shortage that many quiet routers share; some slow hosts among many make it refuse too much.
 func (r *Router) throttle(h *host, factor float64) {
 	if primary := h == h.group.primary; h.gap > seldom {
 		r.admit[primary] = min(1, max(admitLeast, factor*r.admit[primary]))
@@ -760,12 +750,10 @@
 	if !q.mayRun && q.out == 0 {
 		q.mayRunAt = 0
 	}
-	if e.Finished || e.Outcome == OK || q.done {
-		r.finish(q)
-		return
-	}
 	q.missed = q.missed || e.Outcome == Miss && q.class.Level == Write
 	switch {
+	case e.Finished || e.Outcome == OK || q.done:
+		r.finish(q)
 	case q.out > 0:
 	case again: // it is the request that fails, most likely: no third try
 		r.giveUp(q)
@@ -845,12 +833,12 @@
 	r.wakeAt(r.now+markAge, r.forget)
 	r.served, r.since = r.served/2, r.now-(r.now-r.since)/2
 	r.order = slices.DeleteFunc(r.order, func(h *host) bool {
-		if r.left(h) && len(h.out) == 0 && h != h.group.primary {
+		g, drop := h.group, r.left(h) && len(h.out) == 0 && h != h.group.primary
+		if drop {
 			delete(r.hosts, h.id)
-			h.group.hosts = slices.DeleteFunc(h.group.hosts, func(o *host) bool { return o == h })
-			return true
+			g.hosts = slices.DeleteFunc(g.hosts, func(o *host) bool { return o == h })
 		}
-		return false
+		return drop
 	})
 	for s, commit := range r.marks {
 		if commit < r.now-markAge {
@@ -872,21 +860,14 @@
 	if r.turn++; r.turn%2 == 0 {
 		list = r.order
 	}
-	// Who has left is passed over: never probed again, it would stay the one probed longest ago.
-	var next *host
-	for _, h := range list {
-		if !r.left(h) && (next == nil || h.probedAt < next.probedAt) {
-			next = h
-		}
-	}
-	if next != nil {
-		r.probe(next)
+	// Who has left is never probed again and would stay the one probed longest ago.
+	if list = slices.DeleteFunc(slices.Clone(list), r.left); len(list) > 0 {
+		r.probe(slices.MinFunc(list, func(a, b *host) int { return cmp.Compare(a.probedAt, b.probedAt) }))
 	}
 }
 
 func (r *Router) probe(h *host) {
-	if !r.set.Probes || h.probing || r.left(h) ||
-		r.warmth(h) < 1 && r.now-h.probedAt < r.set.FallTime {
+	if !r.set.Probes || h.probing || r.left(h) || r.warmth(h) < 1 && r.now-h.probedAt < r.set.FallTime {
 		return
 	}
 	h.probing, h.probedAt = true, r.now
@@ -921,12 +902,12 @@
 	}
 }
 
-// look asks the two replicas that are likeliest to fit for their positions;
-// it tells whether there is any.
+// look asks the two replicas that are likeliest to fit for their positions, where probes
+// tell any (upAt); it tells whether there is one to wait for.
 func (r *Router) look(q *request) bool {
 	var likely []*host
 	for _, i := range r.rnd.Perm(len(q.g.hosts)) {
-		if h := q.g.hosts[i]; h != q.g.primary && h.status == Healthy && r.shouldFit(q, h) {
+		if h := q.g.hosts[i]; h != q.g.primary && h.status == Healthy && h.upAt == 0 && r.shouldFit(q, h) {
 			likely = append(likely, h)
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1362,3 +1362,50 @@
 		t.Errorf("%d different waits for 20 refusals", len(waits))
 	}
 }
+
+// A long day replaces every host: who has left is probed no more, is passed over for the
+// next in turn, and goes from memory once nothing of it is out.
+func TestHostsThatLeftAreForgotten(t *testing.T) {
+	g := newRig(t, base())
+	for i := range 50 {
+		next := HostID(rune('A' + i))
+		g.at(2*time.Second, Members{Kind: ListFull, Entries: []Member{{Host: "p", Primary: true}, {Host: next}}})
+		seen := 0
+		for n := range 200 {
+			id := RequestID(rune(1000*i + n + 256))
+			g.at(10*ms, Request{ID: id, Class: loose, Budget: time.Second})
+			asked := g.probed()
+			for _, h := range g.sends() {
+				g.at(0, Result{Request: id, Host: h, Outcome: OK, Finished: true, Latency: ms})
+			}
+			seen += asked[next]
+			for h := range asked {
+				g.at(0, Probed{Host: h})
+			}
+		}
+		if seen < 3 {
+			t.Fatalf("%s was probed %d times beside %d hosts that left", next, seen, i)
+		}
+	}
+	g.at(markAge, Elapsed{}).at(markAge, Elapsed{})
+	if len(g.r.hosts) > 3 || len(g.r.order) > 3 || len(g.r.groups[0].hosts) > 3 {
+		t.Errorf("%d hosts are kept", len(g.r.hosts))
+	}
+}
+
+// A read waits for fresher positions only where probes tell any.
+func TestReadDoesNotWaitForMuteProbes(t *testing.T) {
+	for _, mute := range []bool{false, true} {
+		g := newRig(t, base())
+		for _, h := range []HostID{"a", "b"} {
+			g.report(0, h, Replica, 0)
+			if mute {
+				g.at(0, Probed{Host: h}) // it runs: that is all
+			}
+		}
+		g.at(2*time.Second).ask("q", recent)
+		if sent := len(g.sends()) > 0; sent != mute {
+			t.Errorf("probes tell nothing: %t, sent at once: %t", mute, sent)
+		}
+	}
+}
