Take what clients send ahead as it comes and answer in the order of the commands

At fault: Front.serve took a command only when the one before it had its answer. Its time began then, at the front, while the client's had run since it was sent, and a slow request held up all behind it. Now up to 32 commands of a connection are open at once, each with its deadline from its coming; answers that are early are kept (256 KiB at most, unread ones included) until their turns. An error that ends the connection, or a Terminate, comes behind what was taken before it.

--- a/cmd/lilaccove/main_test.go
+++ b/cmd/lilaccove/main_test.go
@@ -280,6 +280,47 @@
 	assert.Contains(t, []string{"a", "b"}, c.ask(stmt("own", 1000, after)).value)
 }
 
+// What is sent ahead is taken as it comes, for its time runs; the answers keep the order of
+// the commands, and an error that ends the connection comes behind what was taken before.
+func TestCommandsSentAhead(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, nil)
+	c := s.client()
+	s.meet(c)
+	release := make(chan struct{})
+	s.p.will(func(d *database, c net.Conn, _ string) {
+		<-release
+		d.answer(c, "late")
+	})
+	reads := func() int { return len(s.a.seen()) + len(s.b.seen()) }
+	n := reads()
+	c.write(query(stmt("write", 3000, "")) + query("") + query(stmt("browse", 900, "")) + query("what") +
+		query(strings.Replace(stmt("own", 900, ""), "cluster=2", "cluster=99", 1)) + "Q\xff\xff\xff\xff")
+	s.eventually("the read does not wait for the write", func() bool { return reads() > n })
+	close(release)
+	assert.Equal(t, "late", c.read().value)
+	assert.True(t, c.read().empty)
+	assert.Contains(t, []string{"a", "b"}, c.read().value)
+	assert.Equal(t, "08P01", c.read().code)
+	assert.Equal(t, "53300", c.read().code)
+	got := c.read()
+	assert.Equal(t, "08P01", got.code)
+	assert.True(t, got.ended)
+	// A command sent behind one that runs out of time has its own time, from its coming.
+	s.a.will(silent)
+	s.b.will(silent)
+	s.p.will(silent)
+	c = s.client()
+	begun := time.Now()
+	for range 5 {
+		c.write(query(stmt("write", 400, "")))
+	}
+	for range 5 {
+		assert.Equal(t, 1, c.read().errs)
+	}
+	assert.Less(t, time.Since(begun), 1800*time.Millisecond)
+}
+
 // Bad input ends in an error or a close and harms nobody else.
 func TestBadInput(t *testing.T) {
 	t.Parallel()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/fnv"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -26,6 +27,8 @@
 
 const (
 	inputMost  = pgwire.MostMessage + 4096 // one statement, and the head of the next
+	mostAhead  = 32                        // commands of one connection that are not answered yet
+	mostUnread = 256 << 10                 // bytes of answers that it has not read, or that wait for their turns
 	sweepTime  = 100 * time.Millisecond
 	freshGrace = 500 * time.Millisecond // for a hello and the query that follows its answer
 	keepSmall  = 4 << 10                // a connection that holds no more is no use against a want of memory
@@ -105,7 +108,7 @@
 	for p := busy; p < leaving; p++ {
 		for _, c := range f.all(p) {
 			c.nc.Poll() // a request may have come that no round has read yet
-			c.leave()
+			c.serve()
 		}
 	}
 }
@@ -128,7 +131,9 @@
 // without a word to the front.
 func (f *Front) reread() {
 	for _, c := range f.all(unread) {
-		c.file()
+		if c.nc.Pending() == 0 {
+			c.serve()
+		}
 	}
 }
 
@@ -205,15 +210,17 @@
 	}
 }
 
-// conn is one client's connection. It has one request with the core at most; what is
-// sent ahead waits in its input, as a server of this protocol does one query at a time.
+// conn is one client's connection. What is sent ahead goes to the core as it comes, for
+// its time runs; the answers wait for their turns, in the order of the commands.
 type conn struct {
 	front   *Front
 	nc      *netloop.Conn
-	started bool // it has said hello
-	asked   bool // it has sent a whole query
-	q       *gateway.Request
-	inside  bool // serve is running: answers that come within it do not call it
+	started bool    // it has said hello
+	asked   bool    // it has sent a whole query
+	calls   []*call // not answered to the client yet
+	kept    int     // bytes of answers that wait for their turns
+	last    bool    // nothing more is taken: the connection ends when all is answered
+	inside  bool    // serve is running: answers that come within it do not call it
 	place   place
 	at      *list.Element
 	since   time.Duration
@@ -225,7 +232,7 @@
 	switch {
 	case c.nc.Closed():
 		p = leaving
-	case c.q != nil:
+	case len(c.calls) > 0:
 		p = busy
 	case c.nc.Pending() > 0:
 		p = unread
@@ -257,16 +264,20 @@
 // Ended tells that the client is gone.
 func (c *conn) Ended(error) {
 	c.unfile()
-	if q := c.q; q != nil {
-		c.over()
-		c.front.core.Gone(q)
+	calls := c.calls
+	c.calls = nil
+	for _, a := range calls {
+		if !a.done {
+			a.over()
+			c.front.core.Gone(a.q)
+		}
 	}
 }
 
-// over takes the request out of the books: it has its answer, or its client is gone.
-func (c *conn) over() {
-	delete(c.front.ids, c.q.Client.(*call).id)
-	c.q = nil
+// takes tells whether the next command may be taken. What is sent ahead without end, or
+// without reading the answers, stays with the client.
+func (c *conn) takes() bool {
+	return !c.nc.Closed() && !c.last && len(c.calls) < mostAhead && c.nc.Pending()+c.kept < mostUnread
 }
 
 func (c *conn) serve() {
@@ -274,19 +285,33 @@
 		return
 	}
 	c.inside = true
-	for c.q == nil && !c.nc.Closed() && c.next() {
+	for c.takes() && c.next() {
 	}
 	c.inside = false
 	if c.nc.Closed() {
 		return
 	}
-	if c.front.closing {
-		c.leave()
+	if c.last {
+		c.nc.Consume(len(c.nc.Input()))
+	}
+	if len(c.calls) == 0 && (c.last || c.front.closing && len(c.nc.Input()) == 0) {
+		c.finish()
+		return
 	}
 	c.file()
 	c.front.relieve(c)
 }
 
+// say answers a command that needs no request; its turn comes behind the open ones.
+func (c *conn) say(message []byte) {
+	if len(c.calls) == 0 {
+		c.nc.Write(message)
+		return
+	}
+	c.calls = append(c.calls, &call{conn: c, done: true, kept: message})
+	c.kept += len(message)
+}
+
 // next handles one packet; false: there is none that is whole.
 func (c *conn) next() bool {
 	in := c.nc.Input()
@@ -305,7 +330,9 @@
 	case pgwire.Query:
 		return c.query(body, n)
 	case pgwire.Terminate:
-		c.close()
+		if c.last = true; len(c.calls) == 0 {
+			c.close()
+		}
 	default:
 		c.fatal(pgwire.CodeProtocolViolation, "only simple queries are spoken here, not message "+strconv.QuoteRune(rune(kind)))
 	}
@@ -337,7 +364,7 @@
 	text, err := pgwire.Text(body)
 	if err == nil && pgwire.Blank(text) {
 		c.nc.Consume(n)
-		c.nc.Write(pgwire.AppendReady(pgwire.AppendEmpty(nil)))
+		c.say(pgwire.AppendReady(pgwire.AppendEmpty(nil)))
 		return true
 	}
 	var head pgwire.Head
@@ -354,10 +381,10 @@
 	if err != nil {
 		c.front.bad.Printf(c.front.loop.Now(), "event=bad_query err=%q", err)
 		c.nc.Consume(n)
-		c.nc.Write(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeProtocolViolation, err.Error(), "")))
+		c.say(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeProtocolViolation, err.Error(), "")))
 		return true
 	}
-	c.q = &gateway.Request{
+	q := &gateway.Request{
 		Class: class, Group: policy.GroupID(head.Cluster), Session: session(head.Key),
 		After:    time.Duration(head.After) * time.Millisecond,
 		Deadline: c.front.loop.Now() + time.Duration(head.Millis)*time.Millisecond,
@@ -367,10 +394,11 @@
 	id := string(head.ID)
 	c.front.ids[id] = struct{}{}
 	buffer := c.nc.Take(n)
-	c.q.Client = &call{conn: c, id: id, buffer: buffer}
-	c.q.Statement = &pgwire.Statement{Text: buffer[n-len(body) : n-1], Head: head}
-	c.front.core.Take(c.q)
-	return c.q == nil
+	a := &call{conn: c, q: q, id: id, buffer: buffer}
+	q.Client, q.Statement = a, &pgwire.Statement{Text: buffer[n-len(body) : n-1], Head: head}
+	c.calls = append(c.calls, a)
+	c.front.core.Take(q)
+	return true
 }
 
 // session is the number of the session that a key names.
@@ -383,18 +411,11 @@
 	return policy.SessionID(h.Sum64())
 }
 
-// fatal answers with an error and closes.
+// fatal answers with an error, the last on this connection.
 func (c *conn) fatal(code, why string) {
 	c.front.bad.Printf(c.front.loop.Now(), "event=client_closed code=%s reason=%q", code, why)
-	c.nc.Write(pgwire.AppendError(nil, "FATAL", code, why, ""))
-	c.finish()
-}
-
-// leave ends a connection that owes nothing, when the gateway shuts down.
-func (c *conn) leave() {
-	if c.q == nil && !c.nc.Closed() && len(c.nc.Input()) == 0 {
-		c.finish()
-	}
+	c.say(pgwire.AppendError(nil, "FATAL", code, why, ""))
+	c.last = true
 }
 
 func (c *conn) finish() {
@@ -410,6 +431,9 @@
 // call is the front's side of one request.
 type call struct {
 	conn   *conn
+	q      *gateway.Request
+	done   bool   // it has its answer, or nobody waits for one
+	kept   []byte // the answer, until those before it are given
 	id     string // as the client named it
 	buffer []byte // the statement's
 }
@@ -431,16 +455,37 @@
 	a.answer(pgwire.AppendError(nil, "ERROR", pgwire.CodeUnknownOutcome, "failed, the statement may have run", ""))
 }
 
+// answer gives the client its answer when the turn has come, else keeps it.
 func (a *call) answer(message []byte) {
 	c := a.conn
-	if c.q == nil || c.nc.Closed() {
+	a.over()
+	if c.nc.Closed() {
+		return
+	}
+	if c.calls[0] != a {
+		a.kept = slices.Concat(message, ready) // the message is good during the call
+		c.kept += len(a.kept)
 		return
 	}
-	c.over()
 	c.nc.Write(message, ready)
+	c.calls = c.calls[1:]
+	for len(c.calls) > 0 && c.calls[0].done {
+		c.nc.Write(c.calls[0].kept)
+		c.kept -= len(c.calls[0].kept)
+		c.calls = c.calls[1:]
+	}
+	if len(c.calls) == 0 {
+		c.calls = nil
+	}
 	c.serve()
 }
 
+// over takes the request out of the books.
+func (a *call) over() {
+	a.done = true
+	delete(a.conn.front.ids, a.id)
+}
+
 var ready = pgwire.AppendReady(nil)
 
 // Released gives the statement's buffer back.
