Count clients against their own half of the descriptors, not what databases hold

At fault: Front.accept compared what is left in all with half of the descriptors. Now the front counts its own connections against half, and leaves an eighth of all. TestClientsHaveTheirShare fails without the change (refused with spare=31 of 64, busy=5).

--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -90,10 +90,9 @@
 	})
 	watch := discovery.New(loop, core, ask, set.Zones)
 	core.Connect(pool, watch)
-	// Clients get half of the descriptors at most: idle ones must never keep the
-	// gateway from the databases, which get all but what discovery and turning clients
-	// away take.
-	clients := front.New(loop, core, front.Options{Classes: set.Classes, Reserve: sockets / 2})
+	// Clients get half of the descriptors at most: idle ones must never keep the gateway
+	// from the databases, which get all but what discovery and turning clients away take.
+	clients := front.New(loop, core, front.Options{Classes: set.Classes, Most: sockets / 2, Reserve: sockets / 8})
 	if err := watch.Known(cfg.Known); err != nil {
 		log.Printf("event=bad_known err=%q", err) // discovery has a newer one
 	}
--- a/cmd/lilaccove/main_test.go
+++ b/cmd/lilaccove/main_test.go
@@ -512,6 +512,32 @@
 	assert.Equal(t, "late", thief.ask(text).value, "it is free again")
 }
 
+// What databases hold does not count against the clients' share: a quarter of the
+// descriptors carry requests, each with a connection to a database.
+func TestClientsHaveTheirShare(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, func(s *site) { s.sockets = 64 })
+	release := make(chan struct{})
+	s.p.will(func(d *database, c net.Conn, _ string) {
+		<-release
+		d.answer(c, "late")
+	})
+	var all []*client
+	for i := range 16 {
+		// Sent to the primary one by one: its limit grows with what it serves.
+		c := s.client()
+		c.write(query(stmt("write", 3000, fmt.Sprintf(",n=%d", i))))
+		all = append(all, c)
+	}
+	s.eventually("some arrive", func() bool { return len(s.p.seen()) >= 8 })
+	close(release)
+	for _, c := range all {
+		got := c.read()
+		assert.False(t, got.ended, "%+v", got)
+	}
+	assert.NotContains(t, s.logged(), "reason=descriptors")
+}
+
 // Without discovery the known list stays in force, and it is asked again.
 func TestServesOnWithoutDiscovery(t *testing.T) {
 	t.Parallel()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -60,6 +60,7 @@
 // Options are what the front is told once.
 type Options struct {
 	Classes []string // their names, by number
+	Most    int      // clients at once
 	Reserve int      // descriptors left for databases and discovery
 }
 
@@ -156,9 +157,9 @@
 func (f *Front) accept(nc *netloop.Conn) {
 	c := &conn{front: f, nc: nc}
 	nc.Handle(c, inputMost)
-	room := f.loop.Spare() >= f.opt.Reserve
+	room := f.roomy()
 	for range 2 { // one for the new connection, one to get back to the reserve
-		room = f.loop.Spare() >= f.opt.Reserve || f.makeRoom() || room
+		room = f.roomy() || f.makeRoom() || room
 	}
 	if !room {
 		f.crowded.Printf(f.loop.Now(), "event=client_refused reason=descriptors spare=%d busy=%d", f.loop.Spare(), f.queues[busy].Len())
@@ -169,6 +170,16 @@
 	c.file()
 }
 
+// roomy tells whether one more client may come. What databases hold does not count against
+// the clients' own share.
+func (f *Front) roomy() bool {
+	n := 0
+	for p := busy; p < leaving; p++ {
+		n += f.queues[p].Len()
+	}
+	return n < f.opt.Most && f.loop.Spare() >= f.opt.Reserve
+}
+
 // makeRoom frees a descriptor: of one that was told its end already, else of the one that
 // has said nothing for longest, else of the one idle for longest. Silent connections,
 // however many, must not keep out those that ask, nor may a crowd that arrives at once
