Let idle clients go from a quarter of the descriptors on, refuse from half

At fault: the clients' own share of a half, since it was counted apart from databases, let up to 192 idle connections stay, while all clients may hold a third of the descriptors: those that wanted to ask had no connection left. Now a newcomer pushes out those turned away, silent or idle from a quarter on; refusals begin at half as before.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -157,9 +157,11 @@
 func (f *Front) accept(nc *netloop.Conn) {
 	c := &conn{front: f, nc: nc}
 	nc.Handle(c, inputMost)
-	room := f.roomy()
+	// Clients may hold a limited number of connections, too: idle ones that are kept until
+	// there is no room at all leave them none to ask on. So they go from half of it on.
+	room := f.roomy(f.opt.Most)
 	for range 2 { // one for the new connection, one to get back to the reserve
-		room = f.roomy() || f.makeRoom() || room
+		room = f.roomy(f.opt.Most/2) || f.makeRoom() || room
 	}
 	if !room {
 		f.crowded.Printf(f.loop.Now(), "event=client_refused reason=descriptors spare=%d busy=%d", f.loop.Spare(), f.queues[busy].Len())
@@ -170,14 +172,14 @@
 	c.file()
 }
 
-// roomy tells whether one more client may come. What databases hold does not count against
-// the clients' own share.
-func (f *Front) roomy() bool {
+// roomy tells whether one more client may come where so many are the most. What databases
+// hold does not count against the clients' own share.
+func (f *Front) roomy(most int) bool {
 	n := 0
 	for p := busy; p < leaving; p++ {
 		n += f.queues[p].Len()
 	}
-	return n < f.opt.Most && f.loop.Spare() >= f.opt.Reserve
+	return n < most && f.loop.Spare() >= f.opt.Reserve
 }
 
 // makeRoom frees a descriptor: of one that was told its end already, else of the one that
