--- /dev/null
+++ b/policy/herd_test.go
@@ -0,0 +1,168 @@
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// service is a discovery that takes the calls of many routers one by one, each for a while, and fails
+// those that are not answered in time, whether it has begun on them or not.
+type service struct {
+	t       *testing.T
+	now     time.Duration
+	routers []*Router
+	calls   []call // waiting, oldest first
+	freeAt  time.Duration
+	down    time.Duration // until then nothing is answered
+	served  map[int]bool
+	asked   []time.Duration
+}
+
+const callWait, callTime = 2 * time.Second, 72 * ms
+
+type call struct {
+	router int
+	at     time.Duration
+}
+
+func newService(t *testing.T, n int) *service {
+	s := &service{t: t, now: 100 * time.Second, served: map[int]bool{}}
+	set := base()
+	set.Routers, set.AskForList = n, true
+	for i := range n {
+		r, err := New(set, int64(i))
+		require.NoError(t, err)
+		s.routers = append(s.routers, r)
+		s.take(i, r.Step(s.now, []Event{Members{Kind: ListCached, Entries: []Member{{Host: "p", Primary: true}}}}))
+	}
+	return s
+}
+
+func (s *service) take(i int, actions []Action) {
+	for _, a := range actions {
+		if _, ok := a.(Subscribe); ok {
+			s.asked = append(s.asked, s.now)
+			s.calls = append(s.calls, call{i, s.now})
+		}
+	}
+}
+
+func (s *service) tell(i int, kind ListKind) {
+	if kind != ListFailed {
+		s.served[i] = true
+	}
+	s.take(i, s.routers[i].Step(s.now, []Event{Members{Kind: kind}}))
+}
+
+// run goes on for a time in steps of 5 ms.
+func (s *service) run(d time.Duration) {
+	for end := s.now + d; s.now < end; s.now += 5 * ms {
+		for len(s.calls) > 0 && s.now-s.calls[0].at >= callWait {
+			c := s.calls[0]
+			s.calls = s.calls[1:]
+			s.tell(c.router, ListFailed)
+		}
+		if len(s.calls) > 0 && s.now >= s.freeAt && s.now >= s.down {
+			if s.freeAt = s.now + callTime; s.freeAt-s.calls[0].at < callWait {
+				s.tell(s.calls[0].router, ListDelta)
+				s.calls = s.calls[1:]
+			}
+		}
+		for i, r := range s.routers {
+			s.take(i, r.Step(s.now, nil))
+		}
+	}
+}
+
+// After a mass restart, after a common loss of the watch, and behind an outage all routers ask one service
+// that answers a dozen calls a second. Asked again each second by each, its queue stays as long as callers
+// wait, and hardly any call is ever served.
+func TestManyRoutersShareDiscovery(t *testing.T) {
+	for name, c := range map[string]struct {
+		down, within time.Duration
+		before       func(s *service)
+	}{
+		"all start at once":     {within: 14 * time.Second},
+		"all lose their watch":  {within: 14 * time.Second, before: (*service).lose},
+		"it is down for a time": {down: 12 * time.Second, within: 45 * time.Second, before: (*service).lose},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newService(t, 80)
+			if c.before != nil {
+				s.run(10 * time.Second)
+				c.before(s)
+			}
+			s.down = s.now + c.down
+			s.run(c.within)
+			assert.Len(t, s.served, 80, "after %s and %d calls", c.within, len(s.asked))
+			crowd := 0
+			for i, from := range s.asked {
+				n, _ := slices.BinarySearch(s.asked, from+callWait)
+				crowd = max(crowd, n-i)
+			}
+			assert.Less(t, crowd, 2*int(callWait/callTime), "calls in the time that one may wait")
+		})
+	}
+}
+
+func (s *service) lose() {
+	s.calls, s.served, s.asked = nil, map[int]bool{}, nil
+	for i := range s.routers {
+		s.tell(i, ListFailed)
+	}
+}
+
+// A few routers need no such care: they ask at once.
+func TestFewRoutersAskAtOnce(t *testing.T) {
+	assert.Len(t, newService(t, 3).asked, 3)
+}
+
+// Where a probe tells no role, members are not probed in turn, and a primary in doubt by all routers
+// together about as often as by a few.
+func TestMuteProbesAreSharedByTheFleet(t *testing.T) {
+	for _, routers := range []int{2, 80} {
+		set := base()
+		set.Routers = routers
+		g := newRig(t, set)
+		g.at(0, Probed{Host: "p"})
+		n := map[HostID]int{}
+		step := func() {
+			for h := range g.probed() {
+				n[h]++
+				g.at(0, Probed{Host: h})
+			}
+		}
+		for i := range 200 {
+			id := RequestID(fmt.Sprint("r", i))
+			g.at(10*ms, Request{ID: id, Class: loose, Budget: time.Second})
+			step()
+			for _, h := range g.sends() {
+				g.at(0, Result{Request: id, Host: h, Outcome: OK, Finished: true, Latency: ms, Role: Replica})
+			}
+		}
+		assert.Empty(t, n, "%d routers, nothing in doubt", routers)
+		g.failWrites(breakerThreshold, Error).at(0, Probed{Host: "p"})
+		for range 40 {
+			step()
+			g.at(100 * ms)
+		}
+		assert.Zero(t, n["a"]+n["b"], "%d routers: replicas' probes tell nothing", routers)
+		if routers == 2 {
+			assert.Greater(t, n["p"], 4)
+		} else {
+			assert.LessOrEqual(t, n["p"], 4)
+		}
+	}
+}
+
+// Where probes tell no role, a write finds the new primary: a member that is none turns it away untouched.
+func TestWriteFindsThePrimaryWhereProbesAreMute(t *testing.T) {
+	g := newRig(t, base(), Member{Host: "a"})
+	g.at(0, Probed{Host: "a"}).ask("w", fragile)
+	g.wantSend("a")
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -17,6 +17,9 @@
 	breakerThreshold = 5                      // consecutive primary failures that open a breaker
 	probeShare       = 0.05                   // probes of members in turn, as a share of requests
 	probeSoon        = 200 * time.Millisecond // between probes of a member that is in doubt
+	askPace          = 100 * time.Millisecond // between two calls to discovery, of all routers together
+	probePace        = 25 * time.Millisecond  // between probes of a mute primary, of all routers together
+	fewRouters       = 8                      // so few call at once when they start
 	markAge          = time.Minute
 	coldPart         = 0.4   // of FallMultiple that the budget of a cold host grows by, see coldRoom
 	smooth           = 0.1   // weight of a new observation of a host
@@ -126,6 +129,8 @@
 	used     map[*group]bool  // those that requests asked for
 	served   float64          // work answered since then: by a warm host, in the mean of those
 	since    time.Duration
+	refused  int  // calls to discovery that failed in a row
+	mute     bool // the last probe that came back told no role: probes tell only that a process runs
 }
 
 // New makes the router of one process. The seed drives its random choices.
@@ -143,7 +148,7 @@
 		r.since = r.now
 		r.forget()
 		if set.AskForList {
-			r.do(Subscribe{})
+			r.askForList(askPace / 2)
 		}
 	})
 	for _, c := range set.Classes {
@@ -221,10 +226,14 @@
 func (r *Router) onMembers(m Members) {
 	if m.Kind == ListFailed {
 		if r.set.AskForList {
-			r.wakeAt(r.now+r.jitter(r.set.MustAskIn/10), func() { r.do(Subscribe{}) })
+			r.refused++
+			r.askForList(askPace << min(r.refused-1, 1))
 		}
 		return
 	}
+	if m.Kind != ListCached {
+		r.refused = 0
+	}
 	listed := map[HostID]bool{}
 	for _, e := range m.Entries {
 		r.onMember(e)
@@ -237,6 +246,17 @@
 	}
 }
 
+// askForList asks at a random moment of a time that grows with the number of routers. Discovery takes calls
+// one by one and fails those that waited long: after a common loss it is asked a little more slowly than it
+// can answer. Asked any faster its queue stays as long as callers wait, and nobody is ever served.
+func (r *Router) askForList(pace time.Duration) {
+	span := min(max(pace*time.Duration(r.set.Routers), r.set.MustAskIn/10), 2*r.set.MustAskIn)
+	if r.refused == 0 {
+		span = pace * time.Duration(max(0, r.set.Routers-fewRouters))
+	}
+	r.wakeAt(r.now+time.Duration(r.rnd.Int64N(int64(span)+1)), func() { r.do(Subscribe{}) })
+}
+
 func (r *Router) onMember(e Member) {
 	h := r.hosts[e.Host]
 	if h == nil {
@@ -479,7 +499,7 @@
 	case p == nil || !r.mayTake(p, q.class.Level == Write):
 		if q.missed || q.onlyPrimary() && r.now-g.lostAt > q.class.Aim {
 			r.giveUp(q)
-		} else if h := r.leastKnown(q); h != nil && !r.set.Probes && q.class.Level == Write {
+		} else if h := r.leastKnown(q); h != nil && (r.mute || !r.set.Probes) && q.class.Level == Write {
 			r.send(q, h) // a write turned away ran nowhere, and its answer tells the role
 		} else {
 			r.doubt(g)
@@ -852,7 +872,7 @@
 // requests, so that the probes of hundreds of idle routers do not load the
 // hosts: one probe goes to the group in use, the next around all members.
 func (r *Router) probeInTurn(g *group) {
-	if r.probes += probeShare; r.probes < 1 {
+	if r.probes += probeShare; r.probes < 1 || r.mute {
 		return
 	}
 	r.probes--
@@ -885,20 +905,25 @@
 // seek probes the primary, or every member while the breaker is open or the
 // primary unknown, fast at first, then ever slower. It ends when a primary is
 // known and has answered; the next request that needs one begins it anew.
+// Where probes tell no role only the primary's are of use, and all routers share their cost.
 func (r *Router) seek(g *group) {
 	g.seeking = false
 	all := g.open || g.primary == nil
 	if !all && (g.fails == 0 || g.primary.roleAt > g.doubtAt) {
 		return
 	}
+	pause := max(probeSoon, (r.now-g.doubtAt)/4)
+	if r.mute {
+		pause = max(pause, probePace*time.Duration(r.set.Routers))
+	}
 	for _, h := range g.hosts {
-		if all || h == g.primary {
+		if all && !r.mute || h == g.primary {
 			r.probe(h)
 		}
 	}
-	if past := r.now - g.doubtAt; past < 50*probeSoon {
+	if r.now-g.doubtAt < 50*probeSoon {
 		g.seeking = true
-		r.wakeAt(r.now+r.jitter(max(probeSoon, past/4)), func() { r.seek(g) })
+		r.wakeAt(r.now+r.jitter(pause), func() { r.seek(g) })
 	}
 }
 
@@ -933,6 +958,7 @@
 		if lost = 0; e.Report.Role == RoleUnknown {
 			h.upAt = r.now
 		}
+		r.mute = e.Report.Role == RoleUnknown
 	}
 	// Hosts may serve while probes fail: a failed probe counts only after a failed
 	// request, and not while those of hosts without one fail too.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -908,7 +908,7 @@
 		for h := range asked {
 			probes++
 			seen[h]++
-			g.at(0, Probed{Host: h})
+			g.at(0, Probed{Host: h, Report: Report{Role: Replica}})
 		}
 	}
 	if len(seen) != len(list) || float64(probes) > 1.1*n*probeShare {
@@ -1111,7 +1111,7 @@
 	for range 30 {
 		for h := range g.probed() {
 			n[h]++
-			g.at(0, Probed{Host: h})
+			g.at(0, Probed{Host: h, Report: Report{Role: Replica}})
 		}
 		g.at(100 * ms)
 	}
@@ -1380,7 +1380,7 @@
 			}
 			seen += asked[next]
 			for h := range asked {
-				g.at(0, Probed{Host: h})
+				g.at(0, Probed{Host: h, Report: Report{Role: Replica}})
 			}
 		}
 		if seen == 0 {
