--- a/policy/herd_test.go
+++ b/policy/herd_test.go
@@ -146,7 +146,10 @@
 			}
 		}
 		assert.Empty(t, n, "%d routers, nothing in doubt", routers)
-		g.failWrites(breakerThreshold, Error).at(0, Probed{Host: "p"})
+		for _, h := range []HostID{"a", "b"} { // heard of: no write calls there
+			g.report(0, h, Replica, 0)
+		}
+		g.at(0, Probed{Host: "p"}).failWrites(breakerThreshold, Error).at(0, Probed{Host: "p"})
 		for range 40 {
 			step()
 			g.at(100 * ms)
@@ -166,3 +169,90 @@
 	g.at(0, Probed{Host: "a"}).ask("w", fragile)
 	g.wantSend("a")
 }
+
+// crowd is a rig of one of many routers, on a site whose probes tell no role.
+func crowd(t *testing.T) *rig {
+	set := base()
+	set.Routers = 80
+	return newRig(t, set).at(0, Probed{Host: "p"})
+}
+
+func (g *rig) result(id RequestID, attempt int, h HostID, o Outcome, role Role) *rig {
+	return g.at(ms, Result{
+		Request: id, Attempt: attempt, Host: h, Outcome: o, Role: role, Latency: ms,
+		HasPosition: role != RoleUnknown, Position: g.now,
+	})
+}
+
+// One of many routers hears of a replica too seldom to know its position, and only answers tell any. Bounded
+// reads would all fall to the primary; a write that calls at a replica, and is turned away, brings one.
+func TestWriteBringsAPosition(t *testing.T) {
+	g := crowd(t).ask("r0", recent)
+	g.wantSend("p")
+	g.ask("w", fragile)
+	first := g.sends()[0]
+	require.NotEqual(t, HostID("p"), first)
+	g.result("w", 0, first, Miss, Replica).wantSend("p")
+	g.result("w", 1, "p", OK, Primary).ask("r1", recent)
+	g.wantSend(first)
+	g.result("r1", 0, first, OK, Replica).ask("w2", fragile)
+	second := g.sends()[0]
+	assert.NotEqual(t, first, second, "the one not heard of yet")
+	g.result("w2", 0, second, Miss, Replica).wantSend("p")
+	g.result("w2", 1, "p", OK, Primary).ask("w3", fragile)
+	g.wantSend("p") // both are fresh
+}
+
+// Few routers hear of each host often: their writes go straight to the primary.
+func TestWriteOfFewGoesStraight(t *testing.T) {
+	g := newRig(t, base()).at(0, Probed{Host: "p"}).ask("w", fragile)
+	g.wantSend("p")
+}
+
+// A write on its way to the primary keeps the rules of repeats: what may have run is not sent on.
+func TestWriteOnTheWayIsSentOnOnlyUntouched(t *testing.T) {
+	for o, on := range map[Outcome]bool{Miss: true, Full: true, ConnectFailed: true, Timeout: false, Reset: false, Error: false} {
+		g := crowd(t).ask("w", fragile)
+		first := g.sends()[0]
+		g.result("w", 0, first, o, RoleUnknown)
+		if on {
+			g.wantSend("p")
+			continue
+		}
+		g.wantSend()
+		g.wantFinal("w", 0, 1)
+		g.ask("w2", fragile)
+		assert.NotEqual(t, []HostID{first}, g.sends(), "one that failed is not called at again")
+	}
+}
+
+// A cold member is called at within its budget only.
+func TestWriteOnTheWaySparesColdHosts(t *testing.T) {
+	g := crowd(t)
+	g.at(ms, Members{Kind: ListDelta, Entries: []Member{
+		{Host: "a", StartedAt: g.now}, {Host: "b", StartedAt: g.now},
+	}})
+	g.ask("w", fragile)
+	g.wantSend("p") // nothing has been served: there is no budget
+}
+
+// One of many routers has few answers of a host. Ten seconds of late ones must cut what it sends to it, and to
+// less than a part that is too much times eighty.
+func TestLateAnswersCutTheLimitByTime(t *testing.T) {
+	set := base()
+	set.Routers = 80
+	g := newRig(t, set)
+	h := g.r.hosts["p"]
+	for i := range 12 {
+		h.gap, h.fails, h.group.fails = time.Second, 0, 0 // no breaker: that is another test's
+		id := RequestID(fmt.Sprint("w", i))
+		g.at(time.Second).ask(id, fragile)
+		if len(g.sends()) > 0 {
+			g.at(500*ms).at(100*ms, Result{Request: id, Host: "p", Outcome: Timeout, Latency: 600 * ms})
+		}
+	}
+	assert.Less(t, h.limit, 0.3)
+	h.limit = 0.025
+	g.r.cutLimit(h)
+	assert.InDelta(t, 0.025, h.limit, 1e-9, "the floor of eighty")
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,7 +19,7 @@
 	probeSoon        = 200 * time.Millisecond // between probes of a member that is in doubt
 	askPace          = 100 * time.Millisecond // between two calls to discovery, of all routers together
 	probePace        = 25 * time.Millisecond  // between probes of a mute primary, of all routers together
-	fewRouters       = 8                      // so few call at once when they start
+	fewRouters       = 8                      // so few hear of each host often, and may start at once
 	markAge          = time.Minute
 	coldPart         = 0.4   // of FallMultiple that the budget of a cold host grows by, see coldRoom
 	smooth           = 0.1   // weight of a new observation of a host
@@ -30,7 +30,8 @@
 	admitFull        = 0.6   // and a rejection
 	admitDrift       = 0.005 // what each request adds to it
 	admitLeast       = 0.05
-	lostProbes       = 0.4             // share from which on probes tell nothing of a host
+	lostProbes       = 0.4 // share from which on probes tell nothing of a host
+	often            = 150 * time.Millisecond
 	seldom           = 2 * time.Second // between outcomes of a host: too rare to learn its limit
 	long             = time.Duration(math.MaxInt64)
 )
@@ -508,10 +509,35 @@
 	case !r.room(p, q) || !r.coldRoom(p, q) || !r.admits(q, p):
 		r.giveUp(q) // held, it would take the room of newer ones and end late
 	default:
-		r.send(q, p)
+		r.send(q, cmp.Or(r.onTheWay(q), p))
 	}
 }
 
+// onTheWay is a replica that a write calls at before it goes to the primary: the replica turns it away
+// untouched and tells its position with that. Where probes tell none and a router meets a replica seldom,
+// bounded reads would fall to the primary once no position is new enough, and stay there, for only a
+// replica's answer could bring a new one.
+func (r *Router) onTheWay(q *request) (best *host) {
+	if q.class.Level != Write || len(q.attempts) > 0 || !r.mute || r.bound == long ||
+		r.set.Routers <= fewRouters {
+		return nil
+	}
+	fresh := false
+	for _, h := range q.g.hosts {
+		switch {
+		case h == q.g.primary || h.status != Healthy || h.fails > 0:
+		case h.pos > r.now-r.bound/2:
+			fresh = true
+		case best == nil || h.sentAt < best.sentAt:
+			best = h
+		}
+	}
+	if best == nil || fresh && best.pos > 0 || !r.coldRoom(best, q) {
+		return nil
+	}
+	return best
+}
+
 // leastKnown is the member whose role was heard of longest ago.
 func (r *Router) leastKnown(q *request) (oldest *host) {
 	for _, h := range q.g.hosts {
@@ -577,8 +603,8 @@
 	for _, a := range q.attempts {
 		if !a.resolved && !a.overdue && r.now-a.sentAt >= q.class.Aim {
 			a.overdue = true
-			a.h.strain += smooth * (1 - a.h.strain)
-			a.h.cutLimit()
+			a.h.strain += smooth * a.h.weight(3) * (1 - a.h.strain)
+			r.cutLimit(a.h)
 			r.failed(a.h, true)
 		}
 	}
@@ -744,8 +770,12 @@
 	q.out--
 	h.out = slices.DeleteFunc(h.out, func(o *attempt) bool { return o == a })
 	if len(h.out) == 0 && h.gap > seldom {
-		// Idle connections of hundreds of quiet routers fill the hosts' tables.
-		r.do(HangUp{Host: h.id})
+		// Idle connections of hundreds of quiet routers fill the hosts' tables, new ones cost them work.
+		r.wakeAt(h.sentAt+seldom, func() {
+			if len(h.out) == 0 && r.now-h.sentAt >= seldom {
+				r.do(HangUp{Host: h.id})
+			}
+		})
 	}
 	r.stir(h.group)
 	r.learnRole(h, e.Role, r.now)
@@ -804,20 +834,20 @@
 		if h.group.primary == h {
 			h.group.fails, h.group.trips = 0, 0
 		}
-		h.strain += smooth * (latency.Seconds()/a.q.class.Aim.Seconds() - h.strain)
+		h.strain += smooth * h.weight(3) * (latency.Seconds()/a.q.class.Aim.Seconds() - h.strain)
 		if latency < a.q.class.Aim*2/3 {
 			r.throttle(h, admitMore)
 		} else if !a.overdue {
 			r.throttle(h, admitLate)
 		}
 		if h.strain > strained {
-			h.cutLimit()
+			r.cutLimit(h)
 		} else if float64(len(h.out)+1) > 0.6*h.limit {
 			h.limit += min(h.limit, 1/h.limit) / 2
 		}
 	case Full:
 		r.throttle(h, admitFull)
-		h.cutLimit()
+		r.cutLimit(h)
 	case Error, Timeout, Reset, ConnectFailed:
 		// A read sent late in its aim that ran out of time says nothing of the host,
 		// nor does an error of a request that met one before: it may fail everywhere.
@@ -840,7 +870,16 @@
 	r.countFailure(h)
 }
 
-func (h *host) cutLimit() { h.limit = max(0.2, 0.975*h.limit) }
+// cutLimit cuts by time rather than by answers: each tells the more, the fewer there are. Many routers
+// together need a lower floor than a few.
+func (r *Router) cutLimit(h *host) {
+	h.limit = max(min(0.2, 2/float64(max(r.set.Routers, 1))), h.limit*(1-0.025*h.weight(12)))
+}
+
+// weight is that of an answer of h, from 1 up to most, against those of a host heard of often.
+func (h *host) weight(most float64) float64 {
+	return min(most, max(1, h.gap.Seconds()/often.Seconds()))
+}
 
 // Probes and upkeep.
 
@@ -928,11 +967,11 @@
 }
 
 // look asks the two replicas that are likeliest to fit for their positions, where probes
-// tell any (upAt); it tells whether there is one to wait for.
+// tell any; it tells whether there is one to wait for.
 func (r *Router) look(q *request) bool {
 	var likely []*host
 	for _, i := range r.rnd.Perm(len(q.g.hosts)) {
-		if h := q.g.hosts[i]; h != q.g.primary && h.status == Healthy && h.upAt == 0 && r.shouldFit(q, h) {
+		if h := q.g.hosts[i]; h != q.g.primary && h.status == Healthy && !r.mute && r.shouldFit(q, h) {
 			likely = append(likely, h)
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1169,9 +1169,13 @@
 		hung := false
 		for i := range 100 {
 			id := RequestID(rune(i + 256))
-			g.at(tt.every).ask(id, loose).wantSend("a")
+			g.at(tt.every)
+			hung = hung || slices.Contains(g.got, Action(HangUp{Host: "a"}))
+			g.ask(id, loose).wantSend("a")
 			g.at(10*ms, Result{Request: id, Host: "a", Outcome: OK, Finished: true, Latency: 10 * ms})
-			hung = slices.Contains(g.got, Action(HangUp{Host: "a"}))
+			if slices.Contains(g.got, Action(HangUp{Host: "a"})) {
+				t.Fatal("hung up at once: the next request pays for a new connection")
+			}
 		}
 		if hung != tt.want {
 			t.Errorf("a request each %v: hung up %v, want %v", tt.every, hung, tt.want)
