--- a/policy/herd_test.go
+++ b/policy/herd_test.go
@@ -256,3 +256,84 @@
 	g.r.cutLimit(h)
 	assert.InDelta(t, 0.025, h.limit, 1e-9, "the floor of eighty")
 }
+
+// While the breaker is open writes are refused. Where only answers tell positions, one that calls at a replica
+// first frees the reads that wait for a fresh one.
+func TestRefusedWriteFreesWaitingReads(t *testing.T) {
+	g := crowd(t)
+	for _, h := range []HostID{"a", "b"} {
+		g.report(0, h, Replica, 0)
+	}
+	g.at(0, Probed{Host: "p"}).failWrites(breakerThreshold, Error)
+	require.True(t, g.r.groups[0].open)
+	g.at(3*time.Second).ask("r", recent)
+	g.wantSend()
+	g.ask("w", fragile)
+	require.Len(t, g.sends(), 1)
+	first := g.sends()[0]
+	require.NotEqual(t, HostID("p"), first)
+	g.result("w", 0, first, Miss, Replica)
+	g.wantFinal("w", 1, 0)
+	g.wantSend(first) // the read
+	g.ask("w2", fragile)
+	g.wantSend()
+	g.wantFinal("w2", 1, 0)
+}
+
+// A group whose primary has been unknown for long still has writes ask its members.
+func TestWriteGoesOnLookingForThePrimary(t *testing.T) {
+	g := newRig(t, base(), Member{Host: "a"}, Member{Host: "b"}).at(0, Probed{Host: "a"})
+	for i, want := range []HostID{"a", "b", "a"} {
+		id := RequestID(fmt.Sprint("w", i))
+		g.at(time.Second).ask(id, fragile)
+		g.wantSend(want)
+		g.result(id, 0, want, Miss, Replica)
+		g.wantFinal(id, 1, 0)
+	}
+	g.at(time.Second).ask("w", fragile).result("w", 0, "b", OK, Primary).ask("x", fragile)
+	g.wantSend("b")
+}
+
+// A router that starts when all members are cold has nothing served to measure them by: it must not refuse all
+// until they are warm.
+func TestFreshRouterServesFromColdGroups(t *testing.T) {
+	start := 100 * time.Second
+	g := newRig(t, base(), Member{Host: "p", Primary: true, StartedAt: start},
+		Member{Host: "a", StartedAt: start}, Member{Host: "b", StartedAt: start})
+	sent := 0
+	for i := range 250 {
+		id := RequestID(fmt.Sprint("r", i))
+		for _, step := range [][]Event{nil, {Request{ID: id, Class: loose, Budget: time.Second}}} {
+			g.at(10*ms, step...)
+			var ends []Event
+			for _, a := range g.got {
+				if a, ok := a.(Send); ok {
+					ends = append(ends, Result{Request: a.Request, Host: a.Host, Outcome: OK, Finished: true, Latency: ms})
+				}
+			}
+			sent += len(ends)
+			g.at(0, ends...)
+		}
+	}
+	// 50 a second are asked for; the members can do no more than is asked, so 50/3 each at least when warm.
+	assert.Greater(t, sent, 5)
+	assert.Less(t, sent, 125)
+}
+
+// Cold hosts get more as they answer in good time, and less at once when they do not.
+func TestColdPartFollowsAnswers(t *testing.T) {
+	g := newRig(t, base())
+	at := func(o Outcome, latency time.Duration) float64 {
+		g.at(time.Second, Members{Kind: ListDelta, Entries: []Member{{Host: "a", StartedAt: g.now}}})
+		q := &request{class: &g.r.set.Classes[loose], Request: Request{Class: loose}}
+		g.r.judge(&attempt{q: q, h: g.r.hosts["a"], sentAt: g.now}, o, latency)
+		return g.r.ease
+	}
+	for range 8 {
+		at(OK, ms)
+	}
+	assert.InDelta(t, 1, g.r.ease, 0.01)
+	assert.Less(t, at(OK, 400*ms), 0.2)
+	assert.Zero(t, at(Timeout, 500*ms))
+	assert.InDelta(t, 0.125, at(OK, ms), 0.01)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -21,7 +21,8 @@
 	probePace        = 25 * time.Millisecond  // between probes of a mute primary, of all routers together
 	fewRouters       = 8                      // so few hear of each host often, and may start at once
 	markAge          = time.Minute
-	coldPart         = 0.4   // of FallMultiple that the budget of a cold host grows by, see coldRoom
+	coldPart         = 0.45  // of FallMultiple that the budget of a cold host grows by, see coldRoom
+	coldMore         = 0.6   // what that may rise by as hosts warm up and answer in good time
 	smooth           = 0.1   // weight of a new observation of a host
 	equalCost        = 1.5   // members within this factor count as equals
 	strained         = 0.33  // mean answer time, as a share of the aim, at which a host gets less
@@ -129,6 +130,9 @@
 	admit    map[bool]float64 // share of requests sent at all; true: to primaries
 	used     map[*group]bool  // those that requests asked for
 	served   float64          // work answered since then: by a warm host, in the mean of those
+	asked    float64          // work asked for since then, in the mean for a member of a group
+	ease     float64          // 0 to 1: how far cold hosts, all together, answer in good time
+	easeAt   time.Duration
 	since    time.Duration
 	refused  int  // calls to discovery that failed in a row
 	mute     bool // the last probe that came back told no role: probes tell only that a process runs
@@ -362,19 +366,24 @@
 // coldRoom keeps a cold host h from being pushed over: in any FallTime all routers together must send it
 // less than FallMultiple times what it can do. Whatever is asked of hosts, what they answer bounds what
 // they can do: served, a second and warm host (see judge), adds up over any routers, however uneven, to a
-// warm host's capacity at most. So the budget for h grows by coldPart, two fifths, of FallMultiple x warmth x
-// served, and saves half a FallTime's growth at most: no FallTime sees more than three fifths sent. The rest
-// is for connects, probes (one a FallTime from each), hosts smaller than others, and chance. A request draws
-// a lot with the budget as its chance and pays it, won or lost: bursts, retries, held requests that draw
-// again and groups with few members to serve change who gets the budget, not its sum, and hundreds of
-// routers with a part of a request each send that sum, not a request each.
+// warm host's capacity at most. So the budget for h grows by a part of FallMultiple x warmth x served, and
+// saves a quarter of a FallTime's growth at most. The part is coldPart, under a half, for one that has just
+// started: hosts smaller than others and chance have the rest. It rises with the warmth as long as cold hosts
+// answer in good time (ease), for one that is asked for all it can do answers late long before it falls.
+// Where all members are cold, or the router new, nothing is served that could be a measure: a quarter of
+// what is asked for is one, as clients that ask again and a burst make less than four times of what
+// a group can do. A request draws a lot with the budget as its chance and pays it, won or lost: bursts,
+// retries, held requests that draw again and groups with few members to serve change who gets the budget, not
+// its sum, and hundreds of routers with a part of a request each send that sum, not a request each.
 func (r *Router) coldRoom(h *host, q *request) bool {
 	w := r.warmth(h)
 	if w >= 1 || r.heavy(q) {
 		return w >= 1
 	}
-	grow := coldPart * r.set.FallMultiple * w * r.served / (r.now - r.since + r.set.FallTime).Seconds()
-	most := grow * r.set.FallTime.Seconds() / 2 // a burst spends no more
+	part := coldPart + coldMore*r.ease*(w-r.set.StartCapacity)/(1-r.set.StartCapacity)
+	rate := max(r.served, r.asked/4) / (r.now - r.since + r.set.FallTime).Seconds()
+	grow := part * r.set.FallMultiple * w * rate
+	most := grow * r.set.FallTime.Seconds() / 4 // a burst spends no more
 	budget := min(most, h.budget+grow*(r.now-h.budgetAt).Seconds())
 	pay := min(budget, r.work(q.Class))
 	h.budget, h.budgetAt = budget-pay, r.now
@@ -414,6 +423,7 @@
 		return
 	}
 	r.used[q.g] = true
+	r.asked += r.work(q.Class) / float64(max(1, len(q.g.hosts))*len(r.used))
 	r.wakeAt(q.deadline-r.set.Tick, func() { r.onWake(q) })
 	r.probeInTurn(q.g)
 	r.route(q)
@@ -491,17 +501,20 @@
 	if g.open && r.blind() && r.now-g.openedAt >= 5*probeSoon {
 		g.open, g.fails = false, breakerThreshold-1
 	}
+	first := r.onTheWay(q)
 	switch {
+	case first != nil:
+		r.send(q, first)
 	case g.open && q.onlyPrimary():
 		r.doubt(g)
 		r.giveUp(q)
 	case g.open:
 		r.wait(q, q.arrived+q.class.Aim)
 	case p == nil || !r.mayTake(p, q.class.Level == Write):
-		if q.missed || q.onlyPrimary() && r.now-g.lostAt > q.class.Aim {
+		if h := r.leastKnown(q); h != nil {
+			r.send(q, h)
+		} else if q.missed || q.onlyPrimary() && r.now-g.lostAt > q.class.Aim {
 			r.giveUp(q)
-		} else if h := r.leastKnown(q); h != nil && (r.mute || !r.set.Probes) && q.class.Level == Write {
-			r.send(q, h) // a write turned away ran nowhere, and its answer tells the role
 		} else {
 			r.doubt(g)
 			r.wait(q, q.arrived+q.class.Aim/2)
@@ -509,14 +522,14 @@
 	case !r.room(p, q) || !r.coldRoom(p, q) || !r.admits(q, p):
 		r.giveUp(q) // held, it would take the room of newer ones and end late
 	default:
-		r.send(q, cmp.Or(r.onTheWay(q), p))
+		r.send(q, p)
 	}
 }
 
-// onTheWay is a replica that a write calls at before it goes to the primary: the replica turns it away
-// untouched and tells its position with that. Where probes tell none and a router meets a replica seldom,
-// bounded reads would fall to the primary once no position is new enough, and stay there, for only a
-// replica's answer could bring a new one.
+// onTheWay is a replica that a write calls at before it goes to the primary, or is refused: the replica
+// turns it away untouched and tells its position and role with that. It is the probe of a site whose probes
+// tell neither. Where a router meets a replica seldom, bounded reads would else fall to the primary once no
+// position is new enough, and stay there, for only a replica's answer could bring a new one.
 func (r *Router) onTheWay(q *request) (best *host) {
 	if q.class.Level != Write || len(q.attempts) > 0 || !r.mute || r.bound == long ||
 		r.set.Routers <= fewRouters {
@@ -538,8 +551,12 @@
 	return best
 }
 
-// leastKnown is the member whose role was heard of longest ago.
+// leastKnown is the member whose role was heard of longest ago, where only a write can ask for it: turned
+// away it ran nowhere, and the answer tells the role.
 func (r *Router) leastKnown(q *request) (oldest *host) {
+	if r.set.Probes && !r.mute || q.class.Level != Write || q.missed {
+		return nil
+	}
 	for _, h := range q.g.hosts {
 		older := oldest == nil || h.roleAt < oldest.roleAt
 		if older && r.mayTake(h, true) && !q.tried(h) && r.coldRoom(h, q) {
@@ -819,6 +836,10 @@
 	h, c := a.h, a.q.Class
 	h.gap += time.Duration(smooth * float64(r.now-h.judgedAt-h.gap))
 	h.judgedAt = r.now
+	if r.warmth(h) < 1 && (o == OK || o == Full || o == Timeout) {
+		late := o != OK || latency.Seconds() > strained*a.q.class.Aim.Seconds()
+		r.settle(late)
+	}
 	switch o {
 	case OK:
 		warm := 0.0 // a cold host counts as what it can do: it is no measure of a warm one
@@ -863,6 +884,15 @@
 	}
 }
 
+// settle learns from an answer of a cold host, by the time since the last one.
+func (r *Router) settle(late bool) {
+	past := min(1, (r.now - r.easeAt).Seconds())
+	r.easeAt = r.now
+	if r.ease = min(1, r.ease+past/8); late {
+		r.ease = max(0, r.ease-past)
+	}
+}
+
 func (r *Router) failed(h *host, late bool) {
 	if h.fails++; late && h.fails < 3 { // a host that only fails is not short of room
 		r.throttle(h, admitLate)
@@ -890,7 +920,7 @@
 // are bound to be past; until they are known to be, base stands for them.
 func (r *Router) forget() {
 	r.wakeAt(r.now+markAge, r.forget)
-	r.served, r.since = r.served/2, r.now-(r.now-r.since)/2
+	r.served, r.asked, r.since = r.served/2, r.asked/2, r.now-(r.now-r.since)/2
 	r.order = slices.DeleteFunc(r.order, func(h *host) bool {
 		g, drop := h.group, r.left(h) && len(h.out) == 0 && h != h.group.primary
 		if drop {
