--- a/policy/herd_test.go
+++ b/policy/herd_test.go
@@ -127,7 +127,7 @@
 func TestMuteProbesAreSharedByTheFleet(t *testing.T) {
 	for _, routers := range []int{2, 80} {
 		set := base()
-		set.Routers = routers
+		set.Routers, set.Classes[fragile].Worth = routers, 1000 // room is another test's
 		g := newRig(t, set)
 		g.at(0, Probed{Host: "p"})
 		n := map[HostID]int{}
@@ -337,3 +337,37 @@
 	assert.Zero(t, at(Timeout, 500*ms))
 	assert.InDelta(t, 0.125, at(OK, ms), 0.01)
 }
+
+// A crowded primary of a large fleet is left to what only it can serve: bounded reads are refused there, as a
+// late answer costs it as much as a write in time. A small fleet shares by rank as before.
+func TestCrowdedPrimaryIsLeftToWrites(t *testing.T) {
+	for routers, takes := range map[int]bool{2: true, 80: false} {
+		set := base()
+		set.Routers = routers
+		g := newRig(t, set).at(0, Probed{Host: "p"})
+		p := g.r.hosts["p"]
+		p.limit = 0.4
+		g.at(time.Minute).ask("r", recent)
+		assert.Equal(t, takes, slices.Equal(g.sends(), []HostID{"p"}), "%d routers", routers)
+		g.result("r", 0, "p", OK, Primary).at(time.Minute)
+		for _, h := range []HostID{"a", "b"} {
+			g.report(0, h, Replica, 0) // heard of: no write calls there
+		}
+		p.limit = 0.4
+		g.ask("w", fragile)
+		g.wantSend("p")
+	}
+}
+
+// One error is no reason never to call at a replica again: nothing else may ever be sent to it.
+func TestFailedReplicaIsCalledAtAgain(t *testing.T) {
+	g := crowd(t)
+	for _, h := range []HostID{"a", "b"} {
+		g.r.hosts[h].fails, g.r.hosts[h].judgedAt = 1, g.now
+	}
+	g.ask("w", fragile)
+	g.wantSend("p")
+	g.result("w", 0, "p", OK, Primary).at(2*seldom).ask("x", fragile)
+	require.Len(t, g.sends(), 1)
+	assert.NotEqual(t, HostID("p"), g.sends()[0])
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -538,7 +538,7 @@
 	fresh := false
 	for _, h := range q.g.hosts {
 		switch {
-		case h == q.g.primary || h.status != Healthy || h.fails > 0:
+		case h == q.g.primary || h.status != Healthy || h.fails > 0 && r.now-h.judgedAt < 2*seldom:
 		case h.pos > r.now-r.bound/2:
 			fresh = true
 		case best == nil || h.sentAt < best.sentAt:
@@ -572,7 +572,7 @@
 // time leave room to others, where seldom heard of only reads on a primary do.
 func (r *Router) room(h *host, q *request) bool {
 	limit, primary := h.limit, h == h.group.primary
-	if h.gap <= seldom { // else the throttle sheds by rank
+	if h.gap <= seldom || primary && r.set.Routers > fewRouters { // else the throttle sheds by rank
 		limit /= r.rank(q.Class, primary)
 	} else if primary && q.class.Level != Write {
 		limit *= 0.7
@@ -580,6 +580,9 @@
 	if limit >= 1 {
 		return float64(len(h.out)) < limit
 	}
+	if primary && h.limit < 0.5 && q.class.Level <= Recent && r.set.Routers > fewRouters {
+		return false // a crowded primary is left to what needs it
+	}
 	pause := (1/limit - 1) * r.latency[q.Class] * min(h.slow, 4)
 	return len(h.out) == 0 && (r.now-h.sentAt).Seconds() >= pause
 }
@@ -620,7 +623,7 @@
 	for _, a := range q.attempts {
 		if !a.resolved && !a.overdue && r.now-a.sentAt >= q.class.Aim {
 			a.overdue = true
-			a.h.strain += smooth * a.h.weight(3) * (1 - a.h.strain)
+			a.h.strain += smooth * a.h.weight(5) * (1 - a.h.strain)
 			r.cutLimit(a.h)
 			r.failed(a.h, true)
 		}
@@ -855,7 +858,7 @@
 		if h.group.primary == h {
 			h.group.fails, h.group.trips = 0, 0
 		}
-		h.strain += smooth * h.weight(3) * (latency.Seconds()/a.q.class.Aim.Seconds() - h.strain)
+		h.strain += smooth * h.weight(5) * (latency.Seconds()/a.q.class.Aim.Seconds() - h.strain)
 		if latency < a.q.class.Aim*2/3 {
 			r.throttle(h, admitMore)
 		} else if !a.overdue {
@@ -903,7 +906,7 @@
 // cutLimit cuts by time rather than by answers: each tells the more, the fewer there are. Many routers
 // together need a lower floor than a few.
 func (r *Router) cutLimit(h *host) {
-	h.limit = max(min(0.2, 2/float64(max(r.set.Routers, 1))), h.limit*(1-0.025*h.weight(12)))
+	h.limit = max(min(0.2, 2/float64(max(r.set.Routers, 1))), h.limit*(1-0.025*h.weight(24)))
 }
 
 // weight is that of an answer of h, from 1 up to most, against those of a host heard of often.
