--- a/policy/policy.go
+++ b/policy/policy.go
@@ -580,7 +580,7 @@
 	if limit >= 1 {
 		return float64(len(h.out)) < limit
 	}
-	if primary && h.limit < 0.5 && q.class.Level <= Recent && r.set.Routers > fewRouters {
+	if primary && h.limit < 0.9 && q.class.Level <= Recent && r.set.Routers > fewRouters {
 		return false // a crowded primary is left to what needs it
 	}
 	pause := (1/limit - 1) * r.latency[q.Class] * min(h.slow, 4)
