--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -20,23 +20,23 @@
 	"lilaccove/internal/discovery"
 	"lilaccove/internal/front"
 	"lilaccove/internal/gateway"
+	"lilaccove/internal/management"
 	"lilaccove/internal/netloop"
 	"lilaccove/internal/settings"
+	"lilaccove/internal/stats"
 	"lilaccove/policy"
 )
 
-// acceptOn is how long clients still come after SIGTERM: the front has to notice.
-const acceptOn = 700 * time.Millisecond
-
 // config is the object at GW_CONFIG.
 type config struct {
-	Name      string          `json:"name"`
-	Listen    string          `json:"listen"`
-	Discovery string          `json:"discovery"`
-	Seed      string          `json:"seed"`
-	Limits    limits          `json:"limits"`
-	Known     json.RawMessage `json:"known"`
-	Settings  json.RawMessage `json:"settings"`
+	Name       string          `json:"name"`
+	Listen     string          `json:"listen"`
+	Discovery  string          `json:"discovery"`
+	Management string          `json:"management"`
+	Seed       string          `json:"seed"`
+	Limits     limits          `json:"limits"`
+	Known      json.RawMessage `json:"known"`
+	Settings   json.RawMessage `json:"settings"`
 }
 
 type limits struct {
@@ -84,7 +84,8 @@
 	if err != nil {
 		return err
 	}
-	core := gateway.New(loop, router, set.MaxOpen)
+	counts := stats.New(set.Classes)
+	core := gateway.New(loop, router, set.MaxOpen, counts)
 	pool := backend.New(loop, core, backend.Options{
 		ConnIdle: set.ConnIdle, DialTimeout: set.DialTimeout, ProbeReport: set.ProbeReport, Reserve: sockets / 16,
 	})
@@ -96,21 +97,36 @@
 	if err := watch.Known(cfg.Known); err != nil {
 		log.Printf("event=bad_known err=%q", err) // discovery has a newer one
 	}
-	at, err := clients.Listen(listen)
+	ops := &operations{
+		loop: loop, front: clients, core: core, watch: watch, pool: pool, counts: counts,
+		memory: memory, sockets: sockets, begunAt: loop.Now(),
+	}
+	manage := ""
+	if cfg.Management != "" {
+		addr, err := netip.ParseAddrPort(cfg.Management)
+		if err != nil {
+			return fmt.Errorf("GW_MANAGEMENT: %w", err)
+		}
+		if addr, err = management.Listen(loop, addr, ops); err != nil {
+			return err
+		}
+		manage = " management=" + addr.String()
+	}
+	at, err := ops.listen(listen, os.Getenv)
 	if err != nil {
 		return err
 	}
-	log.Printf("event=started name=%s listen=%s discovery=%s sockets=%d memory_mb=%d",
-		cfg.Name, at, ask, sockets, memory>>20)
+	defer ops.leave()
+	log.Printf("event=started name=%s listen=%s discovery=%s sockets=%d memory_mb=%d%s",
+		cfg.Name, at, ask, sockets, memory>>20, manage)
 
-	end := &ending{loop: loop, front: clients, core: core, pool: pool}
 	heard := make(chan os.Signal, cap(signals))
 	loop.OnWake(func() {
 		for len(heard) > 0 {
 			if sig := <-heard; sig == unix.SIGHUP {
 				reload(os.Getenv, watch)
 			} else {
-				end.begin()
+				ops.end()
 			}
 		}
 	})
@@ -122,12 +138,12 @@
 	}()
 	return loop.Run(func() bool {
 		again := core.Step()
-		end.check()
+		ops.check()
 		return again
 	})
 }
 
-// load reads the configuration; the three plain variables go before what it says.
+// load reads the configuration; the plain variables go before what it says.
 func load(env func(string) string) (config, error) {
 	var cfg config
 	if err := read(env, &cfg); err != nil {
@@ -135,6 +151,7 @@
 	}
 	for name, to := range map[string]*string{
 		"GW_NAME": &cfg.Name, "GW_LISTEN": &cfg.Listen, "GW_DISCOVERY": &cfg.Discovery,
+		"GW_MANAGEMENT": &cfg.Management,
 	} {
 		if v := env(name); v != "" {
 			*to = v
@@ -212,10 +229,12 @@
 	memory := int(megabytes * (1 << 20))
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(400)
-	debug.SetMemoryLimit(int64(memory) * 6 / 10)
+	limitHeap(memory)
 	return memory
 }
 
+func limitHeap(memory int) { debug.SetMemoryLimit(int64(memory) * 6 / 10) }
+
 // descriptors is how many may be open: the smaller of the limit told and the system's.
 func descriptors(told float64) int {
 	most := 1024
@@ -237,37 +256,3 @@
 	}
 	return 3 + runtimeOwn
 }
-
-// ending is the orderly end after SIGTERM.
-type ending struct {
-	loop    *netloop.Loop
-	front   *front.Front
-	core    *gateway.Gateway
-	pool    *backend.Pool
-	begun   bool
-	drained bool
-}
-
-func (e *ending) begin() {
-	if e.begun {
-		return
-	}
-	e.begun = true
-	log.Printf("event=ending owed=%d", e.core.Owed())
-	e.loop.At(e.loop.Now()+acceptOn, func() {
-		e.front.Drain()
-		e.drained = true
-	})
-}
-
-// check exits once nothing is owed.
-func (e *ending) check() {
-	if !e.drained || e.core.Owed() > 0 || !e.front.Quiet() {
-		return
-	}
-	e.pool.CloseIdle()
-	if e.loop.Lingering() == 0 {
-		log.Printf("event=ended")
-		e.loop.Stop()
-	}
-}
--- /dev/null
+++ b/cmd/lilaccove/operations.go
@@ -0,0 +1,253 @@
+package main
+
+import (
+	"fmt"
+	"log"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"lilaccove/internal/backend"
+	"lilaccove/internal/discovery"
+	"lilaccove/internal/front"
+	"lilaccove/internal/gateway"
+	"lilaccove/internal/handover"
+	"lilaccove/internal/netloop"
+	"lilaccove/internal/stats"
+	"lilaccove/policy"
+)
+
+const (
+	// acceptOn is how long clients still come after SIGTERM: the front has to notice.
+	acceptOn = 700 * time.Millisecond
+	// A drain is to leave no client idle 4 s after the call, nor one whose request is younger than 2 s.
+	drainTime = 1700 * time.Millisecond
+	// A process that hands over lets idle clients go within leaveTime; after leaveMost it takes no more
+	// requests, so that what it has taken is answered before it is killed.
+	leaveTime = 1200 * time.Millisecond
+	leaveMost = 2 * time.Second
+	// A successor waits so long for discovery's word before it serves from the list it was given.
+	heardTime = 2 * time.Second
+	// How often a process looks for others of its gateway, alone and beside one.
+	pollAlone  = 100 * time.Millisecond
+	pollBeside = 20 * time.Millisecond
+	// An operator's word that the other process has not acted on is answered all the same after so long.
+	agreeTime = 700 * time.Millisecond
+)
+
+// operations is what operators and the platform ask of the whole program: readiness, figures, databases
+// left out, drains, the takeover by another process, the end.
+type operations struct {
+	loop   *netloop.Loop
+	front  *front.Front
+	core   *gateway.Gateway
+	watch  *discovery.Client
+	pool   *backend.Pool
+	counts *stats.Counters
+
+	memory, sockets int
+	begunAt         time.Duration
+	share           *handover.Share // nil: no other process can be met
+	beside          bool            // another process of this gateway lives
+	drained         bool            // by an operator
+	ending          bool            // SIGTERM has come
+	leaving         bool            // to a successor
+	closed          bool            // no client is accepted and none kept
+	agreeing        []agreement
+}
+
+// agreement is an answer that waits until the other process has acted on the same word.
+type agreement struct {
+	until time.Duration
+	then  func()
+}
+
+// listen opens the clients' address, or takes over the socket that the platform holds open there.
+func (o *operations) listen(addr netip.AddrPort, env func(string) string) (netip.AddrPort, error) {
+	text := env("GW_INHERITED_FD")
+	if text == "" {
+		return o.front.Listen(addr)
+	}
+	fd, err := strconv.Atoi(text)
+	if err != nil || fd < 3 {
+		return addr, fmt.Errorf("GW_INHERITED_FD: %q is not the number of an inherited descriptor", text)
+	}
+	at, err := o.front.Inherit(fd, addr)
+	if err != nil {
+		return addr, fmt.Errorf("GW_INHERITED_FD: %w", err)
+	}
+	if dir := env("TMPDIR"); dir == "" {
+		log.Printf("event=alone reason=%q", "TMPDIR is not set")
+	} else if o.share, err = handover.Join(dir); err != nil {
+		log.Printf("event=alone err=%q", err)
+	}
+	if o.share != nil {
+		o.adopt(o.share.State())
+		o.poll()
+	}
+	return at, o.open()
+}
+
+// open begins to accept clients: at once, or beside a process that serves them, when it can do as well.
+func (o *operations) open() error {
+	if o.beside && (o.core.Members() == 0 || !o.watch.Heard()) && o.loop.Now() < o.begunAt+heardTime {
+		return nil
+	}
+	return o.front.Open()
+}
+
+// poll looks at what other processes of this gateway say.
+func (o *operations) poll() {
+	now := o.loop.Now()
+	beside := o.share.Poll(o.adopt)
+	if beside != o.beside {
+		o.beside = beside
+		o.divide()
+	}
+	pause := pollAlone
+	if beside {
+		pause = pollBeside
+	}
+	o.loop.At(now+pause, o.poll)
+	if len(o.agreeing) > 0 && (!beside || o.share.Agreed()) {
+		o.agree(now + agreeTime)
+	}
+	o.agree(now)
+}
+
+// divide has this process keep to its half while another lives.
+func (o *operations) divide() {
+	part := 1
+	if o.beside {
+		part = 2
+	}
+	log.Printf("event=processes beside=%t", o.beside)
+	o.loop.SetLimit(o.sockets / part)
+	o.loop.SetBuffers(o.memory / 4 / part)
+	o.front.SetMost(o.sockets / 2 / part)
+	limitHeap(o.memory / part)
+}
+
+// adopt does what another process was told, or a predecessor.
+func (o *operations) adopt(s handover.State) {
+	for id, e := range s.Suspended {
+		o.core.SetSuspended(policy.HostID(id), e.On)
+	}
+	o.drain(s.Drained.On)
+}
+
+// agree gives the answers that have waited long enough.
+func (o *operations) agree(now time.Duration) {
+	for len(o.agreeing) > 0 && o.agreeing[0].until <= now {
+		o.agreeing[0].then()
+		o.agreeing = o.agreeing[1:]
+	}
+}
+
+// Ready tells whether requests are served, or else why not.
+func (o *operations) Ready() (why string, ok bool) {
+	switch {
+	case o.ending:
+		return "ending", false
+	case o.drained:
+		return "drained", false
+	case o.core.Members() == 0:
+		return "no databases are known", false
+	case !o.front.Opened():
+		return "starting", false
+	}
+	return "", true
+}
+
+// Metrics adds the figures.
+func (o *operations) Metrics(b []byte) []byte { return o.counts.Append(b, o.core.Figures()) }
+
+// Suspend leaves a database out, or has it serve again, here and in a process beside this one.
+func (o *operations) Suspend(id string, out bool, then func()) bool {
+	known := o.core.Suspend(policy.HostID(id), out, func() {
+		if !o.beside {
+			then()
+			return
+		}
+		o.agreeing = append(o.agreeing, agreement{until: o.loop.Now() + agreeTime, then: then})
+	})
+	if known {
+		log.Printf("event=suspended host=%q out=%t", id, out)
+		if o.share != nil {
+			o.share.Suspend(id, out, o.loop.Now())
+		}
+	}
+	return known
+}
+
+// Drain empties the gateway, or has it work again.
+func (o *operations) Drain(on bool) {
+	log.Printf("event=drain on=%t clients=%d owed=%d", on, o.front.Clients(), o.core.Owed())
+	o.drain(on)
+	if o.share != nil {
+		o.share.Drain(on, o.loop.Now())
+	}
+}
+
+func (o *operations) drain(on bool) {
+	switch {
+	case on == o.drained:
+	case on:
+		o.front.Empty(o.loop.Now() + drainTime)
+	default:
+		o.front.Fill()
+	}
+	o.drained = on
+}
+
+// end is what SIGTERM leads to. A successor has the clients' queue: it is left at once. Without one
+// nothing changes for a while, as clients still come.
+func (o *operations) end() {
+	if o.ending {
+		return
+	}
+	o.ending, o.leaving = true, o.beside && o.front.Opened()
+	log.Printf("event=ending owed=%d clients=%d successor=%t", o.core.Owed(), o.front.Clients(), o.leaving)
+	now, last := o.loop.Now(), acceptOn
+	if o.leaving {
+		o.front.Leave(now + leaveTime)
+		last = leaveMost
+	}
+	o.loop.At(now+last, o.closeFront)
+}
+
+func (o *operations) closeFront() {
+	if !o.closed {
+		o.closed = true
+		o.front.Drain()
+	}
+}
+
+// check is called behind each round: it begins to serve, and exits once nothing is owed.
+func (o *operations) check() {
+	if !o.ending {
+		if err := o.open(); err != nil {
+			log.Printf("event=not_open err=%q", err)
+			o.loop.Stop()
+		}
+		return
+	}
+	if o.leaving && o.front.Clients() == 0 {
+		o.closeFront()
+	}
+	if !o.closed || o.core.Owed() > 0 || !o.front.Quiet() {
+		return
+	}
+	o.pool.CloseIdle()
+	if o.loop.Lingering() == 0 {
+		log.Printf("event=ended")
+		o.loop.Stop()
+	}
+}
+
+// leave takes this process out of the directory.
+func (o *operations) leave() {
+	if o.share != nil {
+		o.share.Close()
+	}
+}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -52,6 +52,7 @@
 // Connected greets the database.
 func (c *conn) Connected() {
 	c.answer.reset()
+	c.nc.OnFlush(c.written)
 	c.nc.Write(c.pool.startup)
 }
 
@@ -90,6 +91,14 @@
 	before, behind := st.Head.Around(st.Text)
 	head := pgwire.QueryHead(len(before) + len(digits) + len(behind) + 1)
 	c.nc.Write(head[:], before, digits, behind, zero)
+	c.written()
+}
+
+// written tells of a statement whose last byte the kernel has.
+func (c *conn) written() {
+	if c.job != nil && c.job.attempt != nil && c.nc.Pending() == 0 {
+		c.pool.core.Written(c.job.attempt)
+	}
 }
 
 var zero = []byte{0}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -17,6 +17,7 @@
 type Core interface {
 	Resolved(a *gateway.Attempt, o policy.Outcome, r gateway.Reply)
 	Probed(host policy.HostID, o policy.Outcome, r gateway.Reply)
+	Written(a *gateway.Attempt) // its last byte was taken by the kernel
 }
 
 // Options are what the pool is told once.
@@ -147,6 +148,19 @@
 	}
 }
 
+// Withdraw hangs up and gives back what waits for a connection to a host: not a byte of it was
+// written. What runs there goes on.
+func (p *Pool) Withdraw(id policy.HostID) {
+	p.HangUp(id)
+	if h := p.hosts[id]; h != nil {
+		list := h.waiting
+		h.waiting = nil
+		for _, j := range list {
+			p.finish(j, policy.Moot, gateway.Reply{})
+		}
+	}
+}
+
 // CloseIdle closes all idle connections.
 func (p *Pool) CloseIdle() {
 	for id := range p.hosts {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lilaccove/internal/gateway"
+	"lilaccove/internal/http1"
 	"lilaccove/internal/netloop"
 	"lilaccove/policy"
 )
@@ -43,11 +44,12 @@
 	seq   int64
 
 	nc      *netloop.Conn
-	answer  response
+	answer  http1.Response
 	line    []byte
 	timer   *netloop.Timer
 	heardAt time.Duration
 	told    bool // this watch has brought an object
+	heard   bool // some watch has
 }
 
 // New makes a client that asks at addr. Zones are the names in the order of the settings.
@@ -121,12 +123,15 @@
 	return policy.Draining
 }
 
+// Heard tells whether discovery has ever told a list or a change.
+func (c *Client) Heard() bool { return c.heard }
+
 // Subscribe begins a watch, unless one is on.
 func (c *Client) Subscribe() {
 	if c.nc != nil {
 		return
 	}
-	c.answer, c.line, c.told = response{}, c.line[:0], false
+	c.answer, c.line, c.told = http1.Response{}, c.line[:0], false
 	nc, err := c.loop.Dial(c.addr, c, inputMost)
 	if err != nil {
 		c.fail(err)
@@ -178,13 +183,13 @@
 
 // Received takes in the answer.
 func (c *Client) Received() {
-	n, err := c.answer.feed(c.nc.Input(), c.data)
+	n, err := c.answer.Feed(c.nc.Input(), c.data)
 	c.nc.Consume(n)
 	switch {
 	case err != nil:
-	case c.answer.headed && c.answer.status != 200:
-		err = fmt.Errorf("status %d", c.answer.status)
-	case c.answer.done:
+	case c.answer.Headed && c.answer.Status != 200:
+		err = fmt.Errorf("status %d", c.answer.Status)
+	case c.answer.Done:
 		err = errEnded
 	case c.told:
 		c.listen(c.loop.Now() + quietTime)
@@ -199,7 +204,7 @@
 
 // data takes bytes of the body: a JSON object a line, or an empty line.
 func (c *Client) data(b []byte) error {
-	if c.answer.status != 200 {
+	if c.answer.Status != 200 {
 		return nil
 	}
 	for len(b) > 0 {
@@ -236,7 +241,7 @@
 	if l.Whole {
 		kind = policy.ListFull
 	}
-	c.seq, c.told = l.Seq, true
+	c.seq, c.told, c.heard = l.Seq, true, true
 	c.core.Listed(kind, c.entries(l.Hosts))
 	return nil
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -72,9 +72,12 @@
 	classes map[string]int
 	ids     map[string]struct{} // of open requests, as the clients named them
 	ln      *netloop.Listener
+	open    bool              // it accepts
 	queues  [places]list.List // of *conn
 	welcome []byte
-	closing bool
+	closing bool          // each connection goes as soon as it owes nothing
+	easing  time.Duration // each goes behind its next answer, and idle ones by then; 0: they stay
+	drained bool          // the empty query is answered with a no
 	crowded netloop.Sparse
 	bad     netloop.Sparse
 }
@@ -98,14 +101,38 @@
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
-	f.ln = ln
+	f.ln, f.open = ln, true
 	return ln.Addr, nil
 }
 
+// Inherit takes over a listening socket; Open begins to accept from it.
+func (f *Front) Inherit(fd int, addr netip.AddrPort) (at netip.AddrPort, err error) {
+	if f.ln, err = f.loop.Inherit(fd, addr, f.accept); err != nil {
+		return netip.AddrPort{}, err
+	}
+	return f.ln.Addr, nil
+}
+
+// Open begins to accept, if it has not yet.
+func (f *Front) Open() error {
+	if f.open {
+		return nil
+	}
+	f.open = true
+	return f.ln.Start()
+}
+
+// Opened tells whether clients are accepted.
+func (f *Front) Opened() bool { return f.open && !f.closing }
+
 // Drain stops accepting and lets each connection go as soon as it owes nothing.
 func (f *Front) Drain() {
 	f.ln.Close()
 	f.closing = true
+	f.letGo()
+}
+
+func (f *Front) letGo() {
 	for p := busy; p < leaving; p++ {
 		for _, c := range f.all(p) {
 			c.nc.Poll() // a request may have come that no round has read yet
@@ -114,6 +141,50 @@
 	}
 }
 
+// Leave stops accepting, for others hold the queue, and lets each connection go behind its next answer. Who
+// asks for nothing is let go one by one until the moment given: a close that crosses a request turns it
+// back unheard, which hardly happens behind an answer.
+func (f *Front) Leave(until time.Duration) {
+	f.ln.Close()
+	f.ease(until)
+}
+
+// Empty has the empty query answered with a no and lets all clients go as Leave does. New ones are served
+// once each: whoever sends them here takes a moment to notice.
+func (f *Front) Empty(until time.Duration) {
+	f.drained = true
+	f.ease(until)
+}
+
+// Fill takes Empty back.
+func (f *Front) Fill() { f.drained, f.easing = false, 0 }
+
+const easeStep = 50 * time.Millisecond
+
+func (f *Front) ease(until time.Duration) {
+	begun := f.easing != 0
+	if f.easing = until; !begun {
+		f.easeOut()
+	}
+}
+
+// easeOut lets a part of the idle connections go, the longest idle first, so that none is left by the moment set.
+func (f *Front) easeOut() {
+	now := f.loop.Now()
+	if f.easing == 0 || f.closing {
+		return
+	}
+	f.loop.At(now+easeStep, f.easeOut)
+	steps := max(1, int((f.easing-now)/easeStep))
+	part := (f.queues[idle].Len() + steps - 1) / steps
+	for _, c := range f.all(idle)[:part] {
+		c.nc.Poll()
+		if c.place == idle && c.at != nil {
+			c.finish()
+		}
+	}
+}
+
 // all is who is at p, as a list of its own: what is done to them moves them.
 func (f *Front) all(p place) (list []*conn) {
 	for e := f.queues[p].Front(); e != nil; e = e.Next() {
@@ -122,6 +193,17 @@
 	return list
 }
 
+// Clients is how many connections are not on their way out.
+func (f *Front) Clients() (n int) {
+	for p := busy; p < leaving; p++ {
+		n += f.queues[p].Len()
+	}
+	return n
+}
+
+// SetMost changes how many clients there may be at once.
+func (f *Front) SetMost(most int) { f.opt.Most = most }
+
 // Quiet tells that no client is owed bytes.
 func (f *Front) Quiet() bool {
 	f.reread()
@@ -175,11 +257,7 @@
 // roomy tells whether one more client may come where so many are the most. What databases
 // hold does not count against the clients' own share.
 func (f *Front) roomy(most int) bool {
-	n := 0
-	for p := busy; p < leaving; p++ {
-		n += f.queues[p].Len()
-	}
-	return n < most && f.loop.Spare() >= f.opt.Reserve
+	return f.Clients() < most && f.loop.Spare() >= f.opt.Reserve
 }
 
 // makeRoom frees a descriptor: of one that was told its end already, else of the one that
@@ -307,7 +385,8 @@
 	if c.last {
 		c.nc.Consume(len(c.nc.Input()))
 	}
-	if len(c.calls) == 0 && (c.last || c.front.closing && len(c.nc.Input()) == 0) {
+	goes := c.front.closing || c.front.easing != 0 && c.asked
+	if len(c.calls) == 0 && (c.last || goes && len(c.nc.Input()) == 0 && c.nc.Pending() == 0) {
 		c.finish()
 		return
 	}
@@ -377,7 +456,11 @@
 	text, err := pgwire.Text(body)
 	if err == nil && pgwire.Blank(text) {
 		c.nc.Consume(n)
-		c.say(pgwire.AppendReady(pgwire.AppendEmpty(nil)))
+		if c.front.drained {
+			c.say(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeCannotConnectNow, "the gateway is drained", "")))
+		} else {
+			c.say(pgwire.AppendReady(pgwire.AppendEmpty(nil)))
+		}
 		return true
 	}
 	var head pgwire.Head
@@ -432,7 +515,11 @@
 }
 
 func (c *conn) finish() {
-	c.nc.Finish(c.front.loop.Now() + limits[leaving])
+	limit := limits[leaving]
+	if c.nc.Pending() > 0 {
+		limit = limits[unread]
+	}
+	c.nc.Finish(c.front.loop.Now() + limit)
 	c.file()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lilaccove/internal/netloop"
+	"lilaccove/internal/stats"
 	"lilaccove/policy"
 )
 
@@ -35,6 +36,7 @@
 	Cancel(a *Attempt)
 	Probe(host policy.HostID)
 	HangUp(host policy.HostID)
+	Withdraw(host policy.HostID) // HangUp, and what waits for a connection is given back as Moot
 	Listed(kind policy.ListKind, entries []Entry)
 }
 
@@ -46,6 +48,7 @@
 // Router decides.
 type Router interface {
 	Step(now time.Duration, events []policy.Event) []policy.Action
+	Skipped() int
 }
 
 // Request is one request that a front has taken. The front fills it in.
@@ -76,6 +79,7 @@
 	number int
 	sentAt time.Duration
 	done   bool
+	whole  bool // its last byte was written
 }
 
 // Reply is what a backend learned with the end of an attempt or a probe.
@@ -107,16 +111,21 @@
 	owed      int // requests without an answer
 	most      int
 	probes    map[policy.HostID]time.Duration
+	counts    *stats.Counters
+	listed    map[policy.HostID]bool
+	suspended map[policy.HostID]bool
+	decided   []func() // called when the next Step is carried out
 }
 
 // New makes a gateway that holds at most so many unanswered requests; 0: no limit.
-func New(loop *netloop.Loop, router Router, most int) *Gateway {
+func New(loop *netloop.Loop, router Router, most int, counts *stats.Counters) *Gateway {
 	if most <= 0 {
 		most = math.MaxInt
 	}
 	return &Gateway{
-		loop: loop, router: router, most: most,
+		loop: loop, router: router, most: most, counts: counts,
 		requests: map[policy.RequestID]*Request{}, probes: map[policy.HostID]time.Duration{},
+		listed: map[policy.HostID]bool{}, suspended: map[policy.HostID]bool{},
 	}
 }
 
@@ -126,11 +135,42 @@
 // Owed is how many requests have no answer yet.
 func (g *Gateway) Owed() int { return g.owed }
 
+// Figures are what the operators read of the moment.
+func (g *Gateway) Figures() stats.Gauges {
+	return stats.Gauges{InProgress: g.owed, Known: len(g.listed), Skipped: g.router.Skipped()}
+}
+
+// Members is how many databases the list holds.
+func (g *Gateway) Members() int { return len(g.listed) }
+
+// Suspend leaves a database out, or lets it serve again; then is called as soon as no request
+// can go against that. It tells whether the database is known. Discovery does not change it.
+func (g *Gateway) Suspend(host policy.HostID, out bool, then func()) bool {
+	if !g.listed[host] && !g.suspended[host] {
+		return false
+	}
+	g.SetSuspended(host, out)
+	g.decided = append(g.decided, then)
+	return true
+}
+
+// SetSuspended is Suspend for a database that need not be listed yet.
+func (g *Gateway) SetSuspended(host policy.HostID, out bool) {
+	if g.suspended[host] == out {
+		return
+	}
+	if g.suspended[host] = out; !out {
+		delete(g.suspended, host)
+	}
+	g.events = append(g.events, policy.Suspended{Host: host, Out: out})
+}
+
 // Take accepts a request. Its answer may come before Take returns.
 func (g *Gateway) Take(q *Request) {
 	now := g.loop.Now()
 	if g.owed >= g.most {
 		q.over = true
+		g.counts.Of(q.Class).Dropped++
 		q.Client.Refused(0)
 		q.Client.Released()
 		return
@@ -154,6 +194,7 @@
 // Gone tells that the client of q has left: nothing more is owed.
 func (g *Gateway) Gone(q *Request) {
 	if g.end(q) {
+		g.counts.Of(q.Class).Abandoned++
 		g.events = append(g.events, policy.Lapsed{Request: q.id})
 		g.release(q)
 	}
@@ -162,12 +203,25 @@
 func (g *Gateway) expire(q *Request) {
 	if g.end(q) {
 		log.Printf("event=overdue request=%s attempts=%d out=%d", q.id, len(q.attempts), q.out)
-		q.Client.Failed()
+		g.fail(q)
 		g.events = append(g.events, policy.Lapsed{Request: q.id})
 		g.release(q)
 	}
 }
 
+func (g *Gateway) fail(q *Request) {
+	g.counts.Of(q.Class).BadGateway++
+	q.Client.Failed()
+}
+
+// Written tells that the kernel has taken the last byte of an attempt; it may be told again.
+func (g *Gateway) Written(a *Attempt) {
+	if !a.whole {
+		a.whole = true
+		g.counts.Of(a.q.Class).Tries++
+	}
+}
+
 // end marks the final answer; false: there was one already.
 func (g *Gateway) end(q *Request) bool {
 	if q.over {
@@ -197,6 +251,7 @@
 	q := a.q
 	q.out--
 	if o == policy.OK && g.end(q) {
+		g.counts.Of(q.Class).Passed++
 		q.Client.Served(r.Value)
 	}
 	g.events = append(g.events, policy.Result{
@@ -220,6 +275,14 @@
 	for i, e := range entries {
 		m.Entries[i] = e.Member
 	}
+	if kind == policy.ListFull || kind == policy.ListCached {
+		clear(g.listed)
+	}
+	for _, e := range entries {
+		if g.listed[e.Host] = true; e.Status == policy.Gone {
+			delete(g.listed, e.Host)
+		}
+	}
 	g.backends.Listed(kind, entries)
 	g.events = append(g.events, m)
 }
@@ -230,6 +293,9 @@
 	if len(g.events) > 0 {
 		g.decide()
 	}
+	for ; len(g.decided) > 0; g.decided = g.decided[1:] {
+		g.decided[0]()
+	}
 	for _, q := range g.late {
 		g.expire(q)
 	}
@@ -253,12 +319,13 @@
 		g.send(a)
 	case policy.Refuse:
 		if q := g.requests[a.Request]; q != nil && g.end(q) {
+			g.counts.Of(q.Class).Dropped++
 			q.Client.Refused(a.RetryAfter)
 			g.release(q)
 		}
 	case policy.Fail:
 		if q := g.requests[a.Request]; q != nil && g.end(q) {
-			q.Client.Failed()
+			g.fail(q)
 			g.release(q)
 		}
 	case policy.Cancel:
@@ -270,6 +337,8 @@
 		g.backends.Probe(a.Host)
 	case policy.HangUp:
 		g.backends.HangUp(a.Host)
+	case policy.Withdraw:
+		g.backends.Withdraw(a.Host)
 	case policy.Timer:
 		token := a.Timer
 		g.loop.At(g.loop.Now()+a.After, func() { g.events = append(g.events, policy.Elapsed{Timer: token}) })
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lilaccove/internal/netloop"
+	"lilaccove/internal/stats"
 	"lilaccove/policy"
 )
 
@@ -24,11 +25,14 @@
 	return next
 }
 
+func (s *script) Skipped() int { return 0 }
+
 // world is the rest: a client, the backends and discovery.
 type world struct {
 	said             []string
 	sent, cancelled  []*Attempt
 	probed, hungUp   []policy.HostID
+	withdrawn        []policy.HostID
 	listed, askedFor int
 }
 
@@ -40,6 +44,7 @@
 func (w *world) Cancel(a *Attempt)                   { w.cancelled = append(w.cancelled, a) }
 func (w *world) Probe(h policy.HostID)               { w.probed = append(w.probed, h) }
 func (w *world) HangUp(h policy.HostID)              { w.hungUp = append(w.hungUp, h) }
+func (w *world) Withdraw(h policy.HostID)            { w.withdrawn = append(w.withdrawn, h) }
 func (w *world) Subscribe()                          { w.askedFor++ }
 func (w *world) Listed(_ policy.ListKind, e []Entry) { w.listed += len(e) }
 
@@ -48,7 +53,7 @@
 	require.NoError(t, err)
 	t.Cleanup(loop.Close)
 	r, w := &script{}, &world{}
-	g := New(loop, r, 2)
+	g := New(loop, r, 2, stats.New([]string{"only"}))
 	g.Connect(w, w)
 	return loop, g, r, w
 }
--- /dev/null
+++ b/internal/handover/share.go
@@ -0,0 +1,206 @@
+package handover
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	statePath  = "lilaccove-state.json"
+	processes  = "lilaccove-process-"
+	mostState  = 1 << 20
+	seenDigits = 20
+)
+
+// Share is this process's part of the directory.
+type Share struct {
+	dir   string
+	state State
+	own   *os.File // locked as long as this process lives; holds the newest word it has acted on
+	mtime time.Time
+	size  int64
+	odd   string // the last thing found wrong, so that it is logged once
+}
+
+// Join enters the directory and takes over the state that lies there. One that cannot be read is
+// logged and left aside.
+func Join(dir string) (*Share, error) {
+	s := &Share{dir: dir, state: State{Version: version, Suspended: map[string]Entry{}}}
+	for s.own == nil {
+		own, err := os.CreateTemp(dir, processes)
+		if err != nil {
+			return nil, fmt.Errorf("handover: %w", err)
+		}
+		err = unix.Flock(int(own.Fd()), unix.LOCK_EX|unix.LOCK_NB)
+		if _, gone := os.Stat(own.Name()); err == nil && gone == nil {
+			s.own = own
+		} else if own.Close(); err != nil && err != unix.EWOULDBLOCK {
+			return nil, fmt.Errorf("handover: %s: %w", own.Name(), err)
+		} // else another process looked at it before it was locked, and took it for a dead one's
+	}
+	s.read()
+	s.acted()
+	return s, nil
+}
+
+// State is what is agreed on as far as this process knows.
+func (s *Share) State() State { return s.state }
+
+// Close leaves the directory; the state stays for a successor.
+func (s *Share) Close() {
+	_ = os.Remove(s.own.Name())
+	s.own.Close()
+}
+
+// Suspend keeps an operator's word on a database.
+func (s *Share) Suspend(id string, out bool, now time.Duration) {
+	s.state.Suspended[id] = Entry{On: out, At: now.Microseconds()}
+	s.state.forget(now)
+	s.write()
+}
+
+// Drain keeps an operator's word on the gateway.
+func (s *Share) Drain(on bool, now time.Duration) {
+	s.state.Drained = Entry{On: on, At: now.Microseconds()}
+	s.write()
+}
+
+// Poll tells whether other processes of this gateway live, and whether one of them has taken a word
+// that this one did not know. It calls acted when the caller has done what it says.
+func (s *Share) Poll(act func(State)) (others bool) {
+	if info, err := os.Stat(s.path()); err == nil && (info.ModTime() != s.mtime || info.Size() != s.size) {
+		if s.read() {
+			act(s.state)
+		}
+		s.acted()
+	}
+	return len(s.others()) > 0
+}
+
+// Agreed tells whether every other process that lives has acted on all words known here.
+func (s *Share) Agreed() bool {
+	for _, path := range s.others() {
+		text, err := os.ReadFile(path)
+		seen, bad := strconv.ParseInt(string(bytes.TrimSpace(text)), 10, 64)
+		if err == nil && (bad != nil || seen < s.state.at()) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Share) path() string { return filepath.Join(s.dir, statePath) }
+
+// others are the files of the other processes that live. Those that the dead left are removed.
+func (s *Share) others() (list []string) {
+	entries, err := os.ReadDir(s.dir)
+	if err != nil {
+		s.complain(err)
+	}
+	for _, e := range entries {
+		path := filepath.Join(s.dir, e.Name())
+		if !strings.HasPrefix(e.Name(), processes) || path == s.own.Name() {
+			continue
+		}
+		if locked(path) {
+			list = append(list, path)
+		} else {
+			_ = os.Remove(path)
+		}
+	}
+	return list
+}
+
+// locked tells whether a process holds the lock of its file. The kernel drops it with the process.
+func locked(path string) bool {
+	fd, err := unix.Open(path, unix.O_RDONLY|unix.O_CLOEXEC, 0)
+	if err != nil {
+		return false
+	}
+	defer unix.Close(fd)
+	return unix.Flock(fd, unix.LOCK_SH|unix.LOCK_NB) == unix.EWOULDBLOCK
+}
+
+// acted writes the newest word that this process has acted on where the others look.
+func (s *Share) acted() {
+	if _, err := s.own.WriteAt(fmt.Appendf(nil, "%0*d", seenDigits, s.state.at()), 0); err != nil {
+		s.complain(err)
+	}
+}
+
+// read merges what lies in the directory; it tells whether there was anything new.
+func (s *Share) read() (changed bool) {
+	info, err := os.Stat(s.path())
+	if errors.Is(err, fs.ErrNotExist) {
+		return false
+	}
+	var text []byte
+	if err == nil && info.Size() > mostState {
+		err = fmt.Errorf("state of %d bytes", info.Size())
+	} else if err == nil {
+		text, err = os.ReadFile(s.path())
+	}
+	if info != nil {
+		s.mtime, s.size = info.ModTime(), info.Size()
+	}
+	var found State
+	if err == nil {
+		found, err = parse(text)
+	}
+	if err != nil {
+		s.complain(err)
+		return false
+	}
+	changed = s.state.merge(found)
+	if found.merge(State{Suspended: s.state.Suspended, Drained: s.state.Drained}) {
+		s.write() // another process wrote at the same time and did not know ours
+	}
+	return changed
+}
+
+// write puts the state in place whole: a reader finds the old one or the new one.
+func (s *Share) write() {
+	text, err := json.Marshal(s.state)
+	var f *os.File
+	if err == nil {
+		f, err = os.CreateTemp(s.dir, "lilaccove-new-")
+	}
+	if err == nil {
+		_, err = f.Write(text)
+		if info, e := f.Stat(); e == nil {
+			s.mtime, s.size = info.ModTime(), info.Size() // a rename keeps them
+		}
+		if e := f.Close(); err == nil {
+			err = e
+		}
+		if err == nil {
+			err = os.Rename(f.Name(), s.path())
+		}
+		if err != nil {
+			_ = os.Remove(f.Name())
+		}
+	}
+	if err != nil {
+		s.complain(err)
+		return
+	}
+	s.acted()
+}
+
+func (s *Share) complain(err error) {
+	if err.Error() != s.odd {
+		s.odd = err.Error()
+		log.Printf("event=bad_state dir=%s err=%q", s.dir, err)
+	}
+}
--- /dev/null
+++ b/internal/handover/state.go
@@ -0,0 +1,83 @@
+// Package handover is what two processes of one gateway agree on while one takes over from the
+// other: who lives, which databases are left out by hand, whether the gateway is to be empty. It
+// lies in the private directory that both are given. state.go decides, without I/O; share.go does
+// the files.
+package handover
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"time"
+)
+
+// version is that of the form; a state of another one is not read.
+const version = 1
+
+// Entry is one operator's word and the moment it was given.
+type Entry struct {
+	On bool  `json:"on"`
+	At int64 `json:"at_us"` // Unix microseconds
+}
+
+// State is all that is agreed on. Of two words on one thing the newer holds, whoever took it.
+type State struct {
+	Version   int              `json:"version"`
+	Suspended map[string]Entry `json:"suspended"`
+	Drained   Entry            `json:"drained"`
+}
+
+// newer tells whether e replaces old. At one moment being out wins: both processes see it alike.
+func (e Entry) newer(old Entry) bool { return e.At > old.At || e.At == old.At && e.On && !old.On }
+
+// merge takes the newer words of o and tells whether there were any.
+func (s *State) merge(o State) (changed bool) {
+	for id, e := range o.Suspended {
+		if e.newer(s.Suspended[id]) {
+			s.Suspended[id] = e
+			changed = true
+		}
+	}
+	if o.Drained.newer(s.Drained) {
+		s.Drained = o.Drained
+		changed = true
+	}
+	return changed
+}
+
+// at is the moment of the newest word.
+func (s *State) at() int64 {
+	newest := s.Drained.At
+	for e := range maps.Values(s.Suspended) {
+		newest = max(newest, e.At)
+	}
+	return newest
+}
+
+// keepBack is how long a database's word "back" is kept: any process has seen it by then.
+const keepBack = 10 * time.Minute
+
+// forget drops words that say nothing any more.
+func (s *State) forget(now time.Duration) {
+	maps.DeleteFunc(s.Suspended, func(_ string, e Entry) bool {
+		return !e.On && e.At < (now-keepBack).Microseconds()
+	})
+}
+
+var errVersion = errors.New("not of this version")
+
+// parse reads a state; a truncated one, or one of another version, is none.
+func parse(text []byte) (State, error) {
+	s := State{}
+	if err := json.Unmarshal(text, &s); err != nil {
+		return State{}, err
+	}
+	if s.Version != version {
+		return State{}, fmt.Errorf("%w: %d, not %d", errVersion, s.Version, version)
+	}
+	if s.Suspended == nil {
+		s.Suspended = map[string]Entry{}
+	}
+	return s, nil
+}
--- a/internal/discovery/http.go
+++ b/internal/http1/response.go
@@ -1,4 +1,6 @@
-package discovery
+// Package http1 parses HTTP/1.1 in place: the answers that discovery gives, and the calls that
+// operators make. It knows bytes only, no sockets.
+package http1
 
 import (
 	"bytes"
@@ -18,24 +20,24 @@
 	mostChunkHead = 256
 )
 
-// response parses one HTTP/1.1 answer in place, as it comes.
-type response struct {
-	headed  bool
-	status  int
+// Response parses one HTTP/1.1 answer in place, as it comes.
+type Response struct {
+	Headed  bool
+	Status  int
 	chunked bool
 	left    int64 // of the body or of the chunk; -1: until the connection ends
 	inChunk bool  // the data of a chunk, and then its line end, are next
 	trailer bool  // the last chunk has come
-	done    bool
+	Done    bool
 }
 
-// feed parses what it can of b and hands body bytes to data. It returns how much of b
+// Feed parses what it can of b and hands body bytes to data. It returns how much of b
 // is dealt with.
-func (r *response) feed(b []byte, data func([]byte) error) (n int, err error) {
-	for !r.done {
+func (r *Response) Feed(b []byte, data func([]byte) error) (n int, err error) {
+	for !r.Done {
 		k := 0
 		switch {
-		case !r.headed:
+		case !r.Headed:
 			k, err = r.head(b[n:])
 		case !r.chunked:
 			k = r.plain(b[n:])
@@ -58,17 +60,17 @@
 	return n, nil
 }
 
-func (r *response) plain(b []byte) int {
+func (r *Response) plain(b []byte) int {
 	k := int64(len(b))
 	if r.left >= 0 {
 		k = min(k, r.left)
 		r.left -= k
-		r.done = !r.chunked && r.left == 0
+		r.Done = !r.chunked && r.left == 0
 	}
 	return int(k)
 }
 
-func (r *response) head(b []byte) (int, error) {
+func (r *Response) head(b []byte) (int, error) {
 	end := bytes.Index(b, []byte("\r\n\r\n"))
 	if end < 0 {
 		if len(b) > mostHead {
@@ -88,31 +90,53 @@
 	if status < 200 { // 100 Continue and its like come before the answer
 		return end + 4, nil
 	}
-	r.headed, r.status, r.left = true, status, -1
-	for len(rest) > 0 {
-		line, rest, _ = bytes.Cut(rest, []byte("\r\n"))
-		name, value, ok := bytes.Cut(line, []byte{':'})
-		if !ok {
-			return 0, fmt.Errorf("%w: %.40q", errHead, line)
-		}
-		value = bytes.TrimSpace(value)
+	r.Headed, r.Status, r.left = true, status, -1
+	err = fields(rest, func(name, value []byte) error {
 		switch {
 		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 			r.chunked = bytes.EqualFold(value, []byte("chunked"))
 		case bytes.EqualFold(name, []byte("Content-Length")):
-			if r.left, err = strconv.ParseInt(string(value), 10, 64); err != nil || r.left < 0 {
-				return 0, fmt.Errorf("%w: %.40q", errHead, line)
-			}
+			return length(value, &r.left)
 		}
+		return nil
+	})
+	if err != nil {
+		return 0, err
 	}
 	if r.chunked {
 		r.left = 0
 	}
-	r.done = !r.chunked && r.left == 0
+	r.Done = !r.chunked && r.left == 0
 	return end + 4, nil
 }
 
-func (r *response) chunkHead(b []byte) (int, error) {
+// fields hands each header field to do; lines end in CRLF.
+func fields(rest []byte, do func(name, value []byte) error) error {
+	for len(rest) > 0 {
+		var line []byte
+		line, rest, _ = bytes.Cut(rest, []byte("\r\n"))
+		name, value, ok := bytes.Cut(line, []byte{':'})
+		if !ok {
+			return fmt.Errorf("%w: %.40q", errHead, line)
+		}
+		if err := do(name, bytes.TrimSpace(value)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// length reads the value of Content-Length.
+func length(value []byte, to *int64) error {
+	n, err := strconv.ParseUint(string(value), 10, 63)
+	if err != nil {
+		return fmt.Errorf("%w: length %.40q", errHead, value)
+	}
+	*to = int64(n)
+	return nil
+}
+
+func (r *Response) chunkHead(b []byte) (int, error) {
 	end := bytes.Index(b, []byte("\r\n"))
 	if end < 0 {
 		if len(b) > mostChunkHead {
@@ -129,7 +153,7 @@
 	return end + 2, nil
 }
 
-func (r *response) chunkEnd(b []byte) (int, error) {
+func (r *Response) chunkEnd(b []byte) (int, error) {
 	if len(b) < 2 {
 		return 0, nil
 	}
@@ -140,7 +164,7 @@
 	return 2, nil
 }
 
-func (r *response) trailing(b []byte) (int, error) {
+func (r *Response) trailing(b []byte) (int, error) {
 	end := bytes.Index(b, []byte("\r\n"))
 	if end < 0 {
 		if len(b) > mostHead {
@@ -148,6 +172,6 @@
 		}
 		return 0, nil
 	}
-	r.done = end == 0
+	r.Done = end == 0
 	return end + 2, nil
 }
--- a/internal/discovery/http_test.go
+++ b/internal/http1/response_test.go
@@ -1,4 +1,4 @@
-package discovery
+package http1
 
 import (
 	"testing"
@@ -33,27 +33,27 @@
 	}
 	for _, tt := range tests {
 		for cut := range len(tt.in) {
-			var r response
+			var r Response
 			var body []byte
 			keep := func(b []byte) error { body = append(body, b...); return nil }
-			n, err := r.feed([]byte(tt.in[:cut]), keep)
+			n, err := r.Feed([]byte(tt.in[:cut]), keep)
 			if err == nil {
-				_, err = r.feed([]byte(tt.in[n:]), keep)
+				_, err = r.Feed([]byte(tt.in[n:]), keep)
 			}
 			assert.ErrorIs(t, err, tt.err, "%s cut at %d", tt.name, cut)
 			assert.Equal(t, tt.body, string(body), "%s cut at %d", tt.name, cut)
-			assert.Equal(t, tt.status, r.status, "%s cut at %d", tt.name, cut)
-			assert.Equal(t, tt.done, r.done, "%s cut at %d", tt.name, cut)
+			assert.Equal(t, tt.status, r.Status, "%s cut at %d", tt.name, cut)
+			assert.Equal(t, tt.done, r.Done, "%s cut at %d", tt.name, cut)
 		}
 	}
 }
 
 func TestHeadsAreBounded(t *testing.T) {
-	var r response
-	_, err := r.feed(make([]byte, mostHead+1), nil)
+	var r Response
+	_, err := r.Feed(make([]byte, mostHead+1), nil)
 	assert.ErrorIs(t, err, errHead)
-	r = response{headed: true, chunked: true}
-	_, err = r.feed(make([]byte, mostChunkHead+1), nil)
+	r = Response{Headed: true, chunked: true}
+	_, err = r.Feed(make([]byte, mostChunkHead+1), nil)
 	assert.ErrorIs(t, err, errChunk)
 }
 
@@ -63,17 +63,17 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"), 7)
 	f.Fuzz(func(t *testing.T, in []byte, cut int) {
 		run := func(parts ...[]byte) (string, bool) {
-			var r response
+			var r Response
 			var body, left []byte
 			for _, p := range parts {
 				left = append(left, p...)
-				n, err := r.feed(left, func(b []byte) error { body = append(body, b...); return nil })
+				n, err := r.Feed(left, func(b []byte) error { body = append(body, b...); return nil })
 				if err != nil {
 					return "", false
 				}
 				left = left[n:]
 			}
-			return string(body), r.done
+			return string(body), r.Done
 		}
 		cut = min(max(cut, 0), len(in))
 		a, doneA := run(in)
--- /dev/null
+++ b/internal/management/management.go
@@ -0,0 +1,206 @@
+// Package management is the operators' address: HTTP/1.1, one call to a connection. It runs on the
+// loop beside the clients, with descriptors of its own, and knows operations by a small interface.
+package management
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"lilaccove/internal/http1"
+	"lilaccove/internal/netloop"
+)
+
+const (
+	// Callers is how many may be connected at once.
+	Callers   = 12
+	callTime  = 3 * time.Second // a call is whole by then, or its caller is let go
+	leaveTime = time.Second     // an answer is read by then
+	inputMost = http1.MostCall + http1.MostBody + 512
+)
+
+// reasons are the phrases of the statuses in use.
+var reasons = map[int]string{
+	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 411: "Length Required",
+	413: "Content Too Large", 431: "Request Header Fields Too Large", 503: "Service Unavailable",
+	505: "HTTP Version Not Supported",
+}
+
+// Operations are what operators may ask for. Everything is called on the loop's goroutine.
+type Operations interface {
+	// Ready tells whether requests are served, or else why not.
+	Ready() (why string, ok bool)
+	// Metrics adds the figures.
+	Metrics(b []byte) []byte
+	// Suspend leaves a database out, or has it serve again, and calls then when that holds;
+	// false: nobody knows the database.
+	Suspend(id string, out bool, then func()) bool
+	// Drain empties the gateway, or has it work again.
+	Drain(on bool)
+}
+
+// Server is all callers.
+type Server struct {
+	loop  *netloop.Loop
+	ops   Operations
+	calls []*call // oldest first
+	bad   netloop.Sparse
+}
+
+// Listen begins to take calls; it returns the address in use.
+func Listen(loop *netloop.Loop, addr netip.AddrPort, ops Operations) (netip.AddrPort, error) {
+	s := &Server{loop: loop, ops: ops}
+	ln, err := loop.ListenReserved(addr, Callers, s.accept, s.makeRoom)
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("management: %w", err)
+	}
+	return ln.Addr, nil
+}
+
+// call is one caller.
+type call struct {
+	s     *Server
+	nc    *netloop.Conn
+	timer *netloop.Timer
+	asked bool // its call is whole
+	said  bool // it has its answer
+}
+
+func (s *Server) accept(nc *netloop.Conn) {
+	s.prune()
+	c := &call{s: s, nc: nc}
+	nc.Handle(c, inputMost)
+	c.timer = s.loop.At(s.loop.Now()+callTime, func() { c.answer(408, "no whole call in time\n") })
+	s.calls = append(s.calls, c)
+}
+
+// prune forgets who is gone.
+func (s *Server) prune() {
+	left := s.calls[:0]
+	for _, c := range s.calls {
+		if c.nc.Open() {
+			left = append(left, c)
+		}
+	}
+	clear(s.calls[len(left):])
+	s.calls = left
+}
+
+// makeRoom closes the connection of who has its answer, else of who has said nothing, or half a call, for
+// longest. Who waits for an answer stays.
+func (s *Server) makeRoom() bool {
+	s.prune()
+	for _, c := range s.calls {
+		if c.said {
+			c.close()
+			return true
+		}
+	}
+	for _, c := range s.calls {
+		if c.nc.Poll(); !c.asked { // what it has sent by now counts
+			c.close()
+			return true
+		}
+	}
+	return false
+}
+
+func (c *call) close() {
+	c.timer.Stop()
+	c.nc.Close()
+}
+
+// Connected is for dialled connections.
+func (c *call) Connected() {}
+
+// Ended tells that the caller is gone; what it asked for has been done.
+func (c *call) Ended(error) { c.timer.Stop() }
+
+// Received carries out a call once it is whole. What follows it is not read.
+func (c *call) Received() {
+	if c.asked {
+		c.nc.Consume(len(c.nc.Input()))
+		return
+	}
+	q, n, err := http1.ParseRequest(c.nc.Input())
+	if bad, ok := err.(*http1.StatusError); ok {
+		c.s.bad.Printf(c.s.loop.Now(), "event=bad_call status=%d err=%q", bad.Status, bad.Why)
+		c.answer(bad.Status, bad.Why+"\n")
+		return
+	}
+	if n > 0 {
+		c.asked = true
+		c.route(q)
+	}
+}
+
+// route finds what was asked for.
+func (c *call) route(q http1.Request) {
+	switch q.Path {
+	case "/v1/readyz":
+		if !c.method(q, "GET") {
+			return
+		}
+		why, ok := c.s.ops.Ready()
+		if ok {
+			c.answer(200, "ready\n")
+		} else {
+			c.answer(503, "not ready: "+why+"\n")
+		}
+	case "/v1/metrics":
+		if c.method(q, "GET") {
+			c.answer(200, string(c.s.ops.Metrics(nil)))
+		}
+	case "/v1/gateway/drain", "/v1/gateway/activate":
+		if c.method(q, "PUT") {
+			c.s.ops.Drain(strings.HasSuffix(q.Path, "drain"))
+			c.answer(200, "ok\n")
+		}
+	default:
+		c.database(q)
+	}
+}
+
+// database handles /v1/databases/ID/suspend and its like.
+func (c *call) database(q http1.Request) {
+	rest, ok := strings.CutPrefix(q.Path, "/v1/databases/")
+	name, verb, two := strings.Cut(rest, "/")
+	if !ok || !two || verb != "suspend" && verb != "resume" {
+		c.answer(404, "no such path\n")
+		return
+	}
+	id, ok := http1.Segment(name)
+	if !ok {
+		c.answer(400, "the database's name is not encoded as a path is\n")
+		return
+	}
+	if !c.method(q, "PUT") {
+		return
+	}
+	if !c.s.ops.Suspend(id, verb == "suspend", func() { c.answer(200, "ok\n") }) {
+		c.answer(404, fmt.Sprintf("no database %q\n", id))
+	}
+}
+
+// method tells whether the call has the method, and answers if not.
+func (c *call) method(q http1.Request, allowed string) bool {
+	if q.Method != allowed {
+		c.reply(405, "Allow: "+allowed+"\r\n", "use "+allowed+"\n")
+	}
+	return q.Method == allowed
+}
+
+func (c *call) answer(status int, body string) { c.reply(status, "", body) }
+
+// reply is the last thing that happens on a connection.
+func (c *call) reply(status int, fields, body string) {
+	c.timer.Stop()
+	if c.said || c.nc.Closed() {
+		return
+	}
+	c.said, c.asked = true, true
+	c.nc.Write(fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s",
+		status, reasons[status], len(body), fields, body))
+	c.nc.Finish(c.s.loop.Now() + leaveTime)
+}
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -25,12 +25,14 @@
 	up       bool
 	in       []byte // read, from r on not yet consumed
 	r        int
-	most     int    // Input holds so much at most; reading stops there until some is consumed
-	out      []byte // accepted by Write, not yet by the kernel
-	sent     int    // of out
-	lost     int    // was pending when the connection ended
-	linger   *Timer // closed by us, waits for the peer to read the rest
-	handing  bool   // Received is running: the input buffer stays
+	most     int       // Input holds so much at most; reading stops there until some is consumed
+	out      []byte    // accepted by Write, not yet by the kernel
+	sent     int       // of out
+	lost     int       // was pending when the connection ended
+	linger   *Timer    // closed by us, waits for the peer to read the rest
+	handing  bool      // Received is running: the input buffer stays
+	of       *Listener // whose own descriptors it is one of; nil: it is one of the loop's
+	flushed  func()    // see OnFlush
 }
 
 // Dial begins to connect. A failure that is known at once is returned; later ones
@@ -121,6 +123,9 @@
 // connection, how much it had not accepted by then.
 func (c *Conn) Pending() int { return len(c.out) - c.sent + c.lost }
 
+// OnFlush has do called whenever the kernel has taken the last byte of what Write had to keep.
+func (c *Conn) OnFlush(do func()) { c.flushed = do }
+
 // Write sends the parts behind all written before, gathered in one call where the kernel
 // has room, and keeps a copy of what it does not accept. An error is told by Ended, in
 // a later round: the caller is not called back from within its own call.
@@ -242,6 +247,8 @@
 	c.out, c.sent = nil, 0
 	if c.linger != nil {
 		_ = unix.Shutdown(c.fd, unix.SHUT_WR)
+	} else if c.flushed != nil {
+		c.flushed()
 	}
 	return nil
 }
@@ -357,6 +364,10 @@
 		c.loop.lingering--
 	}
 	c.loop.release(c.fd)
+	if c.of != nil {
+		c.of.held--
+		c.loop.open++
+	}
 	c.fd, c.lost = -1, c.Pending()
 	c.loop.buffers.put(c.in)
 	c.loop.buffers.put(c.out)
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -42,6 +42,7 @@
 	timers    timers
 	open      int
 	limit     int
+	reserved  int // by listeners with descriptors of their own; not in limit, nor in open
 	buffers   pool
 	stopped   bool
 	lingering int
@@ -83,6 +84,13 @@
 
 func (l *Loop) tick() { l.now = l.epoch + time.Since(l.base) }
 
+// SetLimit changes how many descriptors may be open, those reserved by listeners included. What
+// is open stays open.
+func (l *Loop) SetLimit(descriptors int) { l.limit = descriptors - l.reserved }
+
+// SetBuffers changes how many bytes of buffers there may be.
+func (l *Loop) SetBuffers(bytes int) { l.buffers.most = bytes }
+
 // Spare is how many more descriptors may be opened.
 func (l *Loop) Spare() int { return l.limit - l.open }
 
@@ -118,8 +126,13 @@
 		if err != nil && err != unix.EINTR {
 			return fmt.Errorf("epoll_wait: %w", err)
 		}
-		for i := range max(n, 0) {
-			l.dispatch(&l.events[i])
+		// Who has descriptors of its own goes first: a crowd of others holds it up for a round at most.
+		for _, first := range []bool{true, false} {
+			for i := range max(n, 0) {
+				if e := &l.events[i]; l.reserves(e) == first {
+					l.dispatch(e)
+				}
+			}
 		}
 		l.fire()
 		again = step()
@@ -159,6 +172,11 @@
 	}
 }
 
+func (l *Loop) reserves(e *unix.EpollEvent) bool {
+	s := l.slots[e.Fd]
+	return s.gen == e.Pad && (s.ln != nil && s.ln.reserve > 0 || s.conn != nil && s.conn.of != nil)
+}
+
 func (l *Loop) register(fd int, interest uint32, s slot) error {
 	l.gen++
 	s.gen = l.gen
@@ -174,9 +192,11 @@
 	return nil
 }
 
-// release closes a registered descriptor; that takes it out of epoll as well.
+// release closes a descriptor; that takes it out of epoll as well.
 func (l *Loop) release(fd int) {
-	l.slots[fd] = slot{}
+	if fd < len(l.slots) {
+		l.slots[fd] = slot{}
+	}
 	unix.Close(fd)
 	l.open--
 }
@@ -194,10 +214,14 @@
 
 // Listener accepts connections.
 type Listener struct {
-	loop   *Loop
-	fd     int
-	accept func()
-	Addr   netip.AddrPort // where it listens, the port found where 0 was asked for
+	loop    *Loop
+	fd      int
+	accept  func()
+	shared  bool           // other processes hold it, too
+	reserve int            // descriptors for its connections alone; 0: they come from the loop's
+	held    int            // of reserve
+	room    func() bool    // frees one of them
+	Addr    netip.AddrPort // where it listens, the port found where 0 was asked for
 }
 
 // Listen accepts connections at addr; each is handed to take, which must set its
@@ -207,7 +231,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("socket: %w", err)
 	}
-	ln := &Listener{loop: l, fd: fd}
 	// A gateway that starts again finds connections of its predecessor in TIME_WAIT.
 	err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
 	if err == nil {
@@ -220,10 +243,10 @@
 	if err == nil {
 		bound, err = unix.Getsockname(fd)
 	}
+	ln := &Listener{loop: l, fd: fd, Addr: addrPort(bound)}
+	ln.accept = func() { ln.take(take) }
 	if err == nil {
-		ln.Addr = addrPort(bound)
-		ln.accept = func() { ln.take(take) }
-		err = l.register(fd, unix.EPOLLIN, slot{ln: ln})
+		err = ln.Start()
 	}
 	if err != nil {
 		unix.Close(fd)
@@ -233,9 +256,51 @@
 	return ln, nil
 }
 
+// ListenReserved is Listen with so many descriptors set aside for the connections, which are read
+// before all others. When all are in use room must free one, or the newcomer waits.
+func (l *Loop) ListenReserved(addr netip.AddrPort, most int, take func(*Conn), room func() bool) (*Listener, error) {
+	ln, err := l.Listen(addr, take)
+	if err == nil {
+		ln.reserve, ln.room = most, room
+		l.reserved += most
+		l.limit -= most
+	}
+	return ln, err
+}
+
+// Inherit takes over a listening socket that the process was started with, which other processes
+// may hold as well. It accepts nothing before Start.
+func (l *Loop) Inherit(fd int, addr netip.AddrPort, take func(*Conn)) (*Listener, error) {
+	ln := &Listener{loop: l, fd: fd, shared: true}
+	ln.accept = func() { ln.take(take) }
+	listens, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN)
+	var bound unix.Sockaddr
+	if err == nil {
+		bound, err = unix.Getsockname(fd)
+	}
+	ln.Addr = addrPort(bound)
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
+	case listens == 0:
+		return nil, fmt.Errorf("descriptor %d does not listen", fd)
+	case ln.Addr.Addr() != addr.Addr() || addr.Port() != 0 && ln.Addr.Port() != addr.Port():
+		return nil, fmt.Errorf("descriptor %d listens at %s, not at %s", fd, ln.Addr, addr)
+	}
+	// The flag is shared with all who hold the socket: it is set, and never taken back.
+	if err := unix.SetNonblock(fd, true); err != nil {
+		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
+	}
+	unix.CloseOnExec(fd)
+	return ln, nil
+}
+
+// Start begins to accept.
+func (ln *Listener) Start() error { return ln.loop.register(ln.fd, unix.EPOLLIN, slot{ln: ln}) }
+
 func (ln *Listener) take(take func(*Conn)) {
 	for range acceptMost {
-		if ln.loop.Spare() <= 0 {
+		if ln.reserve == 0 && ln.loop.Spare() <= 0 || ln.reserve > 0 && ln.held >= ln.reserve && !ln.room() {
 			ln.rest()
 			return
 		}
@@ -253,6 +318,11 @@
 		ln.loop.open++
 		if c, err := ln.loop.adopt(fd, unix.EPOLLIN|unix.EPOLLRDHUP); err == nil {
 			c.up = true
+			if ln.reserve > 0 {
+				c.of = ln
+				ln.held++
+				ln.loop.open--
+			}
 			take(c)
 		}
 	}
@@ -272,12 +342,15 @@
 }
 
 // Close takes what is still in the queue, then stops listening: the machine has
-// accepted those connections, and requests may have been written to them.
+// accepted those connections, and requests may have been written to them. A shared queue
+// is left to those who share it.
 func (ln *Listener) Close() {
 	if ln.fd < 0 {
 		return
 	}
-	ln.accept()
+	if !ln.shared {
+		ln.accept()
+	}
 	ln.loop.release(ln.fd)
 	ln.fd = -1
 }
--- /dev/null
+++ b/internal/stats/stats.go
@@ -0,0 +1,61 @@
+// Package stats counts what the operators read: by class, from the start of the process.
+// Nothing here is locked; the loop's goroutine counts and reads.
+package stats
+
+import "strconv"
+
+// Class counts one class of requests.
+type Class struct {
+	Passed     uint64 // served
+	Dropped    uint64 // refused
+	BadGateway uint64 // failed
+	Abandoned  uint64 // their clients left first
+	Tries      uint64 // attempts written whole to databases
+}
+
+// Counters are those of all classes, by number.
+type Counters struct {
+	names   []string
+	classes []Class
+	strays  Class // of a class that nobody named; never shown
+}
+
+// New makes counters at zero for the classes.
+func New(names []string) *Counters {
+	return &Counters{names: names, classes: make([]Class, len(names))}
+}
+
+// Of is where a class is counted.
+func (c *Counters) Of(class int) *Class {
+	if class < 0 || class >= len(c.classes) {
+		return &c.strays
+	}
+	return &c.classes[class]
+}
+
+// Gauges are what holds at the moment.
+type Gauges struct {
+	InProgress, Known, Skipped int
+}
+
+// Append adds all figures, a line each.
+func (c *Counters) Append(b []byte, g Gauges) []byte {
+	line := func(name, class string, value uint64) {
+		b = append(append(b, "edge_gw."...), name...)
+		if class != "" {
+			b = append(append(b, '.'), class...)
+		}
+		b = append(strconv.AppendUint(append(b, '='), value, 10), '\n')
+	}
+	for i, name := range c.names {
+		k := &c.classes[i]
+		line("passed", name, k.Passed)
+		line("dropped", name, k.Dropped)
+		line("bad_gateway", name, k.BadGateway)
+		line("upstream_tries", name, k.Tries)
+	}
+	line("in_progress", "", uint64(max(0, g.InProgress)))
+	line("known_databases", "", uint64(max(0, g.Known)))
+	line("skipped_databases", "", uint64(max(0, g.Skipped)))
+	return b
+}
--- a/policy/herd_test.go
+++ b/policy/herd_test.go
@@ -326,7 +326,7 @@
 	at := func(o Outcome, latency time.Duration) float64 {
 		g.at(time.Second, Members{Kind: ListDelta, Entries: []Member{{Host: "a", StartedAt: g.now}}})
 		q := &request{class: &g.r.set.Classes[loose], Request: Request{Class: loose}}
-		g.r.judge(&attempt{q: q, h: g.r.hosts["a"], sentAt: g.now}, o, latency)
+		g.r.judge(&attempt{q: q, h: g.r.hosts["a"], sentAt: g.now}, o, latency, false)
 		return g.r.ease
 	}
 	for range 8 {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -73,8 +73,7 @@
 	trips    int // of the breaker on this primary without a success between
 	waiting  []*request
 	doubtAt  time.Duration // when its primary came into doubt
-	// Stirred: something changed that may let a waiting request go. Seeking: a timer
-	// for the next probes of seek is set.
+	// Stirred: a waiting request may go. Seeking: a timer for the next probes of seek is set.
 	open, stirred, seeking bool
 }
 
@@ -129,6 +128,7 @@
 	latency  []float64        // by class, of answers, in seconds
 	admit    map[bool]float64 // share of requests sent at all; true: to primaries
 	used     map[*group]bool  // those that requests asked for
+	out      map[HostID]bool  // left out by the operators
 	served   float64          // work answered since then: by a warm host, in the mean of those
 	asked    float64          // work asked for since then, in the mean for a member of a group
 	ease     float64          // 0 to 1: how far cold hosts, all together, answer in good time
@@ -146,8 +146,8 @@
 	r := &Router{
 		set: set, rnd: rand.New(rand.NewPCG(uint64(seed), uint64(len(set.Classes)))),
 		hosts: map[HostID]*host{}, groups: map[GroupID]*group{}, requests: map[RequestID]*request{},
-		marks: map[SessionID]time.Duration{}, used: map[*group]bool{}, timerAt: long, bound: long,
-		admit: map[bool]float64{false: 1, true: 1},
+		marks: map[SessionID]time.Duration{}, used: map[*group]bool{}, out: map[HostID]bool{},
+		timerAt: long, bound: long, admit: map[bool]float64{false: 1, true: 1},
 	}
 	r.wakeAt(0, func() {
 		r.since = r.now
@@ -165,8 +165,8 @@
 	return r, nil
 }
 
-// Step takes what has happened by now and returns what to do about it. Events
-// of one call are of one moment; the slice returned is good until the next call.
+// Step takes what has happened by now and returns what to do about it. Events of one call are of one moment;
+// the slice returned is good until the next call.
 func (r *Router) Step(now time.Duration, events []Event) []Action {
 	r.now, r.actions = max(now, r.now), r.actions[:0]
 	if r.timerAt <= r.now {
@@ -182,6 +182,8 @@
 			r.onResult(e)
 		case Probed:
 			r.onProbed(e)
+		case Suspended:
+			r.onSuspended(e)
 		case Lapsed:
 			if q := r.requests[e.Request]; q != nil {
 				r.finish(q)
@@ -213,8 +215,7 @@
 func (r *Router) do(a Action) { r.actions = append(r.actions, a) }
 
 func (r *Router) wakeAt(at time.Duration, do func()) {
-	later := func(w wake, at time.Duration) int { return cmp.Compare(at, w.at) }
-	i, _ := slices.BinarySearchFunc(r.wakes, at, later)
+	i, _ := slices.BinarySearchFunc(r.wakes, at, func(w wake, t time.Duration) int { return int(t - w.at) })
 	r.wakes = slices.Insert(r.wakes, i, wake{at: at, do: do})
 }
 
@@ -229,14 +230,13 @@
 // Membership and drains.
 
 func (r *Router) onMembers(m Members) {
-	if m.Kind == ListFailed {
-		if r.set.AskForList {
-			r.refused++
+	switch m.Kind {
+	case ListFailed:
+		if r.refused++; r.set.AskForList {
 			r.askForList(askPace << min(r.refused-1, 1))
 		}
 		return
-	}
-	if m.Kind != ListCached {
+	case ListDelta, ListFull:
 		r.refused = 0
 	}
 	listed := map[HostID]bool{}
@@ -270,19 +270,17 @@
 			g = &group{lostAt: r.now}
 			r.groups[e.Group] = g
 		}
-		h = &host{id: e.Host, group: g, startedAt: e.StartedAt, budgetAt: r.now, slow: 1, roleAt: -1}
 		// A random turn: the first reads of all routers are not for the same member.
-		h.judgedAt, h.gap, h.sentAt = r.now, 2*seldom, -time.Duration(r.rnd.Int64N(1<<20))
-		h.limit = 1 + 8/float64(max(r.set.Routers, 1))
+		h = &host{id: e.Host, group: g, roleAt: -1, judgedAt: r.now, gap: 2 * seldom,
+			sentAt: -time.Duration(r.rnd.Int64N(1 << 20))}
+		r.anew(h, e.StartedAt)
 		r.hosts[e.Host] = h
 		r.order = append(r.order, h)
 		g.hosts = append(g.hosts, h)
 	}
 	h.zone = e.Zone
 	if e.StartedAt > h.startedAt {
-		// A restart: its log position stands, all else is to be learnt anew.
-		h.startedAt, h.slow, h.fails = e.StartedAt, 1, 0
-		h.budget, h.budgetAt = 0, r.now
+		r.anew(h, e.StartedAt)
 		r.learnRole(h, Replica, e.StartedAt)
 	}
 	r.setStatus(h, e.Status)
@@ -292,6 +290,37 @@
 	r.stir(h.group)
 }
 
+// anew begins to learn of a process of h: only its log position stands.
+func (r *Router) anew(h *host, startedAt time.Duration) {
+	h.startedAt, h.slow, h.strain, h.fails, h.budget, h.budgetAt = startedAt, 1, 0, 0, 0, r.now
+	h.limit = 1 + 8/float64(max(r.set.Routers, 1))
+}
+
+// onSuspended keeps the operators' word, which the list does not change. Who is back is cold, in any role.
+func (r *Router) onSuspended(e Suspended) {
+	r.out[e.Host] = e.Out
+	if e.Out {
+		r.do(Withdraw{Host: e.Host})
+	}
+	if h := r.hosts[e.Host]; h != nil {
+		r.learnRole(h, Replica, r.now)
+		if r.anew(h, r.now); !e.Out {
+			h.roleAt = -1
+		}
+		r.stir(h.group)
+	}
+}
+
+// Skipped is how many listed hosts get nothing: left out by hand, draining, or primaries of open breakers.
+func (r *Router) Skipped() (n int) {
+	for _, h := range r.order {
+		if h.status != Gone && (!r.mayTake(h, false) || h.group.open && h.group.primary == h) {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *Router) setStatus(h *host, s Status) {
 	if h.status == Healthy {
 		h.toldAt = r.now
@@ -300,11 +329,11 @@
 	h.status = s
 }
 
-// mayTake tells whether the list lets h have new work. A primary that drains
-// still takes writes for part of the grace: it hands over meanwhile.
+// mayTake tells whether the list lets h have new work. A primary that drains still takes writes for part of
+// the grace: it hands over meanwhile.
 func (r *Router) mayTake(h *host, write bool) bool {
-	return h.status == Healthy || h.status == Gone && r.set.GoneIsAdvice && !h.drained ||
-		write && h.status == Draining && r.now-h.toldAt < r.set.DrainGrace/2
+	return !r.out[h.id] && (h.status == Healthy || h.status == Gone && r.set.GoneIsAdvice && !h.drained ||
+		write && h.status == Draining && r.now-h.toldAt < r.set.DrainGrace/2)
 }
 
 // Member state.
@@ -344,8 +373,8 @@
 func (r *Router) onReport(h *host, rep Report) {
 	if rep.HasPosition {
 		r.learnPosition(h, rep.Position)
-		// A primary stands at the present, so its position dates the report; a
-		// replica's report is at least as new as its position.
+		// A primary stands at the present, so its position dates the report; a replica's report is at least
+		// as new as its position.
 		r.learnRole(h, rep.Role, rep.Position)
 	}
 }
@@ -359,22 +388,21 @@
 	return min(1, r.set.StartCapacity+(1-r.set.StartCapacity)*max(0, age))
 }
 
-// work is that of a request of class, in answers of the shortest class: long
-// answers of all classes, as in a jam, make none of them dearer.
+// work is that of a request of class, in answers of the shortest class: long answers of all classes, as in a
+// jam, make none of them dearer.
 func (r *Router) work(class int) float64 { return r.latency[class] / slices.Min(r.latency) }
 
-// coldRoom keeps a cold host h from being pushed over: in any FallTime all routers together must send it
-// less than FallMultiple times what it can do. Whatever is asked of hosts, what they answer bounds what
-// they can do: served, a second and warm host (see judge), adds up over any routers, however uneven, to a
-// warm host's capacity at most. So the budget for h grows by a part of FallMultiple x warmth x served, and
-// saves a quarter of a FallTime's growth at most. The part is coldPart, under a half, for one that has just
-// started: hosts smaller than others and chance have the rest. It rises with the warmth as long as cold hosts
-// answer in good time (ease), for one that is asked for all it can do answers late long before it falls.
-// Where all members are cold, or the router new, nothing is served that could be a measure: a quarter of
-// what is asked for is one, as clients that ask again and a burst make less than four times of what
-// a group can do. A request draws a lot with the budget as its chance and pays it, won or lost: bursts,
-// retries, held requests that draw again and groups with few members to serve change who gets the budget, not
-// its sum, and hundreds of routers with a part of a request each send that sum, not a request each.
+// coldRoom keeps a cold host h from being pushed over: in any FallTime all routers together must send it less
+// than FallMultiple times what it can do. What hosts answer bounds what they can do: served, a second and
+// warm host (see judge), adds up over any routers, however uneven, to a warm host's capacity at most. So the
+// budget for h grows by a part of FallMultiple x warmth x served, and saves a quarter of a FallTime's growth
+// at most. The part is coldPart, under a half, for one that has just started: hosts smaller than others and
+// chance have the rest. It rises with the warmth as long as cold hosts answer in good time (ease), for one
+// that is asked for all it can do answers late long before it falls. Where all members are cold, or the
+// router new, a quarter of what is asked for is the measure: clients that ask again and a burst make less
+// than four times of what a group can do. A request draws a lot with the budget as its chance and pays it,
+// won or lost: bursts, retries and held requests that draw again change who gets the budget, not its sum, and
+// hundreds of routers with a part of a request each send that sum, not a request each.
 func (r *Router) coldRoom(h *host, q *request) bool {
 	w := r.warmth(h)
 	if w >= 1 || r.heavy(q) {
@@ -393,8 +421,8 @@
 // Breaker.
 
 // countFailure counts a failure of the primary; a success resets the count. A primary that loses answers
-// passes its probes: when its breaker opens again without an ordinary success between, probes may close it
-// only after a hold that doubles.
+// passes its probes: when its breaker opens again with no success between, probes close it only after a
+// doubling hold.
 func (r *Router) countFailure(h *host) {
 	if g := h.group; g.primary == h && !g.open {
 		if g.fails++; g.fails >= breakerThreshold {
@@ -471,8 +499,8 @@
 		return
 	}
 	if r.set.Behind == BehindServe && q.lookUntil == 0 && r.look(q) {
-		// Positions age faster than probes come: ask again before the primary
-		// is burdened. Waits a small part of the aim at most.
+		// Positions age faster than probes come: ask again before the primary is burdened. Waits a small part
+		// of the aim at most.
 		q.lookUntil = r.now + q.class.Aim/8
 	}
 	if r.now < q.lookUntil && !q.g.open {
@@ -482,9 +510,9 @@
 	r.routePrimary(q)
 }
 
-// mayTry tells whether q goes to the primary of an open breaker. Where probes bring no role none of them
-// can close it: an answer does, of one request at a time to a primary that has passed a probe since. That
-// is a read, which can go to a replica afterwards; a write only where no read has come for a while.
+// mayTry tells whether q goes to the primary of an open breaker. Where probes bring no role an answer closes
+// it, of one request at a time to a primary that has passed a probe since: a read, or a write where none has
+// come.
 func (r *Router) mayTry(q *request) bool {
 	p, pause := q.g.primary, probeSoon<<min(max(q.g.trips, 1)-1, 5)
 	if q.onlyPrimary() {
@@ -494,8 +522,8 @@
 		r.mayTake(p, q.class.Level == Write) && !q.tried(p) && r.coldRoom(p, q)
 }
 
-// routePrimary sends q to the primary while the breaker is closed. While it is open writes and
-// latest reads are refused at once; other reads wait for a fitting replica until the aim.
+// routePrimary sends q to the primary while the breaker is closed. While it is open writes and latest reads
+// are refused at once; other reads wait for a fitting replica until the aim.
 func (r *Router) routePrimary(q *request) {
 	g, p := q.g, q.g.primary
 	if g.open && r.blind() && r.now-g.openedAt >= 5*probeSoon {
@@ -526,10 +554,10 @@
 	}
 }
 
-// onTheWay is a replica that a write calls at before it goes to the primary, or is refused: the replica
-// turns it away untouched and tells its position and role with that. It is the probe of a site whose probes
-// tell neither. Where a router meets a replica seldom, bounded reads would else fall to the primary once no
-// position is new enough, and stay there, for only a replica's answer could bring a new one.
+// onTheWay is a replica that a write calls at before it goes to the primary, or is refused: turned away
+// untouched it brings position and role, where probes tell neither. Where a router meets a replica seldom,
+// bounded reads would else fall to the primary and stay there, for only a replica's answer could bring a new
+// position.
 func (r *Router) onTheWay(q *request) (best *host) {
 	if q.class.Level != Write || len(q.attempts) > 0 || !r.mute || r.bound == long ||
 		r.set.Routers <= fewRouters {
@@ -538,7 +566,7 @@
 	fresh := false
 	for _, h := range q.g.hosts {
 		switch {
-		case h == q.g.primary || h.status != Healthy || h.fails > 0 && r.now-h.judgedAt < 2*seldom:
+		case h == q.g.primary || !r.mayTake(h, false) || h.fails > 0 && r.now-h.judgedAt < 2*seldom:
 		case h.pos > r.now-r.bound/2:
 			fresh = true
 		case best == nil || h.sentAt < best.sentAt:
@@ -566,10 +594,10 @@
 	return oldest
 }
 
-// room tells whether h may have one more attempt of this router. The limit follows
-// answer times (see judge): many routers together can crowd a host with few attempts
-// each, so it goes below one, as a pause between attempts. Classes worth less for their
-// time leave room to others, where seldom heard of only reads on a primary do.
+// room tells whether h may have one more attempt of this router. The limit follows answer times (see judge):
+// many routers together can crowd a host with few attempts each, so it goes below one, as a pause between
+// attempts. Classes worth less for their time leave room to others, where seldom heard of only reads on a
+// primary.
 func (r *Router) room(h *host, q *request) bool {
 	limit, primary := h.limit, h == h.group.primary
 	if h.gap <= seldom || primary && r.set.Routers > fewRouters { // else the throttle sheds by rank
@@ -637,8 +665,8 @@
 	return left && (!q.mayRun && q.out == 0 || q.class.Repeat == Retryable || inWindow)
 }
 
-// giveUp gives the final answer at once: a refusal where trying again is
-// known to be harmless, else a failure.
+// giveUp gives the final answer at once: a refusal where trying again is known to be harmless, else a
+// failure.
 func (r *Router) giveUp(q *request) {
 	var a Action = Fail{Request: q.ID}
 	if q.class.Repeat == Retryable || q.class.Repeat == DedupAll || !q.mayRun && q.out == 0 {
@@ -671,8 +699,7 @@
 		switch {
 		case h == q.g.primary || q.tried(h) || !r.mayTake(h, false) || !r.room(h, q):
 		case h.pos < r.required(q) && (r.set.Behind == BehindServe || !r.shouldFit(q, h)):
-			// Where hosts check reads themselves it is enough that one should fit,
-			// or all reads would crowd on the member heard of last.
+			// Where hosts check reads it is enough that one should fit, or all would crowd on one.
 		case r.warmth(h) >= 1:
 			fit, least = append(fit, h), min(least, r.cost(h))
 		case r.coldRoom(h, q):
@@ -683,20 +710,16 @@
 	var best *host
 	for _, h := range fit {
 		switch {
-		case r.heavy(q):
-			if best == nil || h.id < best.id {
-				best = h
-			}
-		case r.cost(h) > least*equalCost:
-		case best == nil, near(h) && !near(best), near(h) == near(best) && h.sentAt < best.sentAt:
+		case r.heavy(q) && best != nil && h.id > best.id, !r.heavy(q) && r.cost(h) > least*equalCost:
+		case best == nil, r.heavy(q), near(h) && !near(best), near(h) == near(best) && h.sentAt < best.sentAt:
 			best = h
 		}
 	}
 	return best
 }
 
-// heavy reads run long enough to hold up a replica's log past the tightest bound. All routers
-// put them on the same member of a group, the first by id that has room: the others stay fresh.
+// heavy reads run long enough to hold up a replica's log past the tightest bound. All routers put them on the
+// same member of a group, the first by id that has room: the others stay fresh.
 func (r *Router) heavy(q *request) bool {
 	return q.class.Level == Loose && r.latency[q.Class] > r.bound.Seconds()/2
 }
@@ -708,17 +731,13 @@
 	slow := h.slow
 	if len(h.out) > 0 {
 		// A host that sits on its oldest attempt is as slow as that shows.
-		a := h.out[0]
-		slow = max(slow, (r.now-a.sentAt).Seconds()/r.latency[a.q.Class])
+		slow = max(slow, (r.now-h.out[0].sentAt).Seconds()/r.latency[h.out[0].q.Class])
 	}
 	return slow * float64(len(h.out)+1) * float64(h.fails+1)
 }
 
 func (q *request) onlyPrimary() bool { return q.class.Level == Write || q.class.Level == Latest }
 
-// again tells an error of a request that may have run before.
-func (q *request) again(o Outcome) bool { return o == Error && q.mayRun }
-
 func (q *request) tried(h *host) bool {
 	return slices.ContainsFunc(q.attempts, func(a *attempt) bool { return a.h == h })
 }
@@ -726,16 +745,15 @@
 // Attempts.
 
 // throttle keeps queues short where a router sees each host too rarely to learn its limit: the answers of all
-// replicas, or of all primaries, in time or not, set the share of requests that is sent at all. It holds
-// against any shortage that many quiet routers share; some slow hosts among many make it refuse too much.
+// replicas, or of all primaries, set the share of requests that is sent at all, against a shortage of all.
 func (r *Router) throttle(h *host, factor float64) {
 	if primary := h == h.group.primary; h.gap > seldom {
 		r.admit[primary] = min(1, max(admitLeast, factor*r.admit[primary]))
 	}
 }
 
-// rank is 1 for the class worth most for its time among those that such a host takes,
-// and higher for others, which get less. In worth a second, the root keeps some of each.
+// rank is 1 for the class worth most for its time among those that such a host takes, and higher for others,
+// which get less. In worth a second, the root keeps some of each.
 func (r *Router) rank(class int, primary bool) float64 {
 	value := func(i int) float64 { return cmp.Or(r.set.Classes[i].Worth, 1) / r.latency[i] }
 	most := 0.0
@@ -790,7 +808,7 @@
 	q.out--
 	h.out = slices.DeleteFunc(h.out, func(o *attempt) bool { return o == a })
 	if len(h.out) == 0 && h.gap > seldom {
-		// Idle connections of hundreds of quiet routers fill the hosts' tables, new ones cost them work.
+		// Idle connections of hundreds of quiet routers fill the hosts' tables, new ones cost work.
 		r.wakeAt(h.sentAt+seldom, func() {
 			if len(h.out) == 0 && r.now-h.sentAt >= seldom {
 				r.do(HangUp{Host: h.id})
@@ -800,8 +818,7 @@
 	r.stir(h.group)
 	r.learnRole(h, e.Role, r.now)
 	if e.Outcome == OK && e.Role == Primary {
-		// It stood at the present when it served this, after the sending. A hung
-		// primary still turns work away as primary: that tells nothing of its log.
+		// It stood at the present then. A hung primary turns work away as primary: no word on its log.
 		r.learnPosition(h, a.sentAt)
 	}
 	if e.HasPosition {
@@ -814,8 +831,8 @@
 		}
 		r.learnPosition(h, pos)
 	}
-	again := q.again(e.Outcome)
-	r.judge(a, e.Outcome, e.Latency)
+	again := e.Outcome == Error && q.mayRun // an error of a request that may have run before
+	r.judge(a, e.Outcome, e.Latency, again)
 	q.mayRun = q.mayRun || slices.Contains([]Outcome{Error, Timeout, Reset, Cancelled}, e.Outcome)
 	if !q.mayRun && q.out == 0 {
 		q.mayRunAt = 0
@@ -835,13 +852,16 @@
 }
 
 // judge learns of the host's health.
-func (r *Router) judge(a *attempt, o Outcome, latency time.Duration) {
+func (r *Router) judge(a *attempt, o Outcome, latency time.Duration, again bool) {
 	h, c := a.h, a.q.Class
 	h.gap += time.Duration(smooth * float64(r.now-h.judgedAt-h.gap))
 	h.judgedAt = r.now
 	if r.warmth(h) < 1 && (o == OK || o == Full || o == Timeout) {
-		late := o != OK || latency.Seconds() > strained*a.q.class.Aim.Seconds()
-		r.settle(late)
+		past := min(1, (r.now - r.easeAt).Seconds()) // since the last answer of a cold host
+		r.easeAt = r.now
+		if r.ease = min(1, r.ease+past/8); o != OK || latency.Seconds() > strained*a.q.class.Aim.Seconds() {
+			r.ease = max(0, r.ease-past)
+		}
 	}
 	switch o {
 	case OK:
@@ -873,9 +893,8 @@
 		r.throttle(h, admitFull)
 		r.cutLimit(h)
 	case Error, Timeout, Reset, ConnectFailed:
-		// A read sent late in its aim that ran out of time says nothing of the host,
-		// nor does an error of a request that met one before: it may fail everywhere.
-		if !a.overdue && (o != Timeout || latency >= a.q.class.Aim/2) && !a.q.again(o) {
+		// A read sent late in its aim tells nothing, nor does an error of one that met one before.
+		if !a.overdue && (o != Timeout || latency >= a.q.class.Aim/2) && !again {
 			r.failed(h, o == Timeout)
 		}
 	case Miss:
@@ -887,15 +906,6 @@
 	}
 }
 
-// settle learns from an answer of a cold host, by the time since the last one.
-func (r *Router) settle(late bool) {
-	past := min(1, (r.now - r.easeAt).Seconds())
-	r.easeAt = r.now
-	if r.ease = min(1, r.ease+past/8); late {
-		r.ease = max(0, r.ease-past)
-	}
-}
-
 func (r *Router) failed(h *host, late bool) {
 	if h.fails++; late && h.fails < 3 { // a host that only fails is not short of room
 		r.throttle(h, admitLate)
@@ -919,8 +929,8 @@
 // left tells that h is off the list for good: machines that replace others have new ids.
 func (r *Router) left(h *host) bool { return h.status == Gone && !r.set.GoneIsAdvice }
 
-// forget halves served and the time it covers, drops hosts that left, and marks that replicas
-// are bound to be past; until they are known to be, base stands for them.
+// forget halves served and the time it covers, drops hosts that left, and marks that replicas are bound to be
+// past; until they are known to be, base stands for them.
 func (r *Router) forget() {
 	r.wakeAt(r.now+markAge, r.forget)
 	r.served, r.asked, r.since = r.served/2, r.asked/2, r.now-(r.now-r.since)/2
@@ -940,9 +950,8 @@
 	}
 }
 
-// probeInTurn keeps an eye on every member at the pace of this router's own
-// requests, so that the probes of hundreds of idle routers do not load the
-// hosts: one probe goes to the group in use, the next around all members.
+// probeInTurn keeps an eye on every member at the pace of this router's own requests, so that hundreds of
+// idle routers do not load the hosts: one probe goes to the group in use, the next around all members.
 func (r *Router) probeInTurn(g *group) {
 	if r.probes += probeShare; r.probes < 1 || r.mute {
 		return
@@ -959,11 +968,11 @@
 }
 
 func (r *Router) probe(h *host) {
-	if !r.set.Probes || h.probing || r.left(h) || r.warmth(h) < 1 && r.now-h.probedAt < r.set.FallTime {
-		return
+	soon := r.warmth(h) < 1 && r.now-h.probedAt < r.set.FallTime
+	if r.set.Probes && !h.probing && !r.left(h) && !r.out[h.id] && !soon {
+		h.probing, h.probedAt = true, r.now
+		r.do(Probe{Host: h.id})
 	}
-	h.probing, h.probedAt = true, r.now
-	r.do(Probe{Host: h.id})
 }
 
 // doubt begins to look for the primary of g, or whether it still answers.
@@ -974,10 +983,9 @@
 	}
 }
 
-// seek probes the primary, or every member while the breaker is open or the
-// primary unknown, fast at first, then ever slower. It ends when a primary is
-// known and has answered; the next request that needs one begins it anew.
-// Where probes tell no role only the primary's are of use, and all routers share their cost.
+// seek probes the primary, or every member while the breaker is open or the primary unknown, ever slower. It
+// ends when a primary has answered; the next request that needs one begins it anew. Where probes tell no role
+// only the primary's are of use, and all routers share their cost.
 func (r *Router) seek(g *group) {
 	g.seeking = false
 	all := g.open || g.primary == nil
@@ -999,12 +1007,12 @@
 	}
 }
 
-// look asks the two replicas that are likeliest to fit for their positions, where probes
-// tell any; it tells whether there is one to wait for.
+// look asks the two replicas that are likeliest to fit for their positions, where probes tell any; it tells
+// whether there is one to wait for.
 func (r *Router) look(q *request) bool {
 	var likely []*host
 	for _, i := range r.rnd.Perm(len(q.g.hosts)) {
-		if h := q.g.hosts[i]; h != q.g.primary && h.status == Healthy && !r.mute && r.shouldFit(q, h) {
+		if h := q.g.hosts[i]; h != q.g.primary && r.mayTake(h, false) && !r.mute && r.shouldFit(q, h) {
 			likely = append(likely, h)
 		}
 	}
@@ -1025,15 +1033,13 @@
 	h.probing = false
 	r.stir(h.group)
 	r.onReport(h, e.Report)
-	lost := 1.0
+	lost, mute := 1.0, e.Report.Role == RoleUnknown
 	if e.Outcome == OK || e.Outcome == Full {
-		if lost = 0; e.Report.Role == RoleUnknown {
+		if lost, r.mute = 0, mute; mute {
 			h.upAt = r.now
 		}
-		r.mute = e.Report.Role == RoleUnknown
 	}
-	// Hosts may serve while probes fail: a failed probe counts only after a failed
-	// request, and not while those of hosts without one fail too.
+	// A failed probe counts only after a failed request, and not while those of other hosts fail too.
 	if h.fails == 0 {
 		r.lost += smooth * (lost - r.lost)
 	} else if lost > 0 && h.group.fails > 0 && !r.blind() {
--- a/policy/types.go
+++ b/policy/types.go
@@ -216,14 +216,21 @@
 	}
 	// Elapsed is one of the router's own timers.
 	Elapsed struct{ Timer uint64 }
+	// Suspended tells that the operators leave a host out, or have it serve again: it has
+	// started anew by then, whatever the list says. It holds for hosts the list does not name.
+	Suspended struct {
+		Host HostID
+		Out  bool
+	}
 )
 
-func (Members) event() {}
-func (Request) event() {}
-func (Result) event()  {}
-func (Lapsed) event()  {}
-func (Probed) event()  {}
-func (Elapsed) event() {}
+func (Members) event()   {}
+func (Request) event()   {}
+func (Result) event()    {}
+func (Lapsed) event()    {}
+func (Probed) event()    {}
+func (Elapsed) event()   {}
+func (Suspended) event() {}
 
 // Action is something the router wants done: one of the types below.
 type Action interface{ action() }
@@ -251,6 +258,8 @@
 	Probe struct{ Host HostID }
 	// HangUp closes the idle connections to a host.
 	HangUp struct{ Host HostID }
+	// Withdraw does so, too, and gives back as Moot what waits for a connection to it.
+	Withdraw struct{ Host HostID }
 	// Timer asks for Elapsed.
 	Timer struct {
 		After time.Duration
@@ -268,6 +277,7 @@
 func (Cancel) action()    {}
 func (Probe) action()     {}
 func (HangUp) action()    {}
+func (Withdraw) action()  {}
 func (Timer) action()     {}
 func (Subscribe) action() {}
 func (Log) action()       {}
