--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -20,6 +20,9 @@
 	timer  *netloop.Timer // by which it must be up, or has rested
 	up     bool           // the database has greeted it
 	idleAt time.Duration
+	left   int           // bytes to come of a row that is passed on
+	heard  time.Duration // when the last of them came
+	held   bool          // the client has to read first
 	job    *job
 	answer answer
 }
@@ -31,6 +34,7 @@
 	column []byte // of a probe's row
 	code   string // of an ErrorResponse
 	text   string
+	passed bool // its value is handed on as it comes, and is not kept
 	reply  gateway.Reply
 	digits [20]byte
 	kinds  [len(answered)]byte
@@ -105,7 +109,11 @@
 
 // Received takes in the database's messages.
 func (c *conn) Received() {
-	for !c.nc.Closed() && len(c.nc.Input()) > 0 {
+	for !c.nc.Closed() && !c.held && len(c.nc.Input()) > 0 {
+		if c.left > 0 {
+			c.pass()
+			continue
+		}
 		kind, body, n, err := pgwire.NextAnswer(c.nc.Input())
 		if err == nil && !c.fits(c.nc.Input()[0]) {
 			err = errOrder
@@ -115,7 +123,10 @@
 			return
 		}
 		if n == 0 {
-			return
+			if !c.begin() {
+				return
+			}
+			continue
 		}
 		c.message(kind, body, c.nc.Input()[:n])
 		c.nc.Consume(n)
@@ -125,6 +136,67 @@
 	}
 }
 
+// begin starts to pass on a row that is too large to be collected; false: there is none.
+func (c *conn) begin() bool {
+	n := pgwire.LargeRow(c.nc.Input())
+	if n == 0 || c.job == nil || c.job.attempt == nil {
+		return false
+	}
+	j := c.job
+	if !c.pool.core.Began(j.attempt) {
+		c.pool.abandon(j, policy.Cancelled) // nobody waits for it any more
+		return false
+	}
+	j.timer.Stop()
+	c.left, c.heard = n, c.pool.loop.Now()
+	c.answer.shape, c.answer.passed = append(c.answer.shape, pgwire.DataRow), true
+	c.nc.Widen(streamRead)
+	c.watch()
+	c.hand(c.answer.value)
+	return true
+}
+
+// watch gives a row up that does not go on, other than for the client's sake.
+func (c *conn) watch() {
+	j, now := c.job, c.pool.loop.Now()
+	if c.held {
+		c.heard = now
+	}
+	if now-c.heard >= quietTime {
+		c.pool.abandon(j, policy.Timeout)
+		return
+	}
+	j.timer = c.pool.loop.At(c.heard+quietTime, c.watch)
+}
+
+// pass hands on what has come of a row.
+func (c *conn) pass() {
+	b := c.nc.Input()
+	b = b[:min(len(b), c.left)]
+	c.left -= len(b)
+	c.heard = c.pool.loop.Now()
+	c.hand(b)
+	c.nc.Consume(len(b))
+}
+
+// hand gives bytes to the client, and reads no more while it has enough of them.
+func (c *conn) hand(b []byte) {
+	if !c.pool.core.Part(c.job.attempt, b) {
+		c.held = true
+		c.nc.Pause()
+	}
+}
+
+// resume goes on when the client has read.
+func (c *conn) resume() {
+	if c.held {
+		c.held = false
+		c.heard = c.pool.loop.Now()
+		c.nc.Resume()
+		c.Received()
+	}
+}
+
 // fits tells whether a message of the kind may come now.
 func (c *conn) fits(kind byte) bool {
 	a := &c.answer
@@ -157,7 +229,9 @@
 		}
 	case pgwire.RowDescription, pgwire.DataRow, pgwire.CommandComplete:
 		a.shape = append(a.shape, kind)
-		if c.job.attempt != nil {
+		if a.passed {
+			c.hand(whole)
+		} else if c.job.attempt != nil {
 			a.value = append(a.value, whole...)
 		} else if kind == pgwire.DataRow {
 			col, _ := pgwire.Column(body)
@@ -240,6 +314,7 @@
 		c.host.dialing--
 	} else {
 		c.job = nil
+		c.nc.Widen(0)
 		c.settle(j)
 	}
 	switch {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -18,6 +18,8 @@
 	Resolved(a *gateway.Attempt, o policy.Outcome, r gateway.Reply)
 	Probed(host policy.HostID, o policy.Outcome, r gateway.Reply)
 	Written(a *gateway.Attempt) // its last byte was taken by the kernel
+	Began(a *gateway.Attempt) bool
+	Part(a *gateway.Attempt, b []byte) (more bool)
 }
 
 // Options are what the pool is told once.
@@ -28,7 +30,11 @@
 	Reserve     int           // descriptors left for clients and discovery
 }
 
-const inputMost = pgwire.MostAnswer + 4096 // the largest message fits with its head
+const (
+	inputMost  = pgwire.MostValue + 4096 // the largest message that is collected fits with its head
+	streamRead = 32 << 10                // of a larger one so much is read at once
+	quietTime  = 5 * time.Second         // within which more of it must come
+)
 
 // Pool is all connections to databases.
 type Pool struct {
@@ -128,6 +134,13 @@
 	p.place(j)
 }
 
+// Resume lets an attempt's value go on.
+func (p *Pool) Resume(a *gateway.Attempt) {
+	if j, ok := a.Link.(*job); ok && j.conn != nil {
+		j.conn.resume()
+	}
+}
+
 // Cancel gives an attempt up. The database learns of it by the close.
 func (p *Pool) Cancel(a *gateway.Attempt) {
 	if j, ok := a.Link.(*job); ok {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,12 +23,14 @@
 type Core interface {
 	Take(q *gateway.Request)
 	Gone(q *gateway.Request)
+	More(q *gateway.Request)
 }
 
 const (
 	inputMost  = pgwire.MostMessage + 4096 // one statement, and the head of the next
 	mostAhead  = 32                        // commands of one connection that are not answered yet
 	mostUnread = 256 << 10                 // bytes of answers that it has not read, or that wait for their turns
+	mostPart   = 64 << 10                  // bytes of a value that comes in parts that it has not read
 	sweepTime  = 100 * time.Millisecond
 	freshGrace = 500 * time.Millisecond // for a hello and the query that follows its answer
 	keepSmall  = 4 << 10                // a connection that holds no more is no use against a want of memory
@@ -72,8 +74,9 @@
 	classes map[string]int
 	ids     map[string]struct{} // of open requests, as the clients named them
 	ln      *netloop.Listener
-	open    bool              // it accepts
-	queues  [places]list.List // of *conn
+	open    bool               // it accepts
+	queues  [places]list.List  // of *conn
+	streams map[*conn]struct{} // whose first open answer comes in parts
 	welcome []byte
 	closing bool          // each connection goes as soon as it owes nothing
 	easing  time.Duration // each goes behind its next answer, and idle ones by then; 0: they stay
@@ -85,7 +88,7 @@
 // New makes a front that hands requests to core.
 func New(loop *netloop.Loop, core Core, opt Options) *Front {
 	f := &Front{
-		loop: loop, core: core, opt: opt, classes: map[string]int{}, ids: map[string]struct{}{},
+		loop: loop, core: core, opt: opt, classes: map[string]int{}, ids: map[string]struct{}{}, streams: map[*conn]struct{}{},
 		welcome: pgwire.AppendWelcome(nil),
 	}
 	for i, name := range opt.Classes {
@@ -210,14 +213,33 @@
 	return f.queues[busy].Len() == 0 && f.queues[unread].Len() == 0
 }
 
-// reread finds those that have read their answers: the loop writes out what it kept
-// without a word to the front.
+// reread looks whether those that are slow to read their answers go on reading: progress counts, not the
+// time that it takes.
 func (f *Front) reread() {
 	for _, c := range f.all(unread) {
 		if c.nc.Pending() == 0 {
 			c.serve()
+		} else if c.reads() {
+			f.queues[unread].MoveToBack(c.at)
+			c.since = f.loop.Now()
 		}
 	}
+	for c := range f.streams {
+		if !c.reads() && f.loop.Now()-c.readAt >= limits[unread] {
+			f.bad.Printf(f.loop.Now(), "event=client_closed reason=unread pending=%d", c.nc.Pending())
+			c.cut()
+		}
+	}
+}
+
+// reads tells whether the client has read since the last look, or has nothing to read.
+func (c *conn) reads() bool {
+	n := c.nc.Pending()
+	read := n == 0 || n != c.unread
+	if c.unread = n; read {
+		c.readAt = c.front.loop.Now()
+	}
+	return read
 }
 
 // sweep closes whoever has been at its place too long.
@@ -239,6 +261,7 @@
 func (f *Front) accept(nc *netloop.Conn) {
 	c := &conn{front: f, nc: nc}
 	nc.Handle(c, inputMost)
+	nc.OnFlush(c.flushed)
 	// Clients may hold a limited number of connections, too: idle ones that are kept until
 	// there is no room at all leave them none to ask on. So they go from half of it on.
 	room := f.roomy(f.opt.Most)
@@ -311,7 +334,9 @@
 	calls   []*call // not answered to the client yet
 	kept    int     // bytes of answers that wait for their turns
 	last    bool    // nothing more is taken: the connection ends when all is answered
-	inside  bool    // serve is running: answers that come within it do not call it
+	unread  int     // bytes when reads last looked
+	readAt  time.Duration
+	inside  bool // serve is running: answers that come within it do not call it
 	place   place
 	at      *list.Element
 	since   time.Duration
@@ -352,9 +377,25 @@
 // Received goes on with what the client sent.
 func (c *conn) Received() { c.serve() }
 
+// flushed goes on when the client has read all that was kept for it.
+func (c *conn) flushed() {
+	if len(c.calls) > 0 && c.calls[0].parts {
+		c.front.core.More(c.calls[0].q)
+	} else {
+		c.serve()
+	}
+}
+
+// cut ends a connection on which an answer has begun that will not become whole, or is not read.
+func (c *conn) cut() {
+	c.nc.Close()
+	c.Ended(nil)
+}
+
 // Ended tells that the client is gone.
 func (c *conn) Ended(error) {
 	c.unfile()
+	delete(c.front.streams, c)
 	calls := c.calls
 	c.calls = nil
 	for _, a := range calls {
@@ -533,6 +574,7 @@
 	conn   *conn
 	q      *gateway.Request
 	done   bool   // it has its answer, or nobody waits for one
+	parts  bool   // its value comes in parts
 	kept   []byte // the answer, until those before it are given
 	id     string // as the client named it
 	buffer []byte // the statement's
@@ -563,19 +605,73 @@
 		return
 	}
 	if c.calls[0] != a {
-		a.kept = slices.Concat(message, ready) // the message is good during the call
-		c.kept += len(a.kept)
+		n := len(a.kept)                               // of a value that came in parts
+		a.kept = slices.Concat(a.kept, message, ready) // the message is good during the call
+		c.kept += len(a.kept) - n
 		return
 	}
 	c.nc.Write(message, ready)
-	c.calls = c.calls[1:]
-	for len(c.calls) > 0 && c.calls[0].done {
-		c.nc.Write(c.calls[0].kept)
-		c.kept -= len(c.calls[0].kept)
-		c.calls = c.calls[1:]
+	c.advance()
+}
+
+// Begin tells that a large value comes in parts.
+func (a *call) Begin() {
+	a.parts = true
+	if c := a.conn; !c.nc.Closed() && c.calls[0] == a {
+		c.front.streams[c] = struct{}{}
+		c.readAt = c.front.loop.Now()
 	}
-	if len(c.calls) == 0 {
+}
+
+// Part passes one on when the turn has come, else keeps it and wants no more until then.
+func (a *call) Part(b []byte) (more bool) {
+	c := a.conn
+	if c.nc.Closed() {
+		return false
+	}
+	if c.calls[0] != a {
+		a.kept = append(a.kept, b...)
+		c.kept += len(b)
+		return false
+	}
+	c.nc.Write(b)
+	return c.nc.Pending() < mostPart
+}
+
+// Complete ends a value that came in parts.
+func (a *call) Complete() { a.answer(nil) }
+
+// Broken tells that no more of it comes. The client can tell by the end of the connection.
+func (a *call) Broken() {
+	a.over()
+	if c := a.conn; !c.nc.Closed() {
+		c.front.bad.Printf(c.front.loop.Now(), "event=client_closed reason=%q", "a value broke off")
+		c.cut()
+	}
+}
+
+// advance lets go of the first answer, which is given, and gives those behind it whose turn has come.
+func (c *conn) advance() {
+	delete(c.front.streams, c)
+	for c.calls = c.calls[1:]; len(c.calls) > 0; c.calls = c.calls[1:] {
+		a := c.calls[0]
+		if len(a.kept) > 0 {
+			c.nc.Write(a.kept)
+			c.kept -= len(a.kept)
+			a.kept = nil
+		}
+		if !a.done {
+			break
+		}
+	}
+	switch {
+	case len(c.calls) == 0:
 		c.calls = nil
+	case c.calls[0].parts:
+		c.calls[0].Begin()
+		if c.nc.Pending() < mostPart { // else when it is flushed
+			c.front.core.More(c.calls[0].q)
+		}
 	}
 	c.serve()
 }
--- a/internal/gateway/balance_test.go
+++ b/internal/gateway/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -43,6 +44,11 @@
 					r.next = []policy.Action{policy.Fail{Request: q.id}, policy.Refuse{Request: q.id}}
 				case 2:
 					g.Gone(q)
+					for _, a := range w.cancelled { // as a backend does
+						g.Resolved(a, policy.Cancelled, Reply{})
+						w.sent = slices.DeleteFunc(w.sent, func(o *Attempt) bool { return o == a })
+					}
+					w.cancelled = nil
 				case 3:
 					g.expire(q)
 				case 4, 5:
@@ -61,6 +67,13 @@
 						g.Written(a)
 						g.Written(a)
 					}
+					if rnd.IntN(3) == 0 && g.Began(a) {
+						g.Part(a, []byte("x"))
+						if rnd.IntN(2) == 0 {
+							g.Step()
+							continue // its end comes later, or its client leaves first
+						}
+					}
 					g.Resolved(a, policy.Outcome(rnd.IntN(8)), Reply{})
 					w.sent = append(w.sent[:i], w.sent[i+1:]...)
 				}
@@ -111,3 +124,35 @@
 	assert.Equal(t, []policy.Event{policy.Suspended{Host: "b"}}, r.heard)
 	assert.Equal(t, 4, yes)
 }
+
+// With the first bytes of a large value the request has its answer: the module hears of a served request with the
+// time up to then, no other copy may begin, no deadline ends it; what the end tells of the host is still news.
+func TestValueInParts(t *testing.T) {
+	loop, g, r, w := newWorld(t)
+	q := g.take(w, time.Second)
+	r.next = []policy.Action{policy.Send{Request: q.id, Host: "a"}, policy.Send{Request: q.id, Host: "b"}}
+	g.events = append(g.events, policy.Elapsed{})
+	g.Step()
+	a, b := w.sent[0], w.sent[1]
+	require.True(t, g.Began(a))
+	assert.False(t, g.Began(b), "one copy wins")
+	assert.False(t, g.Began(a))
+	g.Step()
+	require.Len(t, r.heard, 1)
+	e := r.heard[0].(policy.Result)
+	assert.Equal(t, policy.OK, e.Outcome)
+	assert.True(t, e.Finished)
+	assert.Equal(t, loop.Now()-a.sentAt, e.Latency)
+	assert.True(t, g.Part(a, []byte("x")))
+	assert.False(t, g.Part(a, []byte("xyz")), "the client has enough for now")
+	g.More(q)
+	assert.Equal(t, []*Attempt{a}, w.resumed)
+	assert.Equal(t, 1, g.Figures().InProgress)
+	g.Resolved(b, policy.OK, Reply{Value: []byte("second")})
+	g.Resolved(a, policy.OK, Reply{Role: policy.Replica, Position: 7, HasPosition: true})
+	g.More(q)
+	g.Step()
+	assert.Equal(t, []string{"begin", "part x", "part xyz", "complete", "released"}, w.said)
+	assert.Equal(t, policy.Result{Host: "a", Report: policy.Report{Position: 7, HasPosition: true, Role: policy.Replica}}, r.heard[len(r.heard)-1])
+	assert.Zero(t, g.Owed())
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,12 @@
 	Served(value []byte) // the value as the backend gave it, good during the call
 	Refused(retryAfter time.Duration)
 	Failed()
+	// A large value comes in parts instead: Begin, then Part, and at the end Complete, or Broken where
+	// it ended before it was whole. Part tells whether more may come at once; else More asks for it.
+	Begin()
+	Part(b []byte) (more bool)
+	Complete()
+	Broken()
 	Released() // nobody needs the statement any more; the last call
 }
 
@@ -34,6 +40,7 @@
 type Backends interface {
 	Send(a *Attempt)
 	Cancel(a *Attempt)
+	Resume(a *Attempt) // its value may go on
 	Probe(host policy.HostID)
 	HangUp(host policy.HostID)
 	Withdraw(host policy.HostID) // HangUp, and what waits for a connection is given back as Moot
@@ -64,7 +71,8 @@
 	id       policy.RequestID
 	attempts []*Attempt
 	out      int
-	over     bool // it has its answer, or the client is gone
+	over     bool     // it has its answer, or the client is gone
+	stream   *Attempt // whose value is being passed on
 	overdue  *netloop.Timer
 }
 
@@ -80,6 +88,7 @@
 	sentAt time.Duration
 	done   bool
 	whole  bool // its last byte was written
+	told   bool // the module has its result: its value began to be passed on
 }
 
 // Reply is what a backend learned with the end of an attempt or a probe.
@@ -193,6 +202,11 @@
 
 // Gone tells that the client of q has left: nothing more is owed.
 func (g *Gateway) Gone(q *Request) {
+	if a := q.stream; a != nil {
+		g.endStream(q, &g.counts.Of(q.Class).Abandoned)
+		g.backends.Cancel(a)
+		return
+	}
 	if g.end(q) {
 		g.counts.Of(q.Class).Abandoned++
 		g.events = append(g.events, policy.Lapsed{Request: q.id})
@@ -250,6 +264,10 @@
 	a.done = true
 	q := a.q
 	q.out--
+	if a.told {
+		g.ended(a, o, r)
+		return
+	}
 	if o == policy.OK && g.end(q) {
 		g.counts.Of(q.Class).Passed++
 		q.Client.Served(r.Value)
@@ -261,6 +279,60 @@
 	g.release(q)
 }
 
+// Began tells that a large value has begun to come for an attempt; false: nobody waits for it. The
+// request is served as far as the decisions go: other copies are called off, and how fast the client
+// reads the rest says nothing of the host.
+func (g *Gateway) Began(a *Attempt) bool {
+	q := a.q
+	if a.done || q.over {
+		return false
+	}
+	q.over, q.stream, a.told = true, a, true
+	q.overdue.Stop()
+	q.Client.Begin()
+	g.events = append(g.events, policy.Result{
+		Request: q.id, Attempt: a.number, Host: a.Host, Outcome: policy.OK, Latency: g.loop.Now() - a.sentAt, Finished: true,
+	})
+	return true
+}
+
+// Part passes on what has come of a value; false: no more for now.
+func (g *Gateway) Part(a *Attempt, b []byte) (more bool) {
+	return a.q.stream == a && a.q.Client.Part(b)
+}
+
+// More asks for what follows of q's value.
+func (g *Gateway) More(q *Request) {
+	if q.stream != nil {
+		g.backends.Resume(q.stream)
+	}
+}
+
+// ended is Resolved for an attempt whose value was passed on. What it tells of the host is still news.
+func (g *Gateway) ended(a *Attempt, o policy.Outcome, r Reply) {
+	q, count := a.q, g.counts.Of(a.q.Class)
+	switch {
+	case q.stream != a: // the client left before
+	case o == policy.OK:
+		g.endStream(q, &count.Passed)
+		q.Client.Complete()
+	default:
+		g.endStream(q, &count.BadGateway)
+		q.Client.Broken()
+	}
+	if r.HasPosition {
+		told := policy.Report{Position: r.Position, HasPosition: true, Role: r.Role}
+		g.events = append(g.events, policy.Result{Host: a.Host, Report: told})
+	}
+	g.release(q)
+}
+
+func (g *Gateway) endStream(q *Request, count *uint64) {
+	q.stream = nil
+	*count++
+	g.owed--
+}
+
 // Probed tells how a probe ended.
 func (g *Gateway) Probed(host policy.HostID, o policy.Outcome, r Reply) {
 	g.events = append(g.events, policy.Probed{
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -31,15 +31,24 @@
 type world struct {
 	said             []string
 	sent, cancelled  []*Attempt
+	resumed          []*Attempt
 	probed, hungUp   []policy.HostID
 	withdrawn        []policy.HostID
 	listed, askedFor int
 }
 
-func (w *world) Served(value []byte)                 { w.said = append(w.said, "served "+string(value)) }
-func (w *world) Refused(after time.Duration)         { w.said = append(w.said, "refused "+after.String()) }
-func (w *world) Failed()                             { w.said = append(w.said, "failed") }
-func (w *world) Released()                           { w.said = append(w.said, "released") }
+func (w *world) Served(value []byte)         { w.said = append(w.said, "served "+string(value)) }
+func (w *world) Refused(after time.Duration) { w.said = append(w.said, "refused "+after.String()) }
+func (w *world) Failed()                     { w.said = append(w.said, "failed") }
+func (w *world) Released()                   { w.said = append(w.said, "released") }
+func (w *world) Begin()                      { w.said = append(w.said, "begin") }
+func (w *world) Complete()                   { w.said = append(w.said, "complete") }
+func (w *world) Broken()                     { w.said = append(w.said, "broken") }
+func (w *world) Resume(a *Attempt)           { w.resumed = append(w.resumed, a) }
+func (w *world) Part(b []byte) bool {
+	w.said = append(w.said, "part "+string(b))
+	return len(b) < 3
+}
 func (w *world) Send(a *Attempt)                     { w.sent = append(w.sent, a) }
 func (w *world) Cancel(a *Attempt)                   { w.cancelled = append(w.cancelled, a) }
 func (w *world) Probe(h policy.HostID)               { w.probed = append(w.probed, h) }
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -33,6 +33,8 @@
 	handing  bool      // Received is running: the input buffer stays
 	of       *Listener // whose own descriptors it is one of; nil: it is one of the loop's
 	flushed  func()    // see OnFlush
+	paused   bool      // nothing is read
+	least    int       // how large the input buffer is at least
 }
 
 // Dial begins to connect. A failure that is known at once is returned; later ones
@@ -126,6 +128,21 @@
 // OnFlush has do called whenever the kernel has taken the last byte of what Write had to keep.
 func (c *Conn) OnFlush(do func()) { c.flushed = do }
 
+// Pause stops reading: what comes waits with the peer. Input may hold some already.
+func (c *Conn) Pause() {
+	c.paused = true
+	c.want()
+}
+
+// Resume reads on.
+func (c *Conn) Resume() {
+	c.paused = false
+	c.want()
+}
+
+// Widen has the input buffer hold so many bytes from the next read on.
+func (c *Conn) Widen(least int) { c.least = least }
+
 // Write sends the parts behind all written before, gathered in one call where the kernel
 // has room, and keeps a copy of what it does not accept. An error is told by Ended, in
 // a later round: the caller is not called back from within its own call.
@@ -288,7 +305,9 @@
 		if c.fd < 0 {
 			return nil
 		}
-		c.Consume(0)
+		if c.Consume(0); c.paused {
+			return nil
+		}
 		if n < len(room) {
 			return nil // level-triggered: an end behind it is told in the next round
 		}
@@ -316,8 +335,12 @@
 // space is where the next read goes; nil if the input is full or memory is short: a read
 // into no room returns nothing, which would pass for the peer's close.
 func (c *Conn) space() []byte {
+	if len(c.in) == 0 && cap(c.in) < c.least {
+		c.loop.buffers.put(c.in)
+		c.in = nil
+	}
 	if c.in == nil {
-		if c.in = c.loop.buffers.get(1); c.in == nil {
+		if c.in = c.loop.buffers.get(max(1, c.least)); c.in == nil {
 			return nil
 		}
 	}
@@ -340,7 +363,10 @@
 		return
 	}
 	interest := uint32(unix.EPOLLRDHUP)
-	if len(c.Input()) < c.most || c.linger != nil {
+	switch {
+	case c.paused && c.linger == nil:
+		interest = 0 // an end of the peer's may stand behind much that is not read yet
+	case len(c.Input()) < c.most || c.linger != nil:
 		interest |= unix.EPOLLIN
 	}
 	if c.Pending() > 0 {
--- a/internal/pgwire/message.go
+++ b/internal/pgwire/message.go
@@ -10,12 +10,12 @@
 	"strconv"
 )
 
-// MostValue is the largest value the platform names; a statement carries it as hex.
-// Databases have been seen to answer with several times as much.
+// MostValue is the largest value that is collected whole; a statement carries it as hex.
+// Databases answer with up to 4 MiB, and more than MostAnswer is none of theirs.
 const (
 	MostValue   = 64 << 10
 	MostMessage = 2*MostValue + 16<<10
-	MostAnswer  = 500 << 10
+	MostAnswer  = 16 << 20
 	mostStartup = 10_000 // as PostgreSQL itself bounds it
 )
 
@@ -105,6 +105,18 @@
 	return kind, body, n, nil
 }
 
+// LargeRow is the length with its head of a row that begins b and is too large to be collected, once so
+// much of it has come that NextAnswer has checked its lengths; else 0.
+func LargeRow(b []byte) int {
+	if len(b) < 11 || b[0] != DataRow {
+		return 0
+	}
+	if n := 1 + int(binary.BigEndian.Uint32(b[1:])); n > 11+MostValue {
+		return n
+	}
+	return 0
+}
+
 func wellFormed(kind byte, body []byte) bool {
 	switch kind {
 	case AuthRequest:
