Take statements of up to 8 MiB in pieces; judge slow packets by progress

Need: values of up to 4 MiB are written as well as read; over 144 KiB the answer was 08P01. A packet cut in small parts had 2 s in all, however well it went on.

Change: front/pieces.go collects a large statement in buffers that its parts fill, within a sixth of the memory by the lengths declared; backend writes it on as the kernel takes it, and what was not written whole has not run. A packet that has begun has 2.5 s from its last bytes, 10 s in all unless it is a large statement; a silent connection goes after 2.6 s.

--- a/cmd/lilaccove/large_test.go
+++ b/cmd/lilaccove/large_test.go
@@ -1,8 +1,13 @@
 package main
 
 import (
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
+	"os"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -191,3 +196,148 @@
 	s.eventually("nothing is in progress", func() bool { return s.figure("in_progress") == 0 })
 	assert.Zero(t, s.figure("passed.write"))
 }
+
+// large is a write of n bytes of value; it begins with its head comment.
+func large(n int) string {
+	return strings.Replace(stmt("write", 2900, ""), `\x9f03`, `\x`+strings.Repeat("9f", n), 1)
+}
+
+// Statements of any size come to the database byte for byte but for d, wherever the network cuts them, and small
+// ones go on before and behind them.
+func TestLargeStatements(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, managed)
+	c := s.client()
+	d := regexp.MustCompile(`,d=(\d+),`)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for _, n := range []int{pgwire.MostValue, pgwire.MostMessage / 2, pgwire.MostMessage/2 + 1000, 500 << 10, 4 << 20} {
+		text := large(n)
+		before, message := len(s.p.seen()), query(text)+query(stmt("write", 2900, ""))
+		for len(message) > 0 {
+			cut := min(len(message), 1+rnd.IntN(1<<rnd.IntN(20)))
+			c.write(message[:cut])
+			message = message[cut:]
+		}
+		assert.Equal(t, "p", c.read().value, "%d bytes", n)
+		assert.Equal(t, "p", c.read().value, "the one behind it")
+		seen := s.p.seen()
+		require.Equal(t, before+2, len(seen))
+		got, _ := largest(seen[before:])
+		assert.True(t, d.ReplaceAllString(got, ",d=,") == d.ReplaceAllString(text, ",d=,"), "%d bytes are not what was sent", n)
+	}
+	assert.Equal(t, 10, s.figure("upstream_tries.write"))
+}
+
+func largest(list []string) (text string, at int) {
+	for i, s := range list {
+		if len(s) > len(text) {
+			text, at = s, i
+		}
+	}
+	return text, at
+}
+
+// What cannot be read in a large statement is an error, whether it shows at its head or at its end, and the connection
+// goes on where its end is known.
+func TestBadLargeStatements(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, managed)
+	text := large(200 << 10)
+	for name, bad := range map[string]string{
+		"no head": "SELECT '" + strings.Repeat("x", 300<<10) + "'", "unknown class": strings.Replace(text, "c=write", "c=other", 1),
+		"a zero in the middle": text[:200<<10] + "\x00" + text[200<<10:],
+	} {
+		c := s.client()
+		got := c.ask(bad)
+		assert.Equal(t, "08P01", got.code, name)
+		assert.Equal(t, "p", c.ask(text).value, name)
+		text = large(200 << 10)
+	}
+	c := s.client()
+	c.write("Q\x02\x00\x00\x00") // 32 MiB
+	assert.Equal(t, "08P01", c.read().code)
+	assert.Empty(t, s.a.seen())
+}
+
+// An attempt that breaks before the whole statement is written has never run: it is sent again, from the bytes that
+// are held. Behind the last byte it may have run, and is not.
+func TestLargeStatementThatBreaksOff(t *testing.T) {
+	t.Parallel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	s := newSite(t, managed)
+	// A primary that resets the first connection in the midst of the statement.
+	go func() {
+		for i := 0; ; i++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				if i > 0 {
+					s.p.serve(c)
+					return
+				}
+				_, _ = c.Read(make([]byte, 1024))
+				_, _ = c.Write(pgwire.AppendWelcome(nil))
+				_, _ = io.CopyN(io.Discard, c, 64<<10)
+				_ = c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+			}()
+		}
+	}()
+	moved := &database{t: t, name: "p", addr: ln.Addr().String(), role: "primary"}
+	s.disc.changes <- list(2, false, entry(moved, "in_service", 0))
+	s.eventually("it has moved", func() bool {
+		c := s.client()
+		got := c.ask(large(4 << 20))
+		return got.value == "p" && s.figure("upstream_tries.write") > 0
+	})
+	assert.Equal(t, s.figure("upstream_tries.write"), len(s.p.seen()), "the one that broke off is not counted as written")
+	assert.Zero(t, s.figure("bad_gateway.write"))
+}
+
+// Many large statements at once stay within the memory they may have: some wait for the others, those for which it takes
+// too long are refused, and the gateway's memory is bounded by its limit all the while.
+func TestLargeStatementsShareMemory(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, func(s *site) { s.managed, s.memory = true, 64 })
+	text := query(large(2 << 20))
+	var held []*client
+	for range 2 { // both take room and do not end
+		c := s.client()
+		c.write(text[:len(text)-1])
+		held = append(held, c)
+	}
+	waits := s.client()
+	waits.write(query(large(4 << 20))[:100<<10])
+	for _, c := range held {
+		c.write("\x00")
+		assert.Equal(t, "p", c.read().value)
+	}
+	var all []*client
+	for range 24 {
+		c := s.client()
+		go func() { _, _ = io.WriteString(c.c, query(large(2<<20))) }()
+		all = append(all, c)
+	}
+	served := 0
+	for _, c := range all {
+		got := c.read()
+		if got.value == "p" {
+			served++
+		} else {
+			assert.True(t, got.code == "53300" || got.ended, "%+v", got)
+		}
+	}
+	assert.Positive(t, served)
+	text2, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.cmd.Process.Pid))
+	require.NoError(t, err)
+	m := regexp.MustCompile(`VmHWM:\s+(\d+) kB`).FindSubmatch(text2)
+	peak, _ := strconv.Atoi(string(m[1]))
+	t.Logf("served %d of 24, peak %d KiB", served, peak)
+	assert.Less(t, peak, 64<<10+racePart)
+	waits.c.Close()
+	assert.Equal(t, "p", s.client().ask(large(4<<20)).value, "the room is given back")
+}
--- /dev/null
+++ b/cmd/lilaccove/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package main
+
+const racePart = 0
--- a/cmd/lilaccove/operations_test.go
+++ b/cmd/lilaccove/operations_test.go
@@ -207,7 +207,7 @@
 func (s *site) successor() *site {
 	next := &site{
 		t: s.t, p: s.p, a: s.a, b: s.b, disc: s.disc, exited: make(chan error, 1), log: &bytes.Buffer{}, settings: s.settings,
-		sockets: s.sockets, config: s.config, listen: s.listen, tmp: s.tmp, managed: true, inherited: s.inherited,
+		sockets: s.sockets, memory: s.memory, config: s.config, listen: s.listen, tmp: s.tmp, managed: true, inherited: s.inherited,
 	}
 	next.start()
 	return next
--- a/cmd/lilaccove/rig_test.go
+++ b/cmd/lilaccove/rig_test.go
@@ -241,6 +241,7 @@
 	logMu    sync.Mutex
 	settings string
 	sockets  int
+	memory   int    // MB
 	config   string // the path of its file
 
 	listen    string   // in its file
@@ -254,7 +255,7 @@
 func newSite(t *testing.T, change func(*site)) *site {
 	s := &site{
 		t: t, p: newDatabase(t, "p", "primary"), a: newDatabase(t, "a", "replica"), b: newDatabase(t, "b", "replica"),
-		disc: newDiscovery(t), exited: make(chan error, 1), log: &bytes.Buffer{}, settings: testSettings, sockets: 256,
+		disc: newDiscovery(t), exited: make(chan error, 1), log: &bytes.Buffer{}, settings: testSettings, sockets: 256, memory: 192,
 		listen: "127.0.0.1:0", tmp: t.TempDir(),
 	}
 	known := list(1, true, entry(s.p, "in_service", 0), entry(s.a, "in_service", 0), entry(s.b, "in_service", 0))
@@ -315,7 +316,7 @@
 func (s *site) configure(discovery, known string) {
 	text, err := json.Marshal(map[string]any{
 		"name": "n1", "listen": s.listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": s.sockets},
+		"limits": map[string]any{"cores": 1, "memory_mb": s.memory, "sockets": s.sockets},
 		"known":  json.RawMessage(known), "settings": json.RawMessage(s.settings),
 	})
 	require.NoError(s.t, err)
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -23,6 +24,7 @@
 	left   int           // bytes to come of a row that is passed on
 	heard  time.Duration // when the last of them came
 	held   bool          // the client has to read first
+	body   [][]byte      // of a large statement, what is still to be written
 	job    *job
 	answer answer
 }
@@ -93,18 +95,30 @@
 	left := (j.until - c.pool.loop.Now() + time.Millisecond - 1) / time.Millisecond
 	digits := pgwire.AppendMillis(c.answer.digits[:0], int64(max(1, left)))
 	before, behind := st.Head.Around(st.Text)
-	head := pgwire.QueryHead(len(before) + len(digits) + len(behind) + 1)
-	c.nc.Write(head[:], before, digits, behind, zero)
+	head := pgwire.QueryHead(st.Length() - len(st.Text) + len(before) + len(digits) + len(behind) + 1)
+	if len(st.More) == 0 {
+		c.nc.Write(head[:], before, digits, behind, zero)
+	} else {
+		c.nc.Write(head[:], before, digits, behind)
+		c.body = append(slices.Clone(st.More), zero)
+	}
 	c.written()
 }
 
-// written tells of a statement whose last byte the kernel has.
+// written goes on with a large statement as the kernel takes it, and tells of one whose last byte it has.
 func (c *conn) written() {
-	if c.job != nil && c.job.attempt != nil && c.nc.Pending() == 0 {
+	for len(c.body) > 0 && c.nc.Pending() == 0 {
+		c.nc.Write(c.body[0])
+		c.body = c.body[1:]
+	}
+	if c.job != nil && c.job.attempt != nil && !c.owes() {
 		c.pool.core.Written(c.job.attempt)
 	}
 }
 
+// owes tells whether a part of the statement is not with the kernel: it cannot run.
+func (c *conn) owes() bool { return len(c.body) > 0 || c.nc.Pending() > 0 }
+
 var zero = []byte{0}
 
 // Received takes in the database's messages.
@@ -372,7 +386,7 @@
 		switch {
 		case c.answer.whole():
 			c.settle(j)
-		case c.nc.Pending() > 0:
+		case c.owes():
 			c.pool.finish(j, policy.ConnectFailed, gateway.Reply{})
 		default:
 			c.pool.finish(j, policy.Reset, gateway.Reply{})
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -283,7 +283,7 @@
 // answer may yet come on it. What was not written whole cannot have run.
 func (p *Pool) abandon(j *job, o policy.Outcome) {
 	if c := j.conn; c != nil {
-		if c.nc.Pending() > 0 {
+		if c.owes() {
 			o = policy.ConnectFailed
 		}
 		c.job = nil
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -32,6 +32,9 @@
 	mostUnread = 256 << 10                 // bytes of answers that it has not read, or that wait for their turns
 	mostPart   = 64 << 10                  // bytes of a value that comes in parts that it has not read
 	sweepTime  = 100 * time.Millisecond
+	longest    = 10 * time.Second       // that a packet may take from its first byte on, unless it is a large statement
+	goesOn     = 1 << 10                // bytes of a large statement that must come for its time to begin anew
+	pieceMost  = 64 << 10               // of a large statement read at once
 	freshGrace = 500 * time.Millisecond // for a hello and the query that follows its answer
 	keepSmall  = 4 << 10                // a connection that holds no more is no use against a want of memory
 )
@@ -51,9 +54,10 @@
 )
 
 // limits are how long a connection may stay in its place. Who connects and does not ask
-// is owed an error or a close within 3 s; the protocol lets idle ones be closed after 2 s.
+// is owed an error or a close within 3 s, but may take 2 s for a head; the protocol lets idle ones be
+// closed after 2 s. A packet that has begun has its time from the last bytes that came.
 var limits = [places]time.Duration{
-	fresh: 2 * time.Second, partial: 2 * time.Second, unread: 10 * time.Second, idle: 5 * time.Second,
+	fresh: 2600 * time.Millisecond, partial: 2500 * time.Millisecond, unread: 10 * time.Second, idle: 5 * time.Second,
 	leaving: 2 * time.Second,
 }
 
@@ -64,6 +68,7 @@
 	Classes []string // their names, by number
 	Most    int      // clients at once
 	Reserve int      // descriptors left for databases and discovery
+	Large   int      // bytes of statements over pgwire.MostMessage at once
 }
 
 // Front is all connections of clients.
@@ -77,6 +82,8 @@
 	open    bool               // it accepts
 	queues  [places]list.List  // of *conn
 	streams map[*conn]struct{} // whose first open answer comes in parts
+	large   int                // bytes of large statements, those to come included
+	queued  []*conn            // their large statements have no room yet
 	welcome []byte
 	closing bool          // each connection goes as soon as it owes nothing
 	easing  time.Duration // each goes behind its next answer, and idle ones by then; 0: they stay
@@ -250,6 +257,11 @@
 	for p := fresh; p < places; p++ {
 		for e := f.queues[p].Front(); e != nil && e.Value.(*conn).since+limits[p] <= now; e = f.queues[p].Front() {
 			c := e.Value.(*conn)
+			if slices.Contains(f.queued, c) {
+				c.fatal(pgwire.CodeTooManyConnections, "too many large statements at once; nothing has run")
+				c.serve()
+				continue
+			}
 			if p != idle && p != leaving {
 				f.bad.Printf(now, "event=client_closed reason=slow started=%t pending=%d", c.started, c.nc.Pending())
 			}
@@ -329,12 +341,14 @@
 type conn struct {
 	front   *Front
 	nc      *netloop.Conn
-	started bool    // it has said hello
-	asked   bool    // it has sent a whole query
-	calls   []*call // not answered to the client yet
-	kept    int     // bytes of answers that wait for their turns
-	last    bool    // nothing more is taken: the connection ends when all is answered
-	unread  int     // bytes when reads last looked
+	started bool          // it has said hello
+	asked   bool          // it has sent a whole query
+	calls   []*call       // not answered to the client yet
+	kept    int           // bytes of answers that wait for their turns
+	last    bool          // nothing more is taken: the connection ends when all is answered
+	pieces  *pieces       // of a large statement that has not come whole
+	begun   time.Duration // when it came to its place, whatever since says
+	unread  int           // bytes when reads last looked
 	readAt  time.Duration
 	inside  bool // serve is running: answers that come within it do not call it
 	place   place
@@ -352,16 +366,36 @@
 		p = busy
 	case c.nc.Pending() > 0:
 		p = unread
+	case c.pieces != nil:
+		p = partial
 	case !c.asked:
 		p = fresh
 	case len(c.nc.Input()) > 0:
 		p = partial
 	}
-	if c.at == nil || p != c.place {
+	now := c.front.loop.Now()
+	switch {
+	case c.at == nil || p != c.place:
 		c.unfile()
-		c.place, c.since = p, c.front.loop.Now()
+		c.place, c.since, c.begun = p, now, now
 		c.at = c.front.queues[p].PushBack(c)
+	case p == partial && c.goesOn(now), p == fresh && c.started && len(c.nc.Input()) > 0 && c.goesOn(now):
+		c.since = now
+		c.front.queues[p].MoveToBack(c.at)
+	}
+}
+
+// goesOn tells whether more has come of a packet that is not whole, so that it may take longer.
+func (c *conn) goesOn(now time.Duration) bool {
+	if c.pieces == nil {
+		return now-c.begun < longest-limits[partial]
 	}
+	got := c.pieces.got + len(c.nc.Input())
+	more := got >= c.pieces.seen+goesOn
+	if more {
+		c.pieces.seen = got
+	}
+	return more
 }
 
 func (c *conn) unfile() {
@@ -395,6 +429,7 @@
 // Ended tells that the client is gone.
 func (c *conn) Ended(error) {
 	c.unfile()
+	c.dropPieces()
 	delete(c.front.streams, c)
 	calls := c.calls
 	c.calls = nil
@@ -451,6 +486,9 @@
 	if !c.started {
 		return c.hello(in)
 	}
+	if c.pieces != nil || pgwire.LargeQuery(in) > 0 {
+		return c.collect()
+	}
 	kind, body, n, err := pgwire.Next(in, pgwire.MostMessage)
 	if err != nil {
 		c.fatal(pgwire.CodeProtocolViolation, err.Error())
@@ -505,37 +543,57 @@
 		return true
 	}
 	var head pgwire.Head
+	var class int
 	if err == nil {
-		head, err = pgwire.ParseHead(text)
-	}
-	class, known := c.front.classes[string(head.Class)]
-	if err == nil && !known {
-		err = fmt.Errorf("unknown class %q", head.Class)
-	}
-	if _, open := c.front.ids[string(head.ID)]; open && err == nil {
-		err = errOpen // databases would take one of the two for the other
+		head, class, err = c.head(text)
 	}
 	if err != nil {
-		c.front.bad.Printf(c.front.loop.Now(), "event=bad_query err=%q", err)
 		c.nc.Consume(n)
-		c.say(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeProtocolViolation, err.Error(), "")))
+		c.bad(err)
 		return true
 	}
+	// The buffer goes with the request: the statement is written out from where it was
+	// read, and the head's places count from the start of its text.
+	buffer := c.nc.Take(n)
+	c.take(class, &pgwire.Statement{Text: buffer[n-len(body) : n-1], Head: head}, [][]byte{buffer}, 0)
+	return true
+}
+
+// head reads the comment that heads a statement, and finds its class.
+func (c *conn) head(text []byte) (head pgwire.Head, class int, err error) {
+	if head, err = pgwire.ParseHead(text); err != nil {
+		return head, 0, err
+	}
+	class, known := c.front.classes[string(head.Class)]
+	if !known {
+		return head, 0, fmt.Errorf("unknown class %q", head.Class)
+	}
+	if _, open := c.front.ids[string(head.ID)]; open {
+		err = errOpen // databases would take one of the two for the other
+	}
+	return head, class, err
+}
+
+// bad answers a statement that cannot be taken.
+func (c *conn) bad(err error) {
+	c.front.bad.Printf(c.front.loop.Now(), "event=bad_query err=%q", err)
+	c.say(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeProtocolViolation, err.Error(), "")))
+}
+
+// take hands a statement to the core. Its buffers are given back when nobody needs them.
+func (c *conn) take(class int, st *pgwire.Statement, buffers [][]byte, large int) {
+	head := &st.Head
 	q := &gateway.Request{
 		Class: class, Group: policy.GroupID(head.Cluster), Session: session(head.Key),
 		After:    time.Duration(head.After) * time.Millisecond,
 		Deadline: c.front.loop.Now() + time.Duration(head.Millis)*time.Millisecond,
 	}
-	// The buffer goes with the request: the statement is written out from where it was
-	// read, and the head's places count from the start of its text.
 	id := string(head.ID)
 	c.front.ids[id] = struct{}{}
-	buffer := c.nc.Take(n)
-	a := &call{conn: c, q: q, id: id, buffer: buffer}
-	q.Client, q.Statement = a, &pgwire.Statement{Text: buffer[n-len(body) : n-1], Head: head}
+	a := &call{conn: c, q: q, id: id, buffers: buffers, large: large}
+	q.Client, q.Statement = a, st
 	c.calls = append(c.calls, a)
 	c.front.core.Take(q)
-	return true
 }
 
 // session is the number of the session that a key names.
@@ -566,18 +624,20 @@
 
 func (c *conn) close() {
 	c.unfile()
+	c.dropPieces()
 	c.nc.Close()
 }
 
 // call is the front's side of one request.
 type call struct {
-	conn   *conn
-	q      *gateway.Request
-	done   bool   // it has its answer, or nobody waits for one
-	parts  bool   // its value comes in parts
-	kept   []byte // the answer, until those before it are given
-	id     string // as the client named it
-	buffer []byte // the statement's
+	conn    *conn
+	q       *gateway.Request
+	done    bool     // it has its answer, or nobody waits for one
+	parts   bool     // its value comes in parts
+	kept    []byte   // the answer, until those before it are given
+	id      string   // as the client named it
+	buffers [][]byte // the statement's
+	large   int      // bytes it has of what large statements may have
 }
 
 // Served passes the value on, whole, as the database gave it.
@@ -686,6 +746,11 @@
 
 // Released gives the statement's buffer back.
 func (a *call) Released() {
-	a.conn.front.loop.Free(a.buffer)
-	a.buffer = nil
+	f := a.conn.front
+	for _, b := range a.buffers {
+		f.loop.Free(b)
+	}
+	a.buffers = nil
+	f.freeLarge(a.large)
+	a.large = 0
 }
--- a/internal/pgwire/head.go
+++ b/internal/pgwire/head.go
@@ -146,4 +146,14 @@
 type Statement struct {
 	Text []byte
 	Head Head
+	More [][]byte // what follows Text, of one that came in pieces
+}
+
+// Length is that of the whole text.
+func (s *Statement) Length() int {
+	n := len(s.Text)
+	for _, b := range s.More {
+		n += len(b)
+	}
+	return n
 }
--- a/internal/pgwire/message.go
+++ b/internal/pgwire/message.go
@@ -15,6 +15,7 @@
 const (
 	MostValue   = 64 << 10
 	MostMessage = 2*MostValue + 16<<10
+	MostQuery   = 2*(4<<20) + 16<<10 // one over MostMessage is collected in pieces
 	MostAnswer  = 16 << 20
 	mostStartup = 10_000 // as PostgreSQL itself bounds it
 )
@@ -73,6 +74,18 @@
 	return b[0], b[5 : 1+size], 1 + size, nil
 }
 
+// LargeQuery is the length with its head of a Query that begins b, is longer than MostMessage and not too
+// long; else 0.
+func LargeQuery(b []byte) int {
+	if len(b) < 5 || b[0] != Query {
+		return 0
+	}
+	if n := int(int32(binary.BigEndian.Uint32(b[1:]))); n > MostMessage && n <= MostQuery {
+		return 1 + n
+	}
+	return 0
+}
+
 // answerMost is how long the messages of an answer may be.
 var answerMost = [256]int{
 	AuthRequest: 8, BackendKey: 12, CommandComplete: 68, DataRow: MostAnswer, ErrorMsg: 16 << 10, Notice: 16 << 10,
