--- /dev/null
+++ b/cmd/lilaccove/slow_test.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"io"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lilaccove/internal/pgwire"
+)
+
+// Where the network cuts what a client sends does not matter: each byte comes by itself.
+func TestClientByteByByte(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, managed)
+	c := s.raw()
+	all := string(pgwire.Startup("api", "ledger")) + query("") + query(stmt("write", 2900, "")) + query(stmt("write", 2900, ",r=1"))
+	for i := range len(all) {
+		c.write(all[i : i+1])
+	}
+	c.read()
+	assert.True(t, c.read().empty)
+	assert.Equal(t, "p", c.read().value)
+	assert.Equal(t, "p", c.read().value)
+	assert.Equal(t, 2, len(s.p.seen()))
+}
+
+// A packet that goes on may take longer than one that does not: a statement whose parts come over more than its first
+// limit is served, and the client that stops in the middle is let go.
+func TestSlowPacketsGoOn(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, managed)
+	text := query(stmt("write", 2900, ""))
+	slow, stopped := s.client(), s.client()
+	stopped.write(text[:20])
+	at := 0
+	for begun := time.Now(); time.Since(begun) < 3*time.Second; time.Sleep(100 * time.Millisecond) {
+		slow.write(text[at : at+1])
+		at++
+	}
+	assert.True(t, stopped.read().ended)
+	slow.write(text[at:])
+	assert.Equal(t, "p", slow.read().value)
+}
+
+// A thousand clients that send their queries byte by byte, far more than there are descriptors, and forget to go on, keep
+// nobody out: whoever asks is served all the while.
+func TestTricklingClientsKeepNobodyOut(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, func(s *site) { s.managed, s.sockets = true, 128 })
+	c := s.client()
+	s.meet(c)
+	rnd := rand.New(rand.NewPCG(3, 4))
+	hello := string(pgwire.Startup("api", "ledger"))
+	for range 1000 {
+		x := s.raw()
+		text := hello + query(stmt("write", 2900, ""))
+		_, _ = io.WriteString(x.c, text[:1+rnd.IntN(len(text)-1)]) // it may have been closed for others
+		if rnd.IntN(20) == 0 {
+			got := s.client().ask(stmt("own", 2000, ""))
+			require.NotEmpty(t, got.value, "%+v", got)
+		}
+	}
+	assert.True(t, s.ready())
+	assert.NotEmpty(t, s.client().ask(stmt("own", 2000, "")).value)
+}
