--- a/policy/policy.go
+++ b/policy/policy.go
@@ -284,8 +284,11 @@
 		r.learnRole(h, Replica, e.StartedAt)
 	}
 	r.setStatus(h, e.Status)
-	if e.Primary && r.set.ListRole != ListRoleNone && h.group.primary == nil && h.roleAt < 0 {
-		r.learnRole(h, Primary, 0)
+	// Whom the late list names has been primary. That counts while no other that may take work is known.
+	if old := h.group.primary; e.Primary && r.set.ListRole != ListRoleNone &&
+		(old == nil || !r.mayTake(old, true)) && h.roleAt < max(0, r.now-r.set.MustAskIn) {
+		h.group.primary = nil
+		r.learnRole(h, Primary, max(0, h.roleAt))
 	}
 	r.stir(h.group)
 }
@@ -329,8 +332,7 @@
 	h.status = s
 }
 
-// mayTake tells whether the list lets h have new work. A primary that drains still takes writes for part of
-// the grace: it hands over meanwhile.
+// mayTake tells whether h may have new work. A primary that drains takes writes while it hands over.
 func (r *Router) mayTake(h *host, write bool) bool {
 	return !r.out[h.id] && (h.status == Healthy || h.status == Gone && r.set.GoneIsAdvice && !h.drained ||
 		write && h.status == Draining && r.now-h.toldAt < r.set.DrainGrace/2)
@@ -373,8 +375,7 @@
 func (r *Router) onReport(h *host, rep Report) {
 	if rep.HasPosition {
 		r.learnPosition(h, rep.Position)
-		// A primary stands at the present, so its position dates the report; a replica's report is at least
-		// as new as its position.
+		// A primary stands at the present, which dates its report; a replica's is as new as its position.
 		r.learnRole(h, rep.Role, rep.Position)
 	}
 }
@@ -582,7 +583,7 @@
 // leastKnown is the member whose role was heard of longest ago, where only a write can ask for it: turned
 // away it ran nowhere, and the answer tells the role.
 func (r *Router) leastKnown(q *request) (oldest *host) {
-	if r.set.Probes && !r.mute || q.class.Level != Write || q.missed {
+	if r.set.Probes && !r.mute || q.class.Level != Write {
 		return nil
 	}
 	for _, h := range q.g.hosts {
@@ -844,7 +845,7 @@
 	case q.out > 0:
 	case again: // it is the request that fails, most likely: no third try
 		r.giveUp(q)
-	case q.missed && (q.g.primary == nil || q.tried(q.g.primary)), e.Outcome == Full && a.h == q.g.primary:
+	case q.missed && q.g.primary != nil && q.tried(q.g.primary), e.Outcome == Full && a.h == q.g.primary:
 		r.giveUp(q) // retries must not add load where there is no capacity left
 	default:
 		r.route(q)
