--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,10 @@
-.PHONY: build test lint run
+.PHONY: build tools test lint run
 
 build:
-	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
+	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/lilaccove ./cmd/adapter
+
+tools:
+	mkdir -p bin && go build -o bin/ ./cmd/lilacload
 
 test:
 	go test ./...
--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -50,3 +50,14 @@
 	}
 	require.True(t, found, "no C library among %v", libs)
 }
+
+// The tools beside the gateway use libraries; the gateway and the adapter gain no weight from them.
+func TestTheProgramsDependOnFewModules(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", "-f", "{{with .Module}}{{.Path}}{{end}}", "../cmd/lilaccove", "../cmd/adapter").Output()
+	require.NoError(t, err)
+	found := map[string]bool{}
+	for _, path := range strings.Fields(string(out)) {
+		found[path] = true
+	}
+	require.Equal(t, map[string]bool{"lilaccove": true, "golang.org/x/sys": true}, found)
+}
--- /dev/null
+++ b/internal/load/run/report.go
@@ -0,0 +1,143 @@
+package run
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"lilaccove/internal/load/plan"
+)
+
+// ID names a plan with its schedule: reports that differ in it are of different runs.
+func ID(p *plan.Plan, schedule int) string {
+	text, _ := json.Marshal(p)
+	return fmt.Sprintf("%x", sha256.Sum256(fmt.Appendf(text, "%d", schedule)))[:16]
+}
+
+// Text writes the report for a person.
+func (r *Report) Text(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 2, 8, 2, ' ', tabwriter.AlignRight)
+	head := "class\tstage\tcount\tin aim\tlate\trefused\tfailed\tgave up\tno conn\tmissed\tp50\tp99\tp99.9\tmax\tservice p50\tp99\t\n"
+	fmt.Fprint(t, head)
+	for _, row := range append(r.Rows, r.Total) {
+		c := row.Counts
+		fmt.Fprintf(t, "%s\t%s\t%d\t%.1f%%\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", row.Class, row.Stage, row.Count,
+			100*float64(c[InAim])/float64(max(1, row.Count)), c[Late], c[Refused]+c[RefusedFor], c[Failed]+c[BadAnswer], c[GaveUp], c[NoConn], c[Missed],
+			row.Latency[0], row.Latency[2], row.Latency[3], row.Latency[4], row.Service[0], row.Service[2])
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "\nlatencies in ms from the intended moment, of what was served; service from the real sending\n")
+	fmt.Fprintf(w, "goodput %.3f of the worth asked for; %d of %d arrivals handed out\n", r.Goodput, r.Sent, r.Schedule)
+	fmt.Fprintf(w, "the generator's own lateness: p50 %.2f ms, p99 %.2f ms, at most %.2f ms; the bound is %v\n",
+		r.Lateness[0], r.Lateness[2], r.Lateness[4], r.Bound)
+	if r.Partial {
+		fmt.Fprintln(w, "PARTIAL: the run was ended early")
+	}
+	if r.Invalid {
+		fmt.Fprintln(w, "INVALID: the generator was late itself; its latencies are not the gateway's alone")
+		for _, s := range r.Stalls {
+			fmt.Fprintf(w, "  at %.3f s by %v\n", s.At.Seconds(), s.Late)
+		}
+	}
+	for _, f := range r.Faults {
+		fmt.Fprintln(w, "FAULT: "+f)
+	}
+	return nil
+}
+
+// Compare sets two reports of one plan side by side.
+func Compare(w io.Writer, a, b *Report) error {
+	if a.PlanID != b.PlanID {
+		return fmt.Errorf("the reports are of different plans (%s and %s)", a.PlanID, b.PlanID)
+	}
+	t := tabwriter.NewWriter(w, 2, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(t, "class\tstage\tin aim A\tB\tchange\tp50 A\tB\tp99 A\tB\t\n")
+	find := func(r *Report, x Row) Row {
+		for _, y := range append(r.Rows, r.Total) {
+			if x.Class == y.Class && x.Stage == y.Stage {
+				return y
+			}
+		}
+		return Row{Latency: make([]float64, len(Percentiles))}
+	}
+	for _, x := range append(a.Rows, a.Total) {
+		y := find(b, x)
+		p := 100 * float64(x.Counts[InAim]) / float64(max(1, x.Count))
+		q := 100 * float64(y.Counts[InAim]) / float64(max(1, y.Count))
+		fmt.Fprintf(t, "%s\t%s\t%.1f%%\t%.1f%%\t%+.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", x.Class, x.Stage, p, q, q-p, x.Latency[0], y.Latency[0], x.Latency[2], y.Latency[2])
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "goodput %.3f and %.3f (%+.3f)\n", a.Goodput, b.Goodput, b.Goodput-a.Goodput)
+	for name, r := range map[string]*Report{"A": a, "B": b} {
+		if r.Invalid || r.Partial {
+			fmt.Fprintf(w, "%s is not to be trusted: invalid=%t partial=%t\n", name, r.Invalid, r.Partial)
+		}
+	}
+	return nil
+}
+
+// Plots writes two pictures: latency by percentile, and service over time with stages and events.
+func (r *Report) Plots(prefix string) error {
+	curve := plot.New()
+	curve.Title.Text, curve.X.Label.Text, curve.Y.Label.Text = "Latency by percentile", "percentile", "ms"
+	var latency, service plotter.XYs
+	for _, p := range r.Curve {
+		latency = append(latency, plotter.XY{X: p.Percentile, Y: p.Latency})
+		service = append(service, plotter.XY{X: p.Percentile, Y: p.Service})
+	}
+	if err := plotutil.AddLines(curve, "from the intended moment", latency, "from the real sending", service); err != nil {
+		return err
+	}
+	curve.Legend.Top, curve.Legend.Left = true, true
+	if err := curve.Save(18*vg.Centimeter, 11*vg.Centimeter, prefix+"-latency.png"); err != nil {
+		return err
+	}
+	over := plot.New()
+	over.Title.Text, over.X.Label.Text, over.Y.Label.Text = "Service over time", "s", "requests a second"
+	var offered, served plotter.XYs
+	top := 0.0
+	for i, s := range r.Seconds {
+		offered = append(offered, plotter.XY{X: float64(i) + 0.5, Y: float64(s.Offered)})
+		served = append(served, plotter.XY{X: float64(i) + 0.5, Y: float64(s.Served)})
+		top = max(top, float64(s.Offered))
+	}
+	if err := plotutil.AddLines(over, "offered", offered, "served in aim", served); err != nil {
+		return err
+	}
+	var at plotter.XYLabels
+	mark := func(x, y float64, label string) {
+		line, err := plotter.NewLine(plotter.XYs{{X: x, Y: 0}, {X: x, Y: top}})
+		if err == nil {
+			line.Dashes = []vg.Length{vg.Points(2), vg.Points(3)}
+			over.Add(line)
+		}
+		at.XYs, at.Labels = append(at.XYs, plotter.XY{X: x, Y: y}), append(at.Labels, label)
+	}
+	for _, s := range r.Stages {
+		mark(s.Begin, top*1.02, s.Name)
+	}
+	for _, e := range r.Events {
+		mark(e.At.Seconds(), top*1.08, strings.TrimSpace(e.Do))
+	}
+	if len(at.XYs) > 0 {
+		labels, err := plotter.NewLabels(at)
+		if err != nil {
+			return err
+		}
+		over.Add(labels)
+	}
+	over.Y.Min, over.Y.Max = 0, top*1.15+1
+	return over.Save(24*vg.Centimeter, 11*vg.Centimeter, prefix+"-service.png")
+}
--- /dev/null
+++ b/internal/standin/discovery.go
@@ -0,0 +1,141 @@
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// discovery serves the list and its changes.
+type discovery struct {
+	w    *World
+	addr string
+	srv  *http.Server
+	stop chan struct{}
+}
+
+type listing struct {
+	Seq   int     `json:"seq"`
+	Whole bool    `json:"whole"`
+	Hosts []entry `json:"hosts"`
+}
+
+type entry struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMS int64   `json:"born_ms"`
+	Role   string  `json:"role"`
+}
+
+func (h *Host) entry() entry {
+	e := entry{Host: h.ID, Dial: h.ln.Addr().String(), Site: "a", Class: "m", Block: h.Group, Health: h.health, Share: 1, Role: "replica"}
+	if h.primary {
+		e.Role = "primary"
+	}
+	if !h.born.IsZero() {
+		e.BornMS = h.born.UnixMilli()
+	}
+	return e
+}
+
+// List is the whole list as discovery would tell it now.
+func (w *World) List() []byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.list()
+}
+
+func (w *World) list() []byte {
+	l := listing{Seq: w.seq, Whole: true}
+	for _, h := range w.hosts {
+		l.Hosts = append(l.Hosts, h.entry())
+	}
+	b, _ := json.Marshal(l)
+	return b
+}
+
+// tell passes a change on to all that watch. One that does not read is let go: it asks again.
+func (w *World) tell(h *Host) {
+	w.seq++
+	b, _ := json.Marshal(listing{Seq: w.seq, Hosts: []entry{h.entry()}})
+	for ch := range w.watch {
+		select {
+		case ch <- b:
+		default:
+			delete(w.watch, ch)
+			close(ch)
+		}
+	}
+}
+
+func newDiscovery(w *World) (*discovery, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	d := &discovery{w: w, addr: ln.Addr().String(), stop: make(chan struct{})}
+	d.srv = &http.Server{Handler: d}
+	w.wg.Add(1)
+	go func() {
+		defer w.wg.Done()
+		_ = d.srv.Serve(ln)
+	}()
+	return d, nil
+}
+
+func (d *discovery) close() {
+	close(d.stop)
+	d.srv.Close()
+}
+
+func (d *discovery) ServeHTTP(out http.ResponseWriter, q *http.Request) {
+	if q.URL.Path != "/api/targets" {
+		http.NotFound(out, q)
+		return
+	}
+	if q.URL.Query().Get("watch") == "" {
+		_, _ = out.Write(append(d.w.List(), '\n'))
+		return
+	}
+	after, _ := strconv.Atoi(q.URL.Query().Get("after"))
+	ch := make(chan []byte, 256)
+	d.w.mu.Lock()
+	first := []byte("\n")
+	if after != d.w.seq {
+		first = append(d.w.list(), '\n') // what changed is not kept: the whole list
+	}
+	d.w.watch[ch] = true
+	d.w.mu.Unlock()
+	defer func() {
+		d.w.mu.Lock()
+		delete(d.w.watch, ch)
+		d.w.mu.Unlock()
+	}()
+	_, _ = out.Write(first)
+	tick := time.NewTicker(2 * time.Second)
+	defer tick.Stop()
+	for {
+		_ = http.NewResponseController(out).Flush()
+		select {
+		case b, on := <-ch:
+			if !on {
+				return
+			}
+			_, _ = out.Write(b) // shared with all who watch
+			_, _ = out.Write([]byte{'\n'})
+		case <-tick.C:
+			_, _ = out.Write([]byte{'\n'})
+		case <-q.Context().Done():
+			return
+		case <-d.stop:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,287 @@
+// Package standin is a world to try gateways in: databases in groups and the discovery service that lists
+// them, in one process, on loopback ports. It is written from the platform's protocol and counts what ran by
+// id, so that it finds by itself a write that ran twice or a read of data too old. It is ordinary Go, for tests
+// and experiments; the gateway does not use it.
+package standin
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Options are the world.
+type Options struct {
+	Groups, Members int
+	Cores, Queue    int           // of a database: statements at work, and those that wait
+	Service         time.Duration // mean time of a statement
+	Exponential     bool          // drawn, else always the mean
+	Lag             time.Duration // of replicas
+	Cold            time.Duration // how long a new database takes to get from a quarter of its speed to all
+	Bounds          map[string]time.Duration
+	Seed            uint64
+}
+
+// Faults are shares of the answers that go wrong. All are zero at first.
+type Faults struct {
+	ResetBefore float64 // the connection ends before the statement has been read whole
+	ResetAfter  float64 // the statement runs, then the connection ends
+	Silence     float64 // it runs, and nothing is said
+	Spoil       float64 // it runs, and the answer cannot be read
+	Errors      float64 // XX000; half of those have run
+}
+
+// Counts are what happened in the world.
+type Counts struct {
+	Reads, Writes      int // that ran
+	Duplicates         int // writes that ran a second time
+	Stale              int // reads answered from data older than their class or session allows
+	Misses, Full       int
+	Foreign            int // statements that no client of the protocol sends
+	Drained            int // statements begun on a database two seconds after it was to get nothing new
+	Connections        int
+	StaleIDs, TwiceIDs []string // the first of them
+}
+
+// World is all databases and their discovery.
+type World struct {
+	opt Options
+	mu  sync.Mutex
+	rnd *rand.Rand
+
+	hosts  []*Host
+	seq    int
+	named  int
+	watch  map[chan []byte]bool
+	ran    map[string]int
+	counts Counts
+	faults Faults
+	closed bool
+	done   chan struct{} // closed at the end
+	wg     sync.WaitGroup
+	disc   *discovery
+}
+
+// Host is one database.
+type Host struct {
+	w       *World
+	ID      string
+	Group   int
+	ln      net.Listener
+	primary bool
+	health  string
+	told    time.Time // when it was to get nothing new
+	born    time.Time // zero: long ago
+	lag     time.Duration
+	applied time.Time // never goes back
+	slots   chan struct{}
+	waiting int
+	paused  chan struct{} // closed when it goes on; nil: it runs
+	conns   map[net.Conn]bool
+}
+
+// New starts a world.
+func New(opt Options) (*World, error) {
+	w := &World{opt: opt, rnd: rand.New(rand.NewPCG(opt.Seed, 0x73746e64)), watch: map[chan []byte]bool{}, ran: map[string]int{}, seq: 1, done: make(chan struct{})}
+	for g := range opt.Groups {
+		for m := range opt.Members {
+			if _, err := w.add(g, m == 0, time.Time{}); err != nil {
+				w.Close()
+				return nil, err
+			}
+		}
+	}
+	var err error
+	if w.disc, err = newDiscovery(w); err != nil {
+		w.Close()
+		return nil, err
+	}
+	return w, nil
+}
+
+// add starts a database.
+func (w *World) add(group int, primary bool, born time.Time) (*Host, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("stand-in: %w", err)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.named++
+	h := &Host{
+		w: w, ID: fmt.Sprintf("s-%04x", w.named), Group: group, ln: ln, primary: primary, health: "in_service", born: born, lag: w.opt.Lag,
+		slots: make(chan struct{}, w.opt.Cores), conns: map[net.Conn]bool{},
+	}
+	w.hosts = append(w.hosts, h)
+	w.wg.Add(1)
+	go h.accept()
+	return h, nil
+}
+
+// Discovery is where the list is asked for.
+func (w *World) Discovery() string { return w.disc.addr }
+
+// Counts are what has happened so far.
+func (w *World) Counts() Counts {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := w.counts
+	c.StaleIDs, c.TwiceIDs = slices.Clone(c.StaleIDs), slices.Clone(c.TwiceIDs)
+	return c
+}
+
+// SetFaults has answers go wrong from now on.
+func (w *World) SetFaults(f Faults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = f
+}
+
+// draw tells whether something of this probability happens.
+func (w *World) draw(p float64) bool { return p > 0 && w.rnd.Float64() < p }
+
+// some are a share of the databases in service, those of one group never all.
+func (w *World) some(part float64) (list []*Host) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []*Host
+	for _, h := range w.hosts {
+		if h.health == "in_service" {
+			all = append(all, h)
+		}
+	}
+	for _, i := range w.rnd.Perm(len(all)) {
+		if len(list) < int(part*float64(len(all))+0.5) {
+			list = append(list, all[i])
+		}
+	}
+	return list
+}
+
+// Lag has a share of the replicas fall behind.
+func (w *World) Lag(part float64, lag time.Duration) {
+	for _, h := range w.some(part) {
+		w.mu.Lock()
+		h.lag = max(lag, w.opt.Lag)
+		w.mu.Unlock()
+	}
+}
+
+// Pause has a share of the databases stand still, their connections open, until the function is called.
+func (w *World) Pause(part float64) (resume func()) {
+	list := w.some(part)
+	on := make(chan struct{})
+	w.mu.Lock()
+	for _, h := range list {
+		h.paused = on
+	}
+	w.mu.Unlock()
+	return func() {
+		w.mu.Lock()
+		for _, h := range list {
+			if h.paused == on {
+				h.paused = nil
+			}
+		}
+		w.mu.Unlock()
+		close(on)
+	}
+}
+
+// Replace drains one database, hands its part as primary over, starts another in its place and takes it off the list.
+// It is the step of a rolling deploy; stop ends it early.
+func (w *World) Replace(h *Host, drain time.Duration, stop <-chan struct{}) error {
+	w.mu.Lock()
+	h.health, h.told = "terminating", time.Now()
+	w.tell(h)
+	w.mu.Unlock()
+	if !sleep(drain/4, stop) {
+		return nil
+	}
+	w.handOver(h)
+	next, err := w.add(h.Group, false, time.Now())
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	w.tell(next)
+	w.mu.Unlock()
+	if !sleep(drain*3/4, stop) {
+		return nil
+	}
+	w.mu.Lock()
+	h.health = "terminated"
+	w.tell(h)
+	w.hosts = slices.DeleteFunc(w.hosts, func(o *Host) bool { return o == h })
+	w.mu.Unlock()
+	h.close()
+	return nil
+}
+
+// handOver makes the replica that has most of the log the primary in h's place.
+func (w *World) handOver(h *Host) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !h.primary {
+		return
+	}
+	var best *Host
+	for _, o := range w.hosts {
+		if o != h && o.Group == h.Group && o.health == "in_service" && (best == nil || o.lag < best.lag) {
+			best = o
+		}
+	}
+	if best == nil {
+		return
+	}
+	h.primary, best.primary = false, true
+	w.tell(best)
+}
+
+// Members are the databases now.
+func (w *World) Members() []*Host {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.hosts)
+}
+
+// Close ends the world; every connection is closed and every goroutine has ended when it returns.
+func (w *World) Close() {
+	w.mu.Lock()
+	if !w.closed {
+		close(w.done)
+	}
+	w.closed = true
+	hosts := slices.Clone(w.hosts)
+	w.mu.Unlock()
+	for _, h := range hosts {
+		h.close()
+	}
+	if w.disc != nil {
+		w.disc.close()
+	}
+	w.wg.Wait()
+}
+
+func (h *Host) close() {
+	h.ln.Close()
+	h.w.mu.Lock()
+	defer h.w.mu.Unlock()
+	for c := range h.conns {
+		c.Close()
+	}
+}
+
+func sleep(d time.Duration, stop <-chan struct{}) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-stop:
+		return false
+	}
+}
