--- a/internal/fleet/membership/machine_test.go
+++ b/internal/fleet/membership/machine_test.go
@@ -50,11 +50,32 @@
 	}
 }
 
+// A suspicion that ran out while its process stood still is not carried out: the refutation may lie unread, or the
+// suspected one has not been told.
+func TestStoppedWithADoubt(t *testing.T) {
+	w := joined(t, 3, 8)
+	n := w.nodes[3]
+	e := n.m.members["n006"].Entry
+	e.State, e.By = Suspect, "n003"
+	require.True(t, n.m.suspect(n.m.members["n006"], e))
+	n.m.finish()
+	w.after(n)
+	w.stop(3, 12*time.Second)
+	w.run(20 * time.Second)
+	for _, d := range w.deaths {
+		assert.Equal(t, "n003", d.name)
+	}
+	assert.True(t, w.agreed(8))
+}
+
 func TestOneWayCutKillsNobody(t *testing.T) {
 	w := joined(t, 4, 8)
 	w.cut = func(from, to int) bool { return from == 2 && to == 6 }
 	w.run(30 * time.Second)
-	assert.Empty(t, w.deaths, "helpers reach whom a link does not")
+	assert.Empty(t, w.deaths)
+	for _, n := range w.nodes {
+		assert.Zero(t, n.m.Counts().Suspicions, "helpers reach whom a link does not")
+	}
 	assert.True(t, w.agreed(8))
 }
 
