Let gateways of a fleet file know each other: peer links on the loop, figures, members

Needed so that choices of many gateways can add up. UDP in netloop (bounded share of the loop's time), envelopes in CBOR with version, fleet and checksum, whole lists over TCP, GET /v1/fleet/members, edge_gw.fleet_* figures, graceful leave on SIGTERM and drain. The fleet file is refused where Allowed.Peers is not true; without one there is no socket and no timer.

The checked reader of YAML moves from load plans to internal/yamlfile, as the fleet file is read with it. A closed listener with descriptors of its own gives its reserve back.

--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"log"
 	"net/netip"
@@ -18,10 +19,12 @@
 
 	"lilaccove/internal/backend"
 	"lilaccove/internal/discovery"
+	"lilaccove/internal/fleet"
 	"lilaccove/internal/front"
 	"lilaccove/internal/gateway"
 	"lilaccove/internal/management"
 	"lilaccove/internal/netloop"
+	"lilaccove/internal/peer"
 	"lilaccove/internal/settings"
 	"lilaccove/internal/stats"
 	"lilaccove/policy"
@@ -46,13 +49,19 @@
 
 func main() {
 	log.SetFlags(log.Lmicroseconds)
-	if err := run(); err != nil {
+	fleetFile := flag.String("fleet", "", "the fleet `file`, by which gateways know of each other; before $GW_FLEET")
+	flag.Parse()
+	if flag.NArg() > 0 {
+		log.Printf("event=stopped err=%q", "arguments are not read; the configuration is at $GW_CONFIG")
+		os.Exit(2)
+	}
+	if err := run(*fleetFile); err != nil {
 		log.Printf("event=stopped err=%q", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
+func run(fleetFile string) error {
 	// From the first moment on: a signal that nobody has asked for would end the process.
 	signals := make(chan os.Signal, 16)
 	signal.Notify(signals, unix.SIGTERM, unix.SIGINT, unix.SIGHUP)
@@ -72,6 +81,10 @@
 	if err != nil {
 		return err
 	}
+	party, err := loadFleet(fleetFile, os.Getenv, set)
+	if err != nil {
+		return err
+	}
 	memory := tune(cfg.Limits.MemoryMB)
 	sockets := descriptors(cfg.Limits.Sockets)
 
@@ -101,6 +114,11 @@
 		loop: loop, front: clients, core: core, watch: watch, pool: pool, counts: counts,
 		memory: memory, sockets: sockets, begunAt: loop.Now(),
 	}
+	if party != nil {
+		if ops.links, err = peer.New(loop, cfg.Name, party, loop.Now()); err != nil {
+			return err
+		}
+	}
 	manage := ""
 	if cfg.Management != "" {
 		addr, err := netip.ParseAddrPort(cfg.Management)
@@ -160,6 +178,24 @@
 	return cfg, nil
 }
 
+// loadFleet reads the fleet file, if one is named.
+func loadFleet(path string, env func(string) string, set settings.Settings) (*fleet.File, error) {
+	if path == "" {
+		path = env("GW_FLEET")
+	}
+	if path == "" {
+		return nil, nil
+	}
+	if !set.Peers {
+		return nil, fmt.Errorf("fleet file %s: the settings forbid that gateways talk to each other (Allowed.Peers is not true); start without the file", path)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("fleet file: %w", err)
+	}
+	return fleet.Parse(path, text)
+}
+
 // read fills to from the file at GW_CONFIG.
 func read(env func(string) string, to any) error {
 	path := env("GW_CONFIG")
--- a/cmd/lilaccove/operations.go
+++ b/cmd/lilaccove/operations.go
@@ -13,6 +13,7 @@
 	"lilaccove/internal/gateway"
 	"lilaccove/internal/handover"
 	"lilaccove/internal/netloop"
+	"lilaccove/internal/peer"
 	"lilaccove/internal/stats"
 	"lilaccove/policy"
 )
@@ -44,6 +45,7 @@
 	watch  *discovery.Client
 	pool   *backend.Pool
 	counts *stats.Counters
+	links  *peer.Links // to the fleet; nil: without a fleet file
 
 	memory, sockets int
 	begunAt         time.Duration
@@ -133,6 +135,9 @@
 	o.loop.SetBuffers(o.memory / 4 / part)
 	o.front.SetMost(o.sockets / 2 / part)
 	limitHeap(o.memory / part)
+	if o.links != nil {
+		o.links.SetBeside(o.beside)
+	}
 }
 
 // adopt does what another process was told, or a predecessor.
@@ -167,7 +172,21 @@
 }
 
 // Metrics adds the figures.
-func (o *operations) Metrics(b []byte) []byte { return o.counts.Append(b, o.core.Figures()) }
+func (o *operations) Metrics(b []byte) []byte {
+	b = o.counts.Append(b, o.core.Figures())
+	if o.links != nil {
+		b = o.links.Metrics(b)
+	}
+	return b
+}
+
+// Fleet is what this gateway knows of the others; false: it is in no fleet.
+func (o *operations) Fleet() ([]byte, bool) {
+	if o.links == nil {
+		return nil, false
+	}
+	return o.links.Report(), true
+}
 
 // Suspend leaves a database out, or has it serve again, here and in a process beside this one.
 func (o *operations) Suspend(id string, out bool, then func()) bool {
@@ -202,8 +221,14 @@
 	case on == o.drained:
 	case on:
 		o.front.Empty(o.loop.Now() + drainTime)
+		if o.links != nil {
+			o.links.Leave()
+		}
 	default:
 		o.front.Fill()
+		if o.links != nil && !o.ending {
+			o.links.Join()
+		}
 	}
 	o.drained = on
 }
@@ -217,6 +242,9 @@
 	o.look()
 	o.ending, o.leaving = true, o.beside && o.front.Opened()
 	log.Printf("event=ending owed=%d clients=%d successor=%t", o.core.Owed(), o.front.Clients(), o.leaving)
+	if o.links != nil {
+		o.links.Leave()
+	}
 	now, last := o.loop.Now(), acceptOn
 	if o.leaving {
 		o.front.Leave(now + leaveTime)
--- /dev/null
+++ b/internal/fleet/file.go
@@ -0,0 +1,99 @@
+// Package fleet reads the file that makes a gateway one of a fleet. Without one a gateway knows no other.
+package fleet
+
+import (
+	"net/netip"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"lilaccove/internal/yamlfile"
+)
+
+// File is what it says.
+type File struct {
+	Fleet     string                    // its name; messages of another are dropped
+	Listen    netip.AddrPort            // UDP and TCP, for other gateways alone
+	Advertise netip.AddrPort            // where others find this gateway, if not at Listen
+	Seeds     []netip.AddrPort          // where others may be found at first
+	Dial      map[string]netip.AddrPort // where a gateway is found from here, before what it tells itself
+	Period    time.Duration             // of probes; 0: the default
+	Still     time.Duration             // how long a change holds before it counts; 0: the default
+	Most      int                       // members kept at most; 0: the default
+}
+
+// MostMembers bounds what a file may ask for.
+const MostMembers = 4096
+
+// Parse reads a fleet file. Everything that is wrong with it is told at once, with its place.
+func Parse(file string, text []byte) (*File, error) {
+	r, top, err := yamlfile.Open(file, text, "fleet file")
+	if err != nil {
+		return nil, err
+	}
+	f := &File{Dial: map[string]netip.AddrPort{}}
+	got := r.Fields(top, "", "fleet", "listen", "advertise", "seeds", "dial", "period", "still", "most")
+	need := func(key string) *yaml.Node {
+		if got[key] == nil && top.Kind == yaml.MappingNode {
+			r.Fail(top, key, "missing")
+		}
+		return got[key]
+	}
+	if s, ok := r.Text(need("fleet"), "fleet"); ok {
+		if f.Fleet = s; !Name(s) {
+			r.Fail(got["fleet"], "fleet", "%q is no name; letters, digits, dots, dashes and underscores, 64 at most", s)
+		}
+	}
+	f.Listen = r.Addr(need("listen"), "listen")
+	f.Advertise = r.Addr(got["advertise"], "advertise")
+	if a := f.Listen.Addr(); got["advertise"] == nil && a.IsValid() && a.IsUnspecified() {
+		r.Fail(got["listen"], "listen", "%s is every address; say with advertise where others find this gateway", f.Listen)
+	}
+	if a := f.Advertise; a.IsValid() && (a.Addr().IsUnspecified() || a.Port() == 0) {
+		r.Fail(got["advertise"], "advertise", "nobody can dial %s", a)
+	}
+	if n := got["seeds"]; n != nil {
+		if n.Kind != yaml.SequenceNode {
+			r.Fail(n, "seeds", "a list of addresses is wanted, like [127.0.0.1:7400, 127.0.0.1:7401]")
+		} else {
+			for _, v := range n.Content {
+				f.Seeds = append(f.Seeds, r.Addr(v, "seeds"))
+			}
+		}
+	}
+	for name, v := range r.Fields(got["dial"], "dial") {
+		if !Name(name) {
+			r.Fail(v, "dial", "%q is no name of a gateway", name)
+		}
+		f.Dial[name] = r.Addr(v, name)
+	}
+	span := func(key string, to *time.Duration, least, most time.Duration) {
+		if n := got[key]; n != nil {
+			if *to = r.Time(n, key); *to < least || *to > most {
+				r.Fail(n, key, "from %v to %v would do", least, most)
+			}
+		}
+	}
+	span("period", &f.Period, 50*time.Millisecond, 10*time.Second)
+	span("still", &f.Still, 0, time.Minute)
+	if n := got["most"]; n != nil {
+		f.Most = r.Count(n, "most", 2, MostMembers)
+	}
+	if err := r.Err(); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// Name tells whether a text can name a gateway or a fleet.
+func Name(s string) bool {
+	if s == "" || len(s) > 64 {
+		return false
+	}
+	for _, c := range []byte(s) {
+		if !(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '.' || c == '-' || c == '_') {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/load/plan/trace.go
+++ b/internal/load/plan/trace.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"lilaccove/internal/yamlfile"
 )
 
 // traceColumns are those of a trace; the last two may be empty.
@@ -33,17 +35,17 @@
 	if !(speed > 0 && speed < 1e6) || !(rate > 0 && rate <= 1000) {
 		return nil, errors.New("a trace is scaled by figures above zero")
 	}
-	t := &tracer{p: p, r: &reader{file: file}, rnd: rand.New(rand.NewPCG(p.Seed, 0x7472)), speed: speed, rate: rate}
+	t := &tracer{p: p, r: &reader{&yamlfile.Reader{File: file}}, rnd: rand.New(rand.NewPCG(p.Seed, 0x7472)), speed: speed, rate: rate}
 	if trimmed := bytes.TrimSpace(text); len(trimmed) > 0 && trimmed[0] == '{' {
 		t.lines(text)
 	} else {
 		t.csv(text)
 	}
-	if len(t.list) == 0 && len(t.r.faults) == 0 {
-		t.r.faults = append(t.r.faults, file+": the trace is empty")
+	if len(t.list) == 0 && len(t.r.Faults) == 0 {
+		t.r.Faults = append(t.r.Faults, file+": the trace is empty")
 	}
-	if len(t.r.faults) > 0 {
-		return nil, t.r.faults
+	if len(t.r.Faults) > 0 {
+		return nil, t.r.Faults
 	}
 	return t.list, nil
 }
@@ -58,8 +60,8 @@
 }
 
 func (t *tracer) fault(line, column int, format string, args ...any) {
-	if len(t.r.faults) < 100 {
-		t.r.faults = append(t.r.faults, fmt.Sprintf("%s:%d:%d: ", t.r.file, line, column)+fmt.Sprintf(format, args...))
+	if len(t.r.Faults) < 100 {
+		t.r.Faults = append(t.r.Faults, fmt.Sprintf("%s:%d:%d: ", t.r.File, line, column)+fmt.Sprintf(format, args...))
 	}
 }
 
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -36,6 +36,8 @@
 	// Suspend leaves a database out, or has it serve again, and calls then when that holds;
 	// false: nobody knows the database.
 	Suspend(id string, out bool, then func()) bool
+	// Fleet tells in JSON which other gateways are known; false: this one is in no fleet.
+	Fleet() ([]byte, bool)
 	// Drain empties the gateway, or has it work again.
 	Drain(on bool)
 }
@@ -152,6 +154,15 @@
 		if c.method(q, "GET") {
 			c.answer(200, string(c.s.ops.Metrics(nil)))
 		}
+	case "/v1/fleet/members":
+		if !c.method(q, "GET") {
+			return
+		}
+		if text, ok := c.s.ops.Fleet(); ok {
+			c.reply(200, "application/json", "", string(text))
+		} else {
+			c.answer(404, "this gateway has no fleet file\n")
+		}
 	case "/v1/gateway/drain", "/v1/gateway/activate":
 		if c.method(q, "PUT") {
 			c.s.ops.Drain(strings.HasSuffix(q.Path, "drain"))
@@ -186,21 +197,23 @@
 // method tells whether the call has the method, and answers if not.
 func (c *call) method(q http1.Request, allowed string) bool {
 	if q.Method != allowed {
-		c.reply(405, "Allow: "+allowed+"\r\n", "use "+allowed+"\n")
+		c.reply(405, "text/plain; charset=utf-8", "Allow: "+allowed+"\r\n", "use "+allowed+"\n")
 	}
 	return q.Method == allowed
 }
 
-func (c *call) answer(status int, body string) { c.reply(status, "", body) }
+func (c *call) answer(status int, body string) {
+	c.reply(status, "text/plain; charset=utf-8", "", body)
+}
 
 // reply is the last thing that happens on a connection.
-func (c *call) reply(status int, fields, body string) {
+func (c *call) reply(status int, kind, fields, body string) {
 	c.timer.Stop()
 	if c.said || c.nc.Closed() {
 		return
 	}
 	c.said, c.asked = true, true
-	c.nc.Write(fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s",
-		status, reasons[status], len(body), fields, body))
+	c.nc.Write(fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s",
+		status, reasons[status], kind, len(body), fields, body))
 	c.nc.Finish(c.s.loop.Now() + leaveTime)
 }
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -56,6 +56,7 @@
 	gen  int32
 	conn *Conn
 	ln   *Listener
+	udp  *Packets
 }
 
 // New makes a loop that may hold so many descriptors and so many bytes of buffers.
@@ -169,6 +170,8 @@
 		s.conn.ready(e.Events)
 	case s.ln != nil:
 		s.ln.accept()
+	case s.udp != nil:
+		s.udp.ready()
 	}
 }
 
@@ -204,7 +207,7 @@
 // Close closes every descriptor of the loop.
 func (l *Loop) Close() {
 	for fd, s := range l.slots {
-		if s.conn != nil || s.ln != nil {
+		if s.conn != nil || s.ln != nil || s.udp != nil {
 			l.release(fd)
 		}
 	}
@@ -353,6 +356,8 @@
 	}
 	ln.loop.release(ln.fd)
 	ln.fd = -1
+	ln.loop.reserved -= ln.reserve
+	ln.loop.limit += ln.reserve
 }
 
 // Timer is a moment at which something is to be done. Stop may be called at any time.
--- /dev/null
+++ b/internal/peer/envelope.go
@@ -0,0 +1,107 @@
+// Package peer carries what gateways tell each other, on the gateway's one loop: datagrams for probes and news,
+// connections for what does not fit in one. What a message means is decided by machines without I/O
+// (internal/fleet/...); here are framing, bounds and counts.
+package peer
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"lilaccove/internal/fleet"
+	"lilaccove/internal/fleet/membership"
+)
+
+// An envelope is two bytes of magic, a version, a channel, a digest of the fleet's name, a body in CBOR, and a digest
+// of all that. The digests (xxhash) guard against damage and mix-ups, not against ill will.
+const (
+	magic0, magic1 = 0x6c, 0x43
+	version        = 1
+	headSize       = 12
+	tailSize       = 8
+	mostFrame      = 480 << 10 // of a stream
+)
+
+// Channels say who a message is for.
+const channelMembership = 1
+
+// Why a message was dropped.
+var (
+	errGarbage = errors.New("garbage")
+	errVersion = errors.New("unknown version")
+	errForeign = errors.New("another fleet's")
+	errSpoilt  = errors.New("spoilt")
+	errBad     = errors.New("malformed")
+)
+
+// codec packs and unpacks envelopes of one fleet.
+type codec struct {
+	fleet uint64
+	enc   cbor.EncMode
+	dec   cbor.DecMode
+}
+
+func newCodec(name string) (*codec, error) {
+	enc, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		return nil, err
+	}
+	dec, err := cbor.DecOptions{
+		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+		MaxNestedLevels: 8, MaxArrayElements: fleet.MostMembers * 2, MaxMapPairs: 64,
+	}.DecMode()
+	return &codec{fleet: xxhash.Sum64String(name), enc: enc, dec: dec}, err
+}
+
+// pack adds an envelope to b.
+func (c *codec) pack(b []byte, channel byte, body any) ([]byte, error) {
+	start := len(b)
+	b = append(b, magic0, magic1, version, channel)
+	b = binary.BigEndian.AppendUint64(b, c.fleet)
+	text, err := c.enc.Marshal(body)
+	if err != nil {
+		return b[:start], err
+	}
+	b = append(b, text...)
+	return binary.BigEndian.AppendUint64(b, xxhash.Sum64(b[start:])), nil
+}
+
+// open checks an envelope; the body is part of b.
+func (c *codec) open(b []byte) (channel byte, body []byte, err error) {
+	switch {
+	case len(b) < headSize+tailSize || b[0] != magic0 || b[1] != magic1:
+		return 0, nil, errGarbage
+	case b[2] != version:
+		return 0, nil, errVersion
+	case binary.BigEndian.Uint64(b[len(b)-tailSize:]) != xxhash.Sum64(b[:len(b)-tailSize]):
+		return 0, nil, errSpoilt
+	case binary.BigEndian.Uint64(b[4:]) != c.fleet:
+		return 0, nil, errForeign
+	}
+	return b[3], b[headSize : len(b)-tailSize], nil
+}
+
+// membership reads a message of that channel.
+func (c *codec) membership(body []byte) (msg membership.Message, err error) {
+	if err := c.dec.Unmarshal(body, &msg); err != nil {
+		return msg, fmt.Errorf("%w: %v", errBad, err)
+	}
+	if msg.Kind < membership.Ping || msg.Kind > membership.Reply || !sound(msg.From) || msg.Target != "" && !fleet.Name(msg.Target) {
+		return msg, errBad
+	}
+	for _, e := range msg.News {
+		if !sound(e) {
+			return msg, errBad
+		}
+	}
+	return msg, nil
+}
+
+// sound tells whether an entry can be one. An incarnation is a moment; one from an age to come could not be refuted.
+func sound(e membership.Entry) bool {
+	return fleet.Name(e.Name) && e.Addr.IsValid() && e.Addr.Port() != 0 && e.Incarnation > 0 && e.Incarnation < 1<<62 &&
+		e.State <= membership.Left && (e.By == "" || fleet.Name(e.By))
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,425 @@
+package peer
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"lilaccove/internal/fleet"
+	"lilaccove/internal/fleet/membership"
+	"lilaccove/internal/netloop"
+)
+
+const (
+	datagram     = 1200                   // what is sent at most in one; news are left out where they do not fit
+	share        = 0.1                    // of the loop's time, for datagrams
+	perSecond    = 500                    // datagrams of one sender
+	sendersMost  = 8192                   // whose rates are kept
+	streamsMost  = 16                     // in each direction
+	streamTime   = 2 * time.Second        // an exchange is over by then
+	moveEvery    = 500 * time.Millisecond // see Links.move
+	oldSocket    = 5 * time.Second        // how long the address before a move is still read
+	bindAttempts = 8
+)
+
+// Counts are messages dropped, by cause, and what was sent and taken in.
+type Counts struct {
+	Garbage, Version, Foreign, Spoilt, Malformed, Large, Rate uint64
+	In, Out, InBytes, OutBytes, Unsent                        uint64
+	Streams, StreamsFailed                                    uint64
+}
+
+// Links are a gateway's ties to the others of its fleet. Everything runs on the loop's goroutine.
+type Links struct {
+	loop    *netloop.Loop
+	file    *fleet.File
+	codec   *codec
+	m       *membership.Machine
+	udp     *netloop.Packets
+	ln      *netloop.Listener
+	timer   *netloop.Timer
+	beside  bool
+	moved   bool // bound elsewhere than told, as the address was taken
+	via     uint64
+	in      map[uint64]*stream
+	order   []*stream // of those that others opened, oldest first
+	out     int
+	buf     []byte
+	counts  Counts
+	senders map[netip.AddrPort]*rate
+	bad     netloop.Sparse
+	news    netloop.Sparse
+	version uint64 // of the view that was logged
+}
+
+// rate bounds what one sender may have read.
+type rate struct {
+	from time.Duration
+	n    int
+}
+
+// New joins a fleet. The name is the gateway's; start is the moment at which the process began.
+func New(loop *netloop.Loop, name string, file *fleet.File, start time.Duration) (*Links, error) {
+	if !fleet.Name(name) {
+		return nil, fmt.Errorf("fleet: a gateway named %q cannot be a member; letters, digits, dots, dashes and underscores, 64 at most", name)
+	}
+	c, err := newCodec(file.Fleet)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	l := &Links{loop: loop, file: file, codec: c, in: map[uint64]*stream{}, senders: map[netip.AddrPort]*rate{}}
+	err = l.bind(file.Listen)
+	if errors.Is(err, unix.EADDRINUSE) {
+		// The process before this one, during an upgrade; or a fault, of which the fleet will tell.
+		log.Printf("event=fleet_address_taken listen=%s", file.Listen)
+		l.moved = true
+		err = l.bind(netip.AddrPortFrom(file.Listen.Addr(), 0))
+	}
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	cfg := membership.Config{
+		Name: name, Addr: l.told(), Start: start, Session: rand.Uint64() | 1, Seed: rand.Uint64(), Seeds: file.Seeds,
+		Period: file.Period, Still: file.Still, Most: file.Most,
+	}
+	l.m = membership.New(cfg, loop.Now())
+	log.Printf("event=fleet_started fleet=%s name=%s listen=%s advertise=%s seeds=%d", file.Fleet, name, l.udp.Addr, cfg.Addr, len(file.Seeds))
+	if l.moved {
+		loop.At(loop.Now()+moveEvery, l.move)
+	}
+	l.after()
+	return l, nil
+}
+
+// bind opens the two sockets, on one port.
+func (l *Links) bind(addr netip.AddrPort) error {
+	for attempt := 1; ; attempt++ {
+		ln, err := l.loop.ListenReserved(addr, streamsMost, l.accept, l.makeRoom)
+		if err != nil {
+			return err
+		}
+		udp, err := l.loop.ListenPackets(ln.Addr, share, l.datagram, l.large)
+		if err == nil {
+			l.ln, l.udp = ln, udp
+			return nil
+		}
+		ln.Close()
+		if addr.Port() != 0 || attempt == bindAttempts {
+			return err
+		}
+	}
+}
+
+// told is where others are told to look for this process.
+func (l *Links) told() netip.AddrPort {
+	if a := l.file.Advertise; a.IsValid() && !l.moved {
+		return a
+	}
+	return l.udp.Addr
+}
+
+// move takes the address that was meant, once whoever had it has ended. The old one is read for a while.
+func (l *Links) move() {
+	udp, ln := l.udp, l.ln
+	if l.beside || l.bind(l.file.Listen) != nil {
+		l.loop.At(l.loop.Now()+moveEvery, l.move)
+		return
+	}
+	l.moved = false
+	log.Printf("event=fleet_moved listen=%s", l.udp.Addr)
+	l.m.Move(l.loop.Now(), l.told())
+	l.after()
+	l.loop.At(l.loop.Now()+oldSocket, func() {
+		udp.Close()
+		ln.Close()
+	})
+}
+
+// Leave tells the fleet that this gateway takes no work any more; Join takes that back.
+func (l *Links) Leave() {
+	l.m.Leave(l.loop.Now())
+	l.after()
+}
+
+// Join is the return after Leave.
+func (l *Links) Join() {
+	l.m.Join(l.loop.Now())
+	l.after()
+}
+
+// SetBeside tells whether another process of this gateway lives as part of an upgrade.
+func (l *Links) SetBeside(on bool) {
+	if l.beside != on {
+		l.beside = on
+		l.m.SetBeside(on)
+		l.after()
+	}
+}
+
+// View is the stable view, see membership.View.
+func (l *Links) View() membership.View { return l.m.View() }
+
+func (l *Links) tick() {
+	l.m.Tick(l.loop.Now())
+	l.after()
+}
+
+// after carries out what the machine wants done and waits for its next moment.
+func (l *Links) after() {
+	out, changes := l.m.Take()
+	for i := range out {
+		l.send(&out[i])
+	}
+	for _, c := range changes {
+		l.tell(c)
+	}
+	if v := l.m.View(); v.Version != l.version {
+		l.version = v.Version
+		log.Printf("event=fleet_view version=%d members=%d digest=%016x", v.Version, len(v.Members), v.Digest)
+	}
+	l.timer.Stop()
+	l.timer = l.loop.At(max(l.m.Wake(), l.loop.Now()+time.Millisecond), l.tick)
+}
+
+// tell logs a change. Suspicions come and go and are told at a limited rate.
+func (l *Links) tell(c membership.Change) {
+	e := c.Entry
+	own, member := l.m.Own()
+	switch {
+	case e.Name == own.Name && !member:
+		log.Printf("event=fleet_superseded name=%s by=%s session=%x beside=%t", e.Name, e.Addr, e.Session, l.beside)
+	case e.Name == own.Name:
+		log.Printf("event=fleet_resumed name=%s incarnation=%d", e.Name, e.Incarnation)
+	case e.State == membership.Suspect:
+		l.news.Printf(l.loop.Now(), "event=fleet_suspect name=%s by=%s", e.Name, e.By)
+	case c.New || c.Was != e.State && c.Was != membership.Suspect || e.State != membership.Alive:
+		log.Printf("event=fleet_member name=%s state=%s addr=%s session=%x twice=%t", e.Name, e.State, e.Addr, e.Session, e.Twice)
+	case e.Twice:
+		log.Printf("event=fleet_twice name=%s addr=%s session=%x", e.Name, e.Addr, e.Session)
+	}
+}
+
+// dial is where a member is found from here.
+func (l *Links) dial(s *membership.Send) netip.AddrPort {
+	if a, ok := l.file.Dial[s.To]; ok && !s.Seed {
+		return a
+	}
+	return s.Addr
+}
+
+func (l *Links) send(s *membership.Send) {
+	if s.Stream {
+		l.exchange(s)
+		return
+	}
+	for {
+		b, err := l.codec.pack(l.buf[:0], channelMembership, s.Message)
+		l.buf = b
+		if n := len(s.Message.News); err == nil && len(b) > datagram && n > 0 {
+			s.Message.News = s.Message.News[:n-1]
+			continue
+		}
+		if err != nil || !l.udp.Send(l.dial(s), b) {
+			l.counts.Unsent++
+			return
+		}
+		l.counts.Out++
+		l.counts.OutBytes += uint64(len(b))
+		return
+	}
+}
+
+// datagram takes one in.
+func (l *Links) datagram(from netip.AddrPort, b []byte) {
+	l.counts.In++
+	l.counts.InBytes += uint64(len(b))
+	now := l.loop.Now()
+	r := l.senders[from]
+	if r == nil || now-r.from >= time.Second {
+		if r == nil && len(l.senders) >= sendersMost {
+			clear(l.senders)
+		}
+		r = &rate{from: now}
+		l.senders[from] = r
+	}
+	if r.n++; r.n > perSecond {
+		l.counts.Rate++
+		l.bad.Printf(now, "event=fleet_bad from=%s err=%q", from, "too many datagrams in a second")
+		return
+	}
+	l.take(from, b, 0)
+}
+
+func (l *Links) large(from netip.AddrPort) {
+	l.counts.Large++
+	l.bad.Printf(l.loop.Now(), "event=fleet_bad from=%s err=%q", from, "a datagram that is too large")
+}
+
+// take opens an envelope and hands on what is in it; false: it was no good.
+func (l *Links) take(from netip.AddrPort, b []byte, via uint64) bool {
+	channel, body, err := l.codec.open(b)
+	var msg membership.Message
+	if err == nil && channel != channelMembership {
+		err = errVersion
+	}
+	if err == nil {
+		msg, err = l.codec.membership(body)
+	}
+	if err != nil {
+		l.drop(from, err)
+		return false
+	}
+	l.m.Receive(l.loop.Now(), msg, via)
+	l.after()
+	return true
+}
+
+func (l *Links) drop(from netip.AddrPort, err error) {
+	n := &l.counts.Malformed
+	switch {
+	case errors.Is(err, errGarbage):
+		n = &l.counts.Garbage
+	case errors.Is(err, errVersion):
+		n = &l.counts.Version
+	case errors.Is(err, errForeign):
+		n = &l.counts.Foreign
+	case errors.Is(err, errSpoilt):
+		n = &l.counts.Spoilt
+	}
+	*n++
+	l.bad.Printf(l.loop.Now(), "event=fleet_bad from=%s err=%q", from, err)
+}
+
+// stream is one exchange over a connection: a frame each way, each behind its length.
+type stream struct {
+	l     *Links
+	nc    *netloop.Conn
+	via   uint64 // of those that others opened
+	first []byte // to be sent when the connection is up
+	timer *netloop.Timer
+}
+
+// exchange sends a whole list, on a connection of its own or as the answer on another's.
+func (l *Links) exchange(s *membership.Send) {
+	b, err := l.codec.pack(make([]byte, 4), channelMembership, s.Message)
+	if err != nil || len(b) > mostFrame {
+		l.counts.StreamsFailed++
+		return
+	}
+	binary.BigEndian.PutUint32(b, uint32(len(b)-4))
+	if s.Via != 0 {
+		if st := l.in[s.Via]; st != nil {
+			l.counts.OutBytes += uint64(len(b))
+			st.nc.Write(b)
+			st.finish()
+		}
+		return
+	}
+	if l.out >= streamsMost {
+		l.counts.StreamsFailed++
+		return
+	}
+	st := &stream{l: l, first: b}
+	if st.nc, err = l.loop.Dial(l.dial(s), st, mostFrame); err != nil {
+		l.counts.StreamsFailed++
+		return
+	}
+	l.out++
+	l.counts.Streams++
+	st.timer = l.loop.At(l.loop.Now()+streamTime, st.fail)
+}
+
+func (l *Links) accept(nc *netloop.Conn) {
+	l.via++
+	st := &stream{l: l, nc: nc, via: l.via}
+	nc.Handle(st, mostFrame)
+	l.in[st.via] = st
+	l.order = append(l.order, st)
+	st.timer = l.loop.At(l.loop.Now()+streamTime, st.fail)
+}
+
+// makeRoom closes the connection that was opened first.
+func (l *Links) makeRoom() bool {
+	if len(l.order) == 0 {
+		return false
+	}
+	l.order[0].fail()
+	return true
+}
+
+// Connected sends what the connection was opened for.
+func (st *stream) Connected() {
+	st.l.counts.OutBytes += uint64(len(st.first))
+	st.nc.Write(st.first)
+	st.first = nil
+}
+
+// Received takes a frame in once it is whole.
+func (st *stream) Received() {
+	in := st.nc.Input()
+	if len(in) < 4 {
+		return
+	}
+	n := int(binary.BigEndian.Uint32(in))
+	if n > mostFrame-4 {
+		st.l.drop(netip.AddrPort{}, errGarbage)
+		st.fail()
+		return
+	}
+	if len(in) < 4+n {
+		return
+	}
+	frame := in[4 : 4+n]
+	st.l.counts.InBytes += uint64(len(in))
+	ok := st.l.take(netip.AddrPort{}, frame, st.via)
+	switch {
+	case st.nc.Closed():
+	case st.via == 0 || !ok:
+		st.close() // it was the answer
+	default:
+		st.nc.Consume(4 + n)
+	}
+}
+
+// Ended tells that the other side has closed it, after its answer or before.
+func (st *stream) Ended(error) {
+	st.l.counts.StreamsFailed++
+	st.forget()
+}
+
+func (st *stream) fail() {
+	st.l.counts.StreamsFailed++
+	st.close()
+}
+
+func (st *stream) close() {
+	st.nc.Close()
+	st.forget()
+}
+
+// finish closes it behind what was written.
+func (st *stream) finish() {
+	st.nc.Finish(st.l.loop.Now() + streamTime)
+	st.forget()
+}
+
+func (st *stream) forget() {
+	st.timer.Stop()
+	if st.via == 0 {
+		st.l.out--
+		return
+	}
+	delete(st.l.in, st.via)
+	for i, o := range st.l.order {
+		if o == st {
+			st.l.order = append(st.l.order[:i], st.l.order[i+1:]...)
+			break
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/report.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"lilaccove/internal/fleet/membership"
+)
+
+// Report is what GET /v1/fleet/members tells.
+type Report struct {
+	Fleet       string         `json:"fleet"`
+	Name        string         `json:"name"`
+	Addr        string         `json:"addr"`
+	Session     string         `json:"session"`
+	Incarnation uint64         `json:"incarnation"`
+	Member      bool           `json:"member"` // not while it is drained, ends, or another process has its name
+	Superseded  bool           `json:"superseded"`
+	Health      int            `json:"health"` // 0: well; up to 8: this process doubts itself
+	View        ReportView     `json:"view"`
+	Known       []ReportMember `json:"known"` // the others, those that have ended too
+	At          time.Time      `json:"at"`
+}
+
+// ReportView is the stable view.
+type ReportView struct {
+	Version uint64         `json:"version"`
+	Digest  string         `json:"digest"`
+	Members []ReportMember `json:"members"`
+}
+
+// ReportMember is one gateway.
+type ReportMember struct {
+	Name        string `json:"name"`
+	Addr        string `json:"addr"`
+	Session     string `json:"session"`
+	State       string `json:"state,omitempty"`
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	Twice       bool   `json:"twice,omitempty"`
+}
+
+func hex(n uint64) string { return strconv.FormatUint(n, 16) }
+
+// Report tells in JSON what this gateway knows of the others.
+func (l *Links) Report() []byte {
+	own, member := l.m.Own()
+	v := l.m.View()
+	r := Report{
+		Fleet: l.file.Fleet, Name: own.Name, Addr: own.Addr.String(), Session: hex(own.Session), Incarnation: own.Incarnation, Member: member,
+		Superseded: l.m.Superseded(), Health: l.m.Health(), View: ReportView{Version: v.Version, Digest: hex(v.Digest)}, Known: []ReportMember{},
+		At: time.Unix(0, int64(l.loop.Now())).UTC(),
+	}
+	for _, m := range v.Members {
+		r.View.Members = append(r.View.Members, ReportMember{Name: m.Name, Addr: m.Addr.String(), Session: hex(m.Session), Twice: m.Twice})
+	}
+	for _, e := range l.m.Members() {
+		r.Known = append(r.Known, ReportMember{
+			Name: e.Name, Addr: e.Addr.String(), Session: hex(e.Session), State: e.State.String(), Incarnation: e.Incarnation, Twice: e.Twice,
+		})
+	}
+	b, err := json.Marshal(r)
+	if err != nil {
+		return []byte("{}")
+	}
+	return append(b, '\n')
+}
+
+// Metrics adds the figures, a line each.
+func (l *Links) Metrics(b []byte) []byte {
+	line := func(name string, n uint64) {
+		b = append(append(append(b, "edge_gw.fleet_"...), name...), '=')
+		b = append(strconv.AppendUint(b, n, 10), '\n')
+	}
+	states := [membership.Left + 1]uint64{}
+	for _, e := range l.m.Members() {
+		states[e.State]++
+	}
+	v, c, k := l.m.View(), l.m.Counts(), &l.counts
+	line("view_version", v.Version)
+	line("view_members", uint64(len(v.Members)))
+	for s, n := range states {
+		line("others."+membership.State(s).String(), n)
+	}
+	line("health", uint64(l.m.Health()))
+	line("probes", c.Probes)
+	line("probes_failed", c.Failed)
+	line("suspicions", c.Suspicions)
+	line("refutations", c.Refutations)
+	line("deaths", c.Deaths)
+	line("pauses", c.Pauses)
+	line("superseded", c.Superseded)
+	line("name_twice", c.Twice)
+	line("overflow", c.Overflow)
+	line("exchanges", k.Streams)
+	line("exchanges_failed", k.StreamsFailed)
+	line("received", k.In)
+	line("received_bytes", k.InBytes)
+	line("sent", k.Out)
+	line("sent_bytes", k.OutBytes)
+	line("unsent", k.Unsent)
+	line("dropped.garbage", k.Garbage)
+	line("dropped.version", k.Version)
+	line("dropped.foreign", k.Foreign)
+	line("dropped.spoilt", k.Spoilt)
+	line("dropped.malformed", k.Malformed)
+	line("dropped.large", k.Large)
+	line("dropped.rate", k.Rate)
+	line("rests", l.udp.Rests())
+	return b
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,7 @@
 	AnswerSlack time.Duration
 	MaxOpen     int  // requests at once; 0: no limit
 	ProbeReport bool // probes bring load reports
+	Peers       bool // gateways may talk to each other
 }
 
 var levels = map[string]policy.ReadLevel{
@@ -155,6 +156,7 @@
 		DialTimeout: s.time("Allowed.DialTimeoutUs"),
 		AnswerSlack: s.time("Rules.AnswerSlackUs"),
 		MaxOpen:     int(s.num("Allowed.MaxOpen")),
+		Peers:       s.bool("Allowed.Peers"),
 		ProbeReport: value["Report.Fields"] != "" && value["Report.Source"] != "none",
 	}
 	for i := range set.Policy.Classes {
