Break fleets of real processes: relays between gateways, a front, faults in plans

The lab grows into a rig: internal/lab has a relay for UDP and TCP between every ordered pair of gateways (loss, delay, jitter, doubles, reorder, damage, cuts, partitions, slow links), a front as the platform has it, kills, stops, rolls and returns of gateways from a written-down plan, and a history in JSON lines. TestFleetMembershipNameTwice does not pass yet.

--- /dev/null
+++ b/cmd/lilacctl/main.go
@@ -0,0 +1,67 @@
+// Command lilacctl is the operators' command line: it asks gateways at their operators' addresses.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// The exit statuses, for scripts.
+const (
+	exitTrouble     = 1 // the call itself was wrong
+	exitFinding     = 2 // gateways answered, and something is not as it should be
+	exitUnreachable = 3 // a gateway did not answer
+)
+
+// status is an error with the exit status it leads to.
+type status struct {
+	code int
+	why  string
+}
+
+func (s status) Error() string { return s.why }
+
+func main() {
+	err := command().Execute()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "lilacctl: "+err.Error())
+	var s status
+	if errors.As(err, &s) {
+		os.Exit(s.code)
+	}
+	os.Exit(exitTrouble)
+}
+
+func command() *cobra.Command {
+	root := &cobra.Command{
+		Use: "lilacctl", Short: "Ask and steer gateways", SilenceUsage: true, SilenceErrors: true,
+		Long: "Asks gateways at their operators' addresses (management in the configuration).\n" +
+			"Exit status: 0 all is as it should be, 1 the call was wrong, 2 something was found, 3 a gateway did not answer.",
+	}
+	var at []string
+	var asJSON, all bool
+	var wait time.Duration
+	members := &cobra.Command{
+		Use: "members --at 127.0.0.1:7510", Short: "Which gateways know which others", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			list := ask(at, wait)
+			if asJSON {
+				return list.json(c.OutOrStdout())
+			}
+			return list.table(c.OutOrStdout(), all)
+		},
+	}
+	members.Flags().StringArrayVar(&at, "at", nil, "a gateway's operators' address; may be given several times")
+	members.Flags().BoolVar(&asJSON, "json", false, "print what the gateways said, as JSON")
+	members.Flags().BoolVar(&all, "all", false, "list those that have ended as well")
+	members.Flags().DurationVar(&wait, "timeout", 2*time.Second, "how long a gateway may take to answer")
+	_ = members.MarkFlagRequired("at")
+	root.AddCommand(members)
+	return root
+}
--- /dev/null
+++ b/cmd/lilacctl/members.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"lilaccove/internal/peer"
+)
+
+// answer is what one gateway said, or why it did not.
+type answer struct {
+	At    string       `json:"at"`
+	Error string       `json:"error,omitempty"`
+	Fleet *peer.Report `json:"fleet,omitempty"`
+}
+
+type answers []answer
+
+// ask asks all gateways at once.
+func ask(at []string, wait time.Duration) answers {
+	list := make(answers, len(at))
+	var all sync.WaitGroup
+	for i, a := range at {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			list[i] = answer{At: a}
+			r, err := members(a, wait)
+			if err != nil {
+				list[i].Error = err.Error()
+			} else {
+				list[i].Fleet = r
+			}
+		}()
+	}
+	all.Wait()
+	return list
+}
+
+const mostAnswer = 8 << 20
+
+func members(at string, wait time.Duration) (*peer.Report, error) {
+	if _, err := netip.ParseAddrPort(at); err != nil {
+		return nil, fmt.Errorf("%q is no address; write it like 127.0.0.1:7510", at)
+	}
+	client := &http.Client{Timeout: wait, Transport: &http.Transport{DisableKeepAlives: true}}
+	got, err := client.Get("http://" + at + "/v1/fleet/members")
+	if err != nil {
+		return nil, err
+	}
+	defer got.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(got.Body, mostAnswer))
+	if err != nil {
+		return nil, err
+	}
+	if got.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s: %s", got.Status, strings.TrimSpace(string(text)))
+	}
+	r := &peer.Report{}
+	if err := json.Unmarshal(text, r); err != nil {
+		return nil, fmt.Errorf("the answer cannot be read: %w", err)
+	}
+	return r, nil
+}
+
+// verdict is the exit status: who does not answer goes before what was found.
+func (list answers) verdict() error {
+	var silent, findings []string
+	digests := map[string][]string{}
+	for _, a := range list {
+		if a.Fleet == nil {
+			silent = append(silent, a.At)
+			continue
+		}
+		digests[a.Fleet.View.Digest] = append(digests[a.Fleet.View.Digest], a.Fleet.Name)
+		if a.Fleet.Superseded {
+			findings = append(findings, a.Fleet.Name+" at "+a.At+" has lost its name to another process")
+		}
+		for _, m := range a.Fleet.View.Members {
+			if f := "two processes are named " + m.Name; m.Twice && !slices.Contains(findings, f) {
+				findings = append(findings, f)
+			}
+		}
+	}
+	if len(digests) > 1 {
+		findings = append(findings, fmt.Sprintf("%d different views", len(digests)))
+	}
+	switch {
+	case len(silent) > 0:
+		return status{exitUnreachable, "no answer from " + strings.Join(silent, ", ")}
+	case len(findings) > 0:
+		return status{exitFinding, strings.Join(findings, "; ")}
+	}
+	return nil
+}
+
+func (list answers) json(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", " ")
+	if err := e.Encode(list); err != nil {
+		return err
+	}
+	return list.verdict()
+}
+
+// table prints a line for each gateway that was asked, then one for each gateway that any of them knows.
+func (list answers) table(w io.Writer, all bool) error {
+	t := tabwriter.NewWriter(w, 2, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "ASKED\tNAME\tMEMBER\tHEALTH\tVIEW\tMEMBERS\tDIGEST")
+	type row struct{ addr, session, states string }
+	known := map[string]row{}
+	names := []string{}
+	add := func(m peer.ReportMember, by, state string) {
+		if r, ok := known[m.Name]; !ok {
+			names = append(names, m.Name)
+			known[m.Name] = row{m.Addr, m.Session, by + "=" + state}
+		} else {
+			r.states += " " + by + "=" + state
+			known[m.Name] = r
+		}
+	}
+	for _, a := range list {
+		if a.Fleet == nil {
+			fmt.Fprintf(t, "%s\t-\t-\t-\t-\t-\t%s\n", a.At, a.Error)
+			continue
+		}
+		r := a.Fleet
+		fmt.Fprintf(t, "%s\t%s\t%t\t%d\t%d\t%d\t%s\n", a.At, r.Name, r.Member, r.Health, r.View.Version, len(r.View.Members), r.View.Digest)
+		for _, m := range r.Known {
+			if all || m.State == "alive" || m.State == "suspect" {
+				add(m, r.Name, m.State)
+			}
+		}
+		if r.Member {
+			add(peer.ReportMember{Name: r.Name, Addr: r.Addr, Session: r.Session}, r.Name, "self")
+		}
+	}
+	fmt.Fprintln(t, "\nGATEWAY\tADDRESS\tSESSION\tAS SEEN BY")
+	slices.Sort(names)
+	for _, n := range names {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", n, known[n].addr, known[n].session, known[n].states)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	return list.verdict()
+}
--- a/cmd/lilacload/main.go
+++ b/cmd/lilacload/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,7 +13,7 @@
 
 	"github.com/spf13/cobra"
 
-	"lilaccove/internal/load/lab"
+	"lilaccove/internal/lab"
 	"lilaccove/internal/load/plan"
 	"lilaccove/internal/load/run"
 )
@@ -148,7 +149,7 @@
 	play.Flags().StringArrayVar(&targets, "target", nil, "a gateway's address, on loopback; may be given several times")
 	_ = play.MarkFlagRequired("target")
 	var lf flags
-	var gateway, logs string
+	var gateway, logs, history string
 	world := &cobra.Command{
 		Use: "lab PLAN", Short: "Start stand-in databases and gateways, play a plan, and check the rules", Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
@@ -160,10 +161,22 @@
 			defer cancel()
 			l := &lab.Lab{Plan: p, Arrivals: list, Gateway: strings.Fields(gateway)}
 			if logs != "" {
-				if l.Log, err = os.Create(logs); err != nil {
+				out, err := os.Create(logs)
+				if err != nil {
+					return err
+				}
+				defer out.Close()
+				l.Log = out
+			}
+			if history != "" {
+				out, err := os.Create(history)
+				if err != nil {
 					return err
 				}
-				defer l.Log.Close()
+				defer out.Close()
+				lines := bufio.NewWriter(out)
+				defer lines.Flush()
+				l.History = lab.NewHistory(lines)
 			}
 			r, err := l.Play(ctx)
 			if err != nil {
@@ -175,6 +188,7 @@
 	lf.add(world, true)
 	world.Flags().StringVar(&gateway, "gateway", "bin/lilaccove", "the gateway's program")
 	world.Flags().StringVar(&logs, "logs", "", "keep what the gateways say in this file")
+	world.Flags().StringVar(&history, "history", "", "write what happens, faults and requests, to this file as JSON lines")
 	compare := &cobra.Command{
 		Use: "compare A.json B.json", Short: "Set two reports of one plan side by side", Args: cobra.ExactArgs(2),
 		RunE: func(c *cobra.Command, args []string) error {
--- a/internal/fleet/membership/news.go
+++ b/internal/fleet/membership/news.go
@@ -132,6 +132,7 @@
 		m.own.Twice = true
 		m.counts.Twice++
 		m.raise(m.own.Incarnation)
+		m.changes = append(m.changes, Change{Entry: m.own})
 	}
 }
 
@@ -299,6 +300,9 @@
 			return
 		}
 		if e.State.Live() {
+			if e.Twice && !holder.Twice {
+				m.changes = append(m.changes, Change{Entry: e})
+			}
 			holder.Entry = e
 			return
 		}
--- a/internal/load/lab/lab.go
+++ b/internal/lab/lab.go
@@ -3,17 +3,15 @@
 package lab
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"lilaccove/internal/load/plan"
@@ -25,13 +23,22 @@
 type Lab struct {
 	Plan     *plan.Plan
 	Arrivals []plan.Arrival
-	Gateway  []string // the command of a gateway
-	Env      []string // more of its environment
-	Log      *os.File // what gateways say; nil: nowhere
+	Gateway  []string  // the command of a gateway
+	Env      []string  // more of its environment
+	Log      io.Writer // what gateways say; nil: nowhere
+	History  *History  // nil: nowhere
+	Twins    []int     // gateways of which a second process may be started, for Twin
 
 	world *standin.World
-	nodes []*node
+	mesh  *Mesh
+	front *Front
 	dir   string
+	rnd   *rand.Rand
+
+	mu     sync.Mutex
+	nodes  []*Node // the newest process of each gateway, then of each twin
+	all    []*Node
+	faults []string
 }
 
 const (
@@ -40,16 +47,8 @@
 	drainTime = 4 * time.Second // of a database in a rolling deploy
 )
 
-// node is one gateway.
-type node struct {
-	cmd  *exec.Cmd
-	addr string
-	end  chan struct{}
-	kill bool // by the plan
-}
-
-// Play runs it; what broke a rule is told in the report's faults.
-func (l *Lab) Play(ctx context.Context) (*run.Report, error) {
+// Open starts the world and the gateways. Close ends all of it.
+func (l *Lab) Open() (err error) {
 	p := l.Plan
 	opt := standin.Options{
 		Groups: p.Groups, Members: p.Lab.Members, Cores: p.Lab.Cores, Queue: p.Lab.Queue, Service: p.Lab.Service,
@@ -60,31 +59,97 @@
 			opt.Bounds[c.Name] = c.Bound
 		}
 	}
-	var err error
+	l.rnd = rand.New(rand.NewPCG(p.Seed, 0x6c6162))
 	if l.world, err = standin.New(opt); err != nil {
-		return nil, err
+		return err
 	}
-	defer l.world.Close()
+	defer func() {
+		if err != nil {
+			l.Close()
+		}
+	}()
 	if l.dir, err = os.MkdirTemp("", "lilacload-"); err != nil {
-		return nil, err
+		return err
 	}
-	defer os.RemoveAll(l.dir)
-	defer l.stop()
-	var targets []string
+	slots := p.Lab.Gateways + len(l.Twins)
+	l.nodes = make([]*Node, slots)
+	if p.Lab.Fleet {
+		names := make([]string, slots)
+		for i := range names {
+			names[i] = l.name(i)
+		}
+		if l.mesh, err = NewMesh(names, p.Seed); err != nil {
+			return err
+		}
+	}
+	l.front = NewFront(p.Lab.Gateways, func(i int, in bool) {
+		l.History.Add(Happening{Kind: "front", Gateway: l.name(i), What: map[bool]string{true: "admitted", false: "left"}[in]})
+	})
 	for i := range p.Lab.Gateways {
-		n, err := l.start(i)
-		if err != nil {
-			return nil, err
+		if _, err = l.Start(i); err != nil {
+			return err
 		}
-		targets = append(targets, n.addr)
 	}
+	late := time.After(startTime)
+	for l.front.Admitted() < p.Lab.Gateways {
+		select {
+		case <-late:
+			return fmt.Errorf("the front admits %d of %d gateways in %v", l.front.Admitted(), p.Lab.Gateways, startTime)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// Close ends all that was started.
+func (l *Lab) Close() {
+	if l.front != nil {
+		l.front.Close()
+	}
+	l.stop()
+	if l.mesh != nil {
+		l.mesh.Close()
+	}
+	if l.world != nil {
+		l.world.Close()
+	}
+	if l.dir != "" {
+		os.RemoveAll(l.dir)
+	}
+}
+
+// World is the databases and their discovery, Mesh the links between gateways, Front what hands them out.
+func (l *Lab) World() *standin.World { return l.world }
+
+// Mesh is the links between gateways; nil without a fleet.
+func (l *Lab) Mesh() *Mesh { return l.mesh }
+
+// Front is what hands gateways out.
+func (l *Lab) Front() *Front { return l.front }
+
+// Play opens the lab, runs the plan's load and events, and closes it. What broke a rule is told in the report's faults.
+func (l *Lab) Play(ctx context.Context) (*run.Report, error) {
+	if err := l.Open(); err != nil {
+		return nil, err
+	}
+	defer l.Close()
+	return l.Run(ctx)
+}
+
+// Run runs the load and events in a lab that is open.
+func (l *Lab) Run(ctx context.Context) (*run.Report, error) {
+	p := l.Plan
 	rec := run.NewRecorder(p)
-	r := &run.Runner{Plan: p, Arrivals: l.Arrivals, Targets: targets, Sample: rec.Add}
+	r := &run.Runner{Plan: p, Arrivals: l.Arrivals, Pick: l.front.Pick, Sample: func(s run.Sample) {
+		rec.Add(s)
+		l.History.Add(Happening{
+			Kind: "request", What: string(s.Outcome), Class: p.Classes[s.Arrival.Class].Name, DueMS: millis(s.Arrival.At), TookMS: millis(s.Latency), Tries: s.Tries,
+		})
+	}}
 	stop := make(chan struct{})
 	var events sync.WaitGroup
-	var faults []string
-	var mu sync.Mutex
 	begun := time.Now()
+	l.History.Begin(begun)
 	for _, e := range p.Events {
 		events.Add(1)
 		go func() {
@@ -93,9 +158,7 @@
 				return
 			}
 			if err := l.event(e, stop); err != nil {
-				mu.Lock()
-				faults = append(faults, err.Error())
-				mu.Unlock()
+				l.Fault("%v", err)
 			}
 		}()
 	}
@@ -105,11 +168,11 @@
 	if err != nil {
 		return nil, err
 	}
-	for i, n := range l.nodes {
+	for _, n := range l.processes() {
 		select {
 		case <-n.end:
-			if !n.kill {
-				faults = append(faults, fmt.Sprintf("gateway %d ended by itself", i))
+			if !n.expected() {
+				l.Fault("gateway %s ended by itself", n.Name)
 			}
 		default:
 		}
@@ -118,27 +181,36 @@
 	out := rec.Report(len(l.Arrivals), sent)
 	out.World = c
 	if c.Duplicates > 0 {
-		faults = append(faults, fmt.Sprintf("%d writes ran twice, the first: %s", c.Duplicates, strings.Join(c.TwiceIDs, " ")))
+		l.Fault("%d writes ran twice, the first: %s", c.Duplicates, strings.Join(c.TwiceIDs, " "))
 	}
 	if c.Stale > 0 {
-		faults = append(faults, fmt.Sprintf("%d reads were answered from data too old, the first: %s", c.Stale, strings.Join(c.StaleIDs, " ")))
+		l.Fault("%d reads were answered from data too old, the first: %s", c.Stale, strings.Join(c.StaleIDs, " "))
 	}
 	if c.Foreign > 0 {
-		faults = append(faults, fmt.Sprintf("%d statements that no client sends", c.Foreign))
+		l.Fault("%d statements that no client sends", c.Foreign)
 	}
 	if c.Drained > 0 {
-		faults = append(faults, fmt.Sprintf("%d statements to databases that were draining for over 2 s", c.Drained))
+		l.Fault("%d statements to databases that were draining for over 2 s", c.Drained)
 	}
 	if n := out.Total.Counts[run.BadAnswer]; n > 0 {
-		faults = append(faults, fmt.Sprintf("%d requests had no answer, or two", n))
+		l.Fault("%d requests had no answer, or two", n)
 	}
 	if out.Total.Count != sent {
-		faults = append(faults, fmt.Sprintf("%d of %d requests are accounted for", out.Total.Count, sent))
+		l.Fault("%d of %d requests are accounted for", out.Total.Count, sent)
 	}
-	out.Faults = faults
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out.Faults = l.faults
 	return out, nil
 }
 
+// Fault notes that something went against a rule.
+func (l *Lab) Fault(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = append(l.faults, fmt.Sprintf(format, args...))
+}
+
 // event has the world do something, and takes it back when its time is over.
 func (l *Lab) event(e plan.Event, stop <-chan struct{}) error {
 	faults := standin.Faults{}
@@ -176,12 +248,8 @@
 		standin.Sleep(e.For, stop)
 		resume()
 		return nil
-	case "kill-gateway":
-		if n := l.nodes[0]; !n.kill {
-			n.kill = true
-			return n.cmd.Process.Kill()
-		}
-		return nil
+	case "kill-gateway", "stop-gateway", "roll-gateways", "links", "partition":
+		return l.fleetEvent(e, stop)
 	case "reset-before":
 		faults.ResetBefore = e.Part
 	case "reset-after":
@@ -199,63 +267,6 @@
 	return nil
 }
 
-// start runs a gateway and waits until it says where it listens.
-func (l *Lab) start(i int) (*node, error) {
-	dir := filepath.Join(l.dir, fmt.Sprintf("n%d", i))
-	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return nil, err
-	}
-	text, err := json.Marshal(l.config(i))
-	if err != nil {
-		return nil, err
-	}
-	path := filepath.Join(l.dir, fmt.Sprintf("n%d.json", i))
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		return nil, err
-	}
-	n := &node{cmd: exec.Command(l.Gateway[0], l.Gateway[1:]...), end: make(chan struct{})}
-	n.cmd.Env = append(append(os.Environ(), "GW_CONFIG="+path, "TMPDIR="+dir), l.Env...)
-	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it does not outlive the lab
-	out, err := n.cmd.StderrPipe()
-	if err != nil {
-		return nil, err
-	}
-	if err := n.cmd.Start(); err != nil {
-		return nil, fmt.Errorf("gateway: %w", err)
-	}
-	l.nodes = append(l.nodes, n)
-	started := make(chan string, 1)
-	go func() {
-		lines := bufio.NewScanner(out)
-		last := ""
-		for lines.Scan() {
-			last = lines.Text()
-			if l.Log != nil {
-				fmt.Fprintf(l.Log, "n%d %s\n", i, last)
-			}
-			if _, rest, ok := strings.Cut(last, "event=started "); ok {
-				_, rest, _ = strings.Cut(rest, "listen=")
-				started <- strings.Fields(rest)[0]
-			}
-		}
-		_ = n.cmd.Wait()
-		close(n.end)
-		select {
-		case started <- "error: " + last:
-		default:
-		}
-	}()
-	select {
-	case n.addr = <-started:
-		if said, failed := strings.CutPrefix(n.addr, "error: "); failed {
-			return nil, fmt.Errorf("gateway %d does not start: %s", i, said)
-		}
-		return n, nil
-	case <-time.After(startTime):
-		return nil, fmt.Errorf("gateway %d does not start", i)
-	}
-}
-
 // config is what the platform would tell a gateway of this plan.
 func (l *Lab) config(i int) map[string]any {
 	p := l.Plan
@@ -278,10 +289,10 @@
 		})
 	}
 	return map[string]any{
-		"name": fmt.Sprintf("n%d", i), "listen": "127.0.0.1:0", "discovery": l.world.Discovery(), "seed": fmt.Sprintf("%x", p.Seed+uint64(i)+1),
+		"name": l.name(i), "listen": "127.0.0.1:0", "discovery": l.world.Discovery(), "seed": fmt.Sprintf("%x", p.Seed+uint64(i)+1),
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": json.RawMessage(l.world.List()),
 		"settings": map[string]any{
-			"Allowed": map[string]any{"Cancel": true, "ConnIdleUs": 15000000, "DialTimeoutUs": 250000, "MaxRetryAfterUs": 1000000,
+			"Allowed": map[string]any{"Cancel": true, "Peers": p.Lab.Fleet, "ConnIdleUs": 15000000, "DialTimeoutUs": 250000, "MaxRetryAfterUs": 1000000,
 				"Probes": true, "RetryAfter": true, "TryLimit": 6},
 			"Discovery": "ask", "Domain": map[string]any{"Behind": "none", "ClassBoundUs": bounds, "ReadLevel": levels, "ShowsRole": "delayed",
 				"SessionMarks": "client"},
@@ -292,22 +303,6 @@
 	}
 }
 
-// stop ends the gateways, in order if they can.
-func (l *Lab) stop() {
-	for _, n := range l.nodes {
-		_ = n.cmd.Process.Signal(syscall.SIGTERM)
-	}
-	over := time.After(endTime)
-	for _, n := range l.nodes {
-		select {
-		case <-n.end:
-		case <-over:
-			_ = n.cmd.Process.Kill()
-			<-n.end
-		}
-	}
-}
-
 // ErrFaults tells that a rule was broken, or the run is not to be trusted.
 var ErrFaults = errors.New("the run has faults")
 
--- a/internal/load/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -51,7 +51,7 @@
 	assert.Equal(t, len(l.Arrivals), r.Total.Count)
 	assert.Greater(t, r.Total.Counts[run.InAim], r.Total.Count/2)
 	assert.Positive(t, r.Total.Counts[run.Failed], "resets behind the last byte of a write are told as failures")
-	for _, n := range l.nodes {
+	for _, n := range l.processes() {
 		assert.NotNil(t, n.cmd.ProcessState, "it has ended")
 	}
 }
--- /dev/null
+++ b/internal/lab/node.go
@@ -0,0 +1,390 @@
+package lab
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"lilaccove/internal/load/plan"
+	"lilaccove/internal/peer"
+	"lilaccove/internal/standin"
+)
+
+// Node is one process of a gateway.
+type Node struct {
+	Name    string
+	Clients string         // where clients connect
+	Manage  string         // the operators' address
+	Peers   netip.AddrPort // where other gateways find it; invalid without a fleet
+
+	slot   int
+	cmd    *exec.Cmd
+	end    chan struct{}
+	mu     sync.Mutex
+	meant  bool // it was ended by the plan
+	events []string
+}
+
+// name is that of a gateway; a twin has the name of its first process.
+func (l *Lab) name(i int) string {
+	if n := l.Plan.Lab.Gateways; i >= n {
+		i = l.Twins[i-n]
+	}
+	return fmt.Sprintf("n%d", i)
+}
+
+// Node is the newest process of gateway i.
+func (l *Lab) Node(i int) *Node {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.nodes[i]
+}
+
+// processes are all that were started.
+func (l *Lab) processes() []*Node {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]*Node(nil), l.all...)
+}
+
+// Twin starts a second process under the name of gateway Twins[k].
+func (l *Lab) Twin(k int) (*Node, error) { return l.Start(l.Plan.Lab.Gateways + k) }
+
+// Start runs a gateway and waits until it says where it listens.
+func (l *Lab) Start(i int) (*Node, error) {
+	name := l.name(i)
+	dir, err := os.MkdirTemp(l.dir, name+"-")
+	if err != nil {
+		return nil, err
+	}
+	text, err := json.Marshal(l.config(i))
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return nil, err
+	}
+	n := &Node{Name: name, slot: i, cmd: exec.Command(l.Gateway[0], l.Gateway[1:]...), end: make(chan struct{})}
+	n.cmd.Env = append(append(os.Environ(), "GW_CONFIG="+path, "TMPDIR="+dir, "GW_MANAGEMENT=127.0.0.1:0"), l.Env...)
+	if l.mesh != nil {
+		file := filepath.Join(dir, "fleet.yaml")
+		if err := os.WriteFile(file, l.fleetFile(i), 0o600); err != nil {
+			return nil, err
+		}
+		n.cmd.Env = append(n.cmd.Env, "GW_FLEET="+file)
+	}
+	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it does not outlive the lab
+	out, err := n.cmd.StderrPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := n.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("gateway: %w", err)
+	}
+	l.mu.Lock()
+	l.all = append(l.all, n)
+	l.mu.Unlock()
+	started := make(chan error, 1)
+	go l.listen(n, out, started)
+	select {
+	case err := <-started:
+		if err != nil {
+			return nil, err
+		}
+	case <-time.After(startTime):
+		return nil, fmt.Errorf("gateway %s does not start", name)
+	}
+	l.mu.Lock()
+	l.nodes[i] = n
+	l.mu.Unlock()
+	l.lead(name)
+	if i < l.Plan.Lab.Gateways {
+		l.front.Set(i, n.Clients)
+	}
+	return n, nil
+}
+
+// listen reads what a gateway says until it ends.
+func (l *Lab) listen(n *Node, out io.Reader, started chan<- error) {
+	lines := bufio.NewScanner(out)
+	last := ""
+	for lines.Scan() {
+		last = lines.Text()
+		if l.Log != nil {
+			l.mu.Lock()
+			fmt.Fprintf(l.Log, "%s/%d %s\n", n.Name, n.cmd.Process.Pid, last)
+			l.mu.Unlock()
+		}
+		_, event, ok := strings.Cut(last, " event=")
+		if !ok {
+			continue
+		}
+		switch kind, _, _ := strings.Cut(event, " "); {
+		case kind == "fleet_started":
+			n.Peers, _ = netip.ParseAddrPort(field(event, "listen"))
+		case kind == "started":
+			n.Clients, n.Manage = field(event, "listen"), field(event, "management")
+			started <- nil
+		}
+		if strings.HasPrefix(event, "fleet_") {
+			n.mu.Lock()
+			n.events = append(n.events, event)
+			n.mu.Unlock()
+			l.History.Add(Happening{Kind: "log", Gateway: n.Name, What: event})
+		}
+	}
+	_ = n.cmd.Wait()
+	close(n.end)
+	l.lead(n.Name)
+	select {
+	case started <- fmt.Errorf("gateway %s does not start: %s", n.Name, last):
+	default:
+	}
+}
+
+// field is a value of a log line.
+func field(line, key string) string {
+	_, rest, _ := strings.Cut(line, " "+key+"=")
+	value, _, _ := strings.Cut(rest, " ")
+	return value
+}
+
+// lead has the relays to a name lead to the process of it that was started last and lives.
+func (l *Lab) lead(name string) {
+	if l.mesh == nil {
+		return
+	}
+	to := netip.AddrPort{}
+	for _, n := range l.processes() {
+		if n.Name == name && n.alive() && n.Clients != "" {
+			to = n.Peers
+		}
+	}
+	l.mesh.Lead(name, to)
+}
+
+// fleetFile is what a gateway is told of the fleet: it finds all others behind relays of its own.
+func (l *Lab) fleetFile(i int) []byte {
+	b := []byte("fleet: lab\nlisten: 127.0.0.1:0\nseeds:\n")
+	dial := []byte("dial:\n")
+	for j := range l.nodes {
+		a := l.mesh.Dial(i, j)
+		if !a.IsValid() {
+			continue
+		}
+		if j < 3 || i < 3 && j == 3 { // not all: newcomers learn the rest
+			b = fmt.Appendf(b, "  - %s\n", a)
+		}
+		if j < l.Plan.Lab.Gateways {
+			dial = fmt.Appendf(dial, "  %s: %s\n", l.name(j), a)
+		}
+	}
+	return append(b, dial...)
+}
+
+func (n *Node) alive() bool {
+	select {
+	case <-n.end:
+		return false
+	default:
+		return true
+	}
+}
+
+func (n *Node) expected() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.meant
+}
+
+func (n *Node) mean() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.meant = true
+}
+
+// Events are its log lines about the fleet, from the event's name on.
+func (n *Node) Events() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]string(nil), n.events...)
+}
+
+// Pid is the number of the process.
+func (n *Node) Pid() int { return n.cmd.Process.Pid }
+
+// Kill ends it at once.
+func (n *Node) Kill() {
+	n.mean()
+	_ = n.cmd.Process.Kill()
+	<-n.end
+}
+
+// Stop has it stand still, Continue go on.
+func (n *Node) Stop() error { return n.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Continue is the end of Stop.
+func (n *Node) Continue() error { return n.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Term asks it to end in order and waits until it has.
+func (n *Node) Term() error {
+	n.mean()
+	if err := n.cmd.Process.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	select {
+	case <-n.end:
+		return nil
+	case <-time.After(endTime):
+		_ = n.cmd.Process.Kill()
+		return fmt.Errorf("gateway %s does not end within %v", n.Name, endTime)
+	}
+}
+
+// Call asks the operators' address and returns what it says.
+func (n *Node) Call(method, path string) ([]byte, error) {
+	q, err := http.NewRequest(method, "http://"+n.Manage+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := (&http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Do(q)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err == nil && answer.StatusCode/100 != 2 {
+		err = fmt.Errorf("%s %s: %d %s", method, path, answer.StatusCode, strings.TrimSpace(string(text)))
+	}
+	return text, err
+}
+
+// Fleet is what it knows of the others.
+func (n *Node) Fleet() (r peer.Report, err error) {
+	text, err := n.Call("GET", "/v1/fleet/members")
+	if err == nil {
+		err = json.Unmarshal(text, &r)
+	}
+	return r, err
+}
+
+// stop ends all processes, in order if they can.
+func (l *Lab) stop() {
+	var all sync.WaitGroup
+	for _, n := range l.processes() {
+		if !n.alive() {
+			continue
+		}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			_ = n.Continue()
+			_ = n.Term()
+			<-n.end
+		}()
+	}
+	all.Wait()
+}
+
+// whom are the gateways of an event.
+func (l *Lab) whom(e plan.Event) []int {
+	if e.Some == 0 {
+		return e.Gateways
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := l.Plan.Lab.Gateways
+	return l.rnd.Perm(n)[:int(e.Some*float64(n)+0.5)]
+}
+
+// fleetEvent does something to gateways, or to the links between them.
+func (l *Lab) fleetEvent(e plan.Event, stop <-chan struct{}) error {
+	list := l.whom(e)
+	l.History.Add(Happening{Kind: "fault", What: e.Do, Gateway: fmt.Sprint(list)})
+	switch e.Do {
+	case "kill-gateway":
+		for _, i := range list {
+			l.Node(i).Kill()
+		}
+		if e.Back == 0 || !standin.Sleep(e.Back, stop) {
+			return nil
+		}
+		var all sync.WaitGroup
+		failed := make([]error, len(list))
+		for k, i := range list {
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				_, failed[k] = l.Start(i)
+			}()
+		}
+		all.Wait()
+		return errors.Join(failed...)
+	case "stop-gateway":
+		for _, i := range list {
+			if err := l.Node(i).Stop(); err != nil {
+				return err
+			}
+		}
+		standin.Sleep(e.For, stop)
+		for _, i := range list {
+			if err := l.Node(i).Continue(); err != nil {
+				return err
+			}
+		}
+	case "roll-gateways":
+		for k, i := range list {
+			if k > 0 && !standin.Sleep(e.For/time.Duration(len(list)), stop) {
+				return nil
+			}
+			if err := l.Node(i).Term(); err != nil {
+				return err
+			}
+			if _, err := l.Start(i); err != nil {
+				return err
+			}
+		}
+	case "links":
+		l.links(e, e.Link)
+		standin.Sleep(e.For, stop)
+		l.links(e, plan.Link{})
+	case "partition":
+		l.mesh.Partition(e.Sides, true)
+		standin.Sleep(e.For, stop)
+		l.mesh.Partition(e.Sides, false)
+	}
+	l.History.Add(Happening{Kind: "fault", What: "end of " + e.Do, Gateway: fmt.Sprint(list)})
+	return nil
+}
+
+// links gives the links of an event these faults.
+func (l *Lab) links(e plan.Event, to plan.Link) {
+	in := func(list []int, i int) bool {
+		for _, j := range list {
+			if i == j {
+				return true
+			}
+		}
+		return len(list) == 0
+	}
+	for i := range l.nodes {
+		for j := range l.nodes {
+			if i != j && in(e.From, i) && in(e.To, j) {
+				l.mesh.Set(i, j, to)
+				l.mesh.Cut(i, j, to.Cut)
+			}
+		}
+	}
+}
--- a/internal/load/plan/plan.go
+++ b/internal/load/plan/plan.go
@@ -54,10 +54,31 @@
 	Part float64       `json:"part"` // share of the databases, or of their answers
 	For  time.Duration `json:"for_ns"`
 	Size time.Duration `json:"size_ns"`
+
+	Gateways []int         `json:"gateways,omitempty"` // whom it is done to; share of all where Some
+	Some     float64       `json:"some,omitempty"`
+	Back     time.Duration `json:"back_ns,omitempty"` // a killed gateway starts again after so long; 0: it does not
+	From     []int         `json:"from,omitempty"`    // links; empty: all
+	To       []int         `json:"to,omitempty"`
+	Link     Link          `json:"link"`
+	Sides    [][]int       `json:"sides,omitempty"`
+}
+
+// Link is what goes wrong on the way from one gateway to another.
+type Link struct {
+	Loss      float64       `json:"loss,omitempty"` // shares of the datagrams
+	Duplicate float64       `json:"duplicate,omitempty"`
+	Reorder   float64       `json:"reorder,omitempty"`
+	Corrupt   float64       `json:"corrupt,omitempty"`
+	Delay     time.Duration `json:"delay_ns,omitempty"`
+	Jitter    time.Duration `json:"jitter_ns,omitempty"`
+	Rate      float64       `json:"rate,omitempty"` // bytes a second; 0: as fast as it goes
+	Cut       bool          `json:"cut,omitempty"`
 }
 
 // Events are what may be asked of the stand-ins.
-var Events = []string{"roll", "lag", "pause", "reset-before", "reset-after", "silence", "spoil", "errors", "kill-gateway"}
+var Events = []string{"roll", "lag", "pause", "reset-before", "reset-after", "silence", "spoil", "errors",
+	"kill-gateway", "stop-gateway", "roll-gateways", "links", "partition"}
 
 // Plan is a whole run.
 type Plan struct {
@@ -91,6 +112,7 @@
 	Delay    string        `json:"delay"`      // constant or exponential
 	Lag      time.Duration `json:"lag_ns"`     // of replicas
 	Cold     time.Duration `json:"cold_ns"`
+	Fleet    bool          `json:"fleet"` // gateways have a fleet file, and relays between them
 }
 
 // Length is how long the stages take.
@@ -313,7 +335,8 @@
 		return
 	}
 	for _, v := range n.Content {
-		f := r.Fields(v, "event", "at", "do", "part", "for", "size")
+		f := r.Fields(v, "event", "at", "do", "part", "for", "size", "gateways", "back", "from", "to", "sides",
+			"loss", "duplicate", "reorder", "corrupt", "delay", "jitter", "rate", "cut")
 		e := Event{Part: 1}
 		if f["at"] == nil {
 			r.Fail(v, "at", "missing")
@@ -333,12 +356,71 @@
 		if f["size"] != nil {
 			e.Size = r.Time(f["size"], "size")
 		}
+		r.fleet(f, v, &e)
 		p.Events = append(p.Events, e)
 	}
 }
 
+// fleet reads what events do to gateways and to the links between them.
+func (r *reader) fleet(f map[string]*yaml.Node, v *yaml.Node, e *Event) {
+	if n := f["gateways"]; n != nil && n.Kind == yaml.ScalarNode {
+		e.Some = r.Share(n, "gateways")
+	} else if n != nil {
+		e.Gateways = r.numbers(n, "gateways")
+	} else if e.Do == "kill-gateway" || e.Do == "stop-gateway" {
+		e.Gateways = []int{0}
+	} else if e.Do == "roll-gateways" {
+		e.Some = 1
+	}
+	e.From, e.To = r.numbers(f["from"], "from"), r.numbers(f["to"], "to")
+	for key, to := range map[string]*float64{
+		"loss": &e.Link.Loss, "duplicate": &e.Link.Duplicate, "reorder": &e.Link.Reorder, "corrupt": &e.Link.Corrupt,
+	} {
+		if f[key] != nil {
+			*to = r.Share(f[key], key)
+		}
+	}
+	for key, to := range map[string]*time.Duration{"delay": &e.Link.Delay, "jitter": &e.Link.Jitter, "back": &e.Back} {
+		if f[key] != nil {
+			*to = r.Time(f[key], key)
+		}
+	}
+	if f["rate"] != nil {
+		e.Link.Rate, _ = r.Number(f["rate"], "rate", "20 kB/s", map[string]float64{"B/s": 1, "kB/s": 1e3, "MB/s": 1e6})
+	}
+	if s, ok := r.Text(f["cut"], "cut"); ok {
+		if e.Link.Cut = s == "true"; s != "true" && s != "false" {
+			r.Fail(f["cut"], "cut", "%q is neither true nor false", s)
+		}
+	}
+	if n := f["sides"]; n != nil {
+		if n.Kind != yaml.SequenceNode || len(n.Content) < 2 {
+			r.Fail(n, "sides", "two lists or more are wanted, like [[0, 1], [2, 3]]")
+		} else {
+			for _, side := range n.Content {
+				e.Sides = append(e.Sides, r.numbers(side, "sides"))
+			}
+		}
+	} else if e.Do == "partition" {
+		r.Fail(v, "sides", "missing; a partition wants them")
+	}
+}
+
+func (r *reader) numbers(n *yaml.Node, key string) (list []int) {
+	if n != nil && n.Kind != yaml.SequenceNode {
+		r.Fail(n, key, "a list of numbers of gateways is wanted, like [0, 2]")
+		return nil
+	}
+	if n != nil {
+		for _, v := range n.Content {
+			list = append(list, r.Count(v, key, 0, 999))
+		}
+	}
+	return list
+}
+
 func (r *reader) lab(p *Plan, n *yaml.Node) {
-	f := r.Fields(n, "lab", "gateways", "members", "cores", "queue", "service", "delay", "lag", "cold")
+	f := r.Fields(n, "lab", "gateways", "members", "cores", "queue", "service", "delay", "lag", "cold", "fleet")
 	for key, to := range map[string]*int{"gateways": &p.Lab.Gateways, "members": &p.Lab.Members, "cores": &p.Lab.Cores, "queue": &p.Lab.Queue} {
 		if f[key] != nil {
 			*to = r.Count(f[key], key, 1, 1000)
@@ -349,6 +431,21 @@
 			*to = r.Time(f[key], key)
 		}
 	}
+	if s, ok := r.Text(f["fleet"], "fleet"); ok {
+		if p.Lab.Fleet = s == "true"; s != "true" && s != "false" {
+			r.Fail(f["fleet"], "fleet", "%q is neither true nor false", s)
+		}
+	}
+	for i, e := range p.Events {
+		for _, g := range slices.Concat(e.Gateways, e.From, e.To, slices.Concat(e.Sides...)) {
+			if g >= p.Lab.Gateways {
+				r.Fail(n, "events", "event %d names gateway %d; the lab has %d, counted from 0", i+1, g, p.Lab.Gateways)
+			}
+		}
+		if (e.Do == "links" || e.Do == "partition") && !p.Lab.Fleet {
+			r.Fail(n, "events", "event %d is about links between gateways; the lab wants fleet: true for that", i+1)
+		}
+	}
 	if s, ok := r.Text(f["delay"], "delay"); ok {
 		if p.Lab.Delay = s; s != "constant" && s != "exponential" {
 			r.Fail(f["delay"], "delay", "%q is neither constant nor exponential", s)
--- a/internal/load/run/run.go
+++ b/internal/load/run/run.go
@@ -54,10 +54,11 @@
 	Plan     *plan.Plan
 	Arrivals []plan.Arrival
 	Targets  []string
-	Sample   func(Sample)        // called from many goroutines
-	Stalled  func(time.Duration) // before each request is handed out; for tests of the generator itself
+	Pick     func(session int) (target string, ok bool) // whom a session is sent to; nil: one of Targets for good
+	Sample   func(Sample)                               // called from many goroutines
+	Stalled  func(time.Duration)                        // before each request is handed out; for tests of the generator itself
 
-	pools   []*pool
+	pools   map[string]*pool
 	begun   time.Time
 	mu      sync.Mutex
 	rnd     *rand.Rand
@@ -80,15 +81,18 @@
 // Play sends all arrivals, or those until ctx ends, and waits for their outcomes; it returns how many were
 // handed out.
 func (r *Runner) Play(ctx context.Context) (sent int, err error) {
-	if len(r.Targets) == 0 {
+	if len(r.Targets) == 0 && r.Pick == nil {
 		return 0, errors.New("no target")
 	}
 	for _, t := range r.Targets {
 		if err := Loopback(t); err != nil {
 			return 0, err
 		}
-		r.pools = append(r.pools, &pool{target: t, slots: make(chan struct{}, r.Plan.Connections)})
 	}
+	if r.Pick == nil {
+		r.Pick = func(session int) (string, bool) { return r.Targets[session%len(r.Targets)], true }
+	}
+	r.pools = map[string]*pool{}
 	defer func() {
 		for _, p := range r.pools {
 			p.close()
@@ -151,12 +155,11 @@
 	ctx, cancel := context.WithDeadline(context.Background(), due.Add(class.Deadline))
 	defer cancel()
 	s := Sample{Arrival: a}
-	p := r.pools[a.Session%len(r.pools)]
 	for {
 		s.Tries++
-		outcome, after, service := r.try(ctx, p, a, class, s.Tries > 1)
+		outcome, after, service := r.try(ctx, a, class, s.Tries > 1)
 		s.Service = service
-		if s.Outcome = outcome; outcome != Refused && outcome != RefusedFor || s.Tries > r.Plan.Retries {
+		if s.Outcome = outcome; outcome != Refused && outcome != RefusedFor && outcome != NoConn || s.Tries > r.Plan.Retries {
 			break
 		}
 		if !until(ctx, time.Now().Add(r.pause(after, s.Tries))) {
@@ -182,7 +185,11 @@
 }
 
 // try sends the request once; service counts from when it really goes out, on a connection that is up.
-func (r *Runner) try(ctx context.Context, p *pool, a plan.Arrival, class *plan.Class, again bool) (o Outcome, after, service time.Duration) {
+func (r *Runner) try(ctx context.Context, a plan.Arrival, class *plan.Class, again bool) (o Outcome, after, service time.Duration) {
+	p := r.pool(a.Session)
+	if p == nil {
+		return NoConn, 0, 0
+	}
 	c, err := p.get(ctx)
 	if err != nil {
 		if ctx.Err() != nil {
@@ -263,6 +270,22 @@
 	return fmt.Sprintf("/* %s */ SELECT blob FROM rows WHERE handle = '%s'", head, key)
 }
 
+// pool finds the connections to a session's gateway; nil: there is none.
+func (r *Runner) pool(session int) *pool {
+	target, ok := r.Pick(session)
+	if !ok || Loopback(target) != nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pools[target]
+	if p == nil {
+		p = &pool{target: target, slots: make(chan struct{}, r.Plan.Connections)}
+		r.pools[target] = p
+	}
+	return p
+}
+
 // pool keeps the connections to one gateway. Who waits for one is already counting.
 type pool struct {
 	target string
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -192,6 +192,8 @@
 	e := c.Entry
 	own, member := l.m.Own()
 	switch {
+	case e.Twice && (e.Name == own.Name || c.Was == e.State):
+		log.Printf("event=fleet_twice name=%s addr=%s session=%x own=%t", e.Name, e.Addr, e.Session, e.Session == own.Session)
 	case e.Name == own.Name && !member:
 		log.Printf("event=fleet_superseded name=%s by=%s session=%x beside=%t", e.Name, e.Addr, e.Session, l.beside)
 	case e.Name == own.Name:
@@ -200,8 +202,6 @@
 		l.news.Printf(l.loop.Now(), "event=fleet_suspect name=%s by=%s", e.Name, e.By)
 	case c.New || c.Was != e.State && c.Was != membership.Suspect || e.State != membership.Alive:
 		log.Printf("event=fleet_member name=%s state=%s addr=%s session=%x twice=%t", e.Name, e.State, e.Addr, e.Session, e.Twice)
-	case e.Twice:
-		log.Printf("event=fleet_twice name=%s addr=%s session=%x", e.Name, e.Addr, e.Session)
 	}
 }
 
