Answer the other process of a name at the address it told, and say who has the name

Cause, found by TestFleetMembershipNameTwice with real processes: answers to the older process of a name went where the name is dialled, to the newer one, so it heard nothing and took the whole fleet for dead. The simulated network has no such names and hid it; a test of the machine alone has it now.

--- a/internal/fleet/membership/machine.go
+++ b/internal/fleet/membership/machine.go
@@ -524,7 +524,7 @@
 		if m.missing(*s) && (len(gone) == 0 || m.rnd.IntN(2) == 0) {
 			m.seedAt = (m.seedAt + i + 1) % n
 			s.seq = m.seq
-			m.post(Send{Addr: s.addr, Seed: true, Message: ping})
+			m.post(Send{Addr: s.addr, Direct: true, Message: ping}, 0)
 			return
 		}
 	}
@@ -560,15 +560,19 @@
 
 func (m *Machine) stream(o *member, msg Message) {
 	m.counts.Exchanges++
-	m.post(Send{To: o.Name, Addr: o.Addr, Stream: true, Message: msg})
+	m.post(Send{To: o.Name, Addr: o.Addr, Stream: true, Message: msg}, o.Session)
 }
 
-// answer sends a message to whoever an entry stands for.
+// answer sends a message to whoever an entry stands for. Where that is not the process that has the name, only the
+// address that it told itself leads to it.
 func (m *Machine) answer(to Entry, via uint64, msg Message) {
-	m.post(Send{To: to.Name, Addr: to.Addr, Stream: via != 0, Via: via, Message: msg})
+	o := m.members[to.Name]
+	other := o != nil && to.Session != 0 && to.Session != o.Session
+	m.post(Send{To: to.Name, Addr: to.Addr, Direct: other, Stream: via != 0, Via: via, Message: msg}, to.Session)
 }
 
-func (m *Machine) post(s Send) {
+// post has a message go out; session is the receiver's, 0 where it is not known.
+func (m *Machine) post(s Send, session uint64) {
 	msg := &s.Message
 	msg.From, msg.Observer = m.own, m.standing != active
 	switch {
@@ -579,14 +583,14 @@
 	case s.Stream:
 		// an observer only asks
 	default:
-		msg.News = append(msg.News, m.fresh(s.To)...)
+		msg.News = append(msg.News, m.fresh(s.To, session)...)
 	}
 	m.out = append(m.out, s)
 }
 
 // fresh is the news that go with a datagram: what the receiver must refute, then what was sent least often.
-func (m *Machine) fresh(to string) (list []Entry) {
-	if o := m.members[to]; o != nil && o.State != Alive {
+func (m *Machine) fresh(to string, session uint64) (list []Entry) {
+	if o := m.members[to]; o != nil && (o.State != Alive || session != 0 && session != o.Session) {
 		list = append(list, o.Entry)
 	}
 	most := retransmit * int(math.Ceil(math.Log10(float64(m.size()+1))))
--- a/internal/fleet/membership/machine_test.go
+++ b/internal/fleet/membership/machine_test.go
@@ -171,6 +171,24 @@
 	}), "the first takes the name back when the second has ended")
 }
 
+// Where a name is dialled at a set address, only the one that has the name is there: the other is answered at the
+// address it told, and told who has its name.
+func TestTheOtherProcessOfANameIsAnswered(t *testing.T) {
+	m := New(Config{Name: "a", Addr: at(0), Start: epoch, Session: 1}, epoch)
+	m.Receive(epoch, Message{Kind: Gossip, From: Entry{Name: "b", Addr: at(1), Incarnation: 9, Session: 2}}, 0)
+	for range 40 { // until that is no news any more
+		m.Receive(epoch, Message{Kind: Ping, From: Entry{Name: "b", Addr: at(1), Incarnation: 9, Session: 2}, Seq: 1}, 0)
+	}
+	m.Take()
+	m.Receive(epoch, Message{Kind: Ping, From: Entry{Name: "b", Addr: at(2), Incarnation: 5, Session: 3}, Target: "a", Session: 1, Seq: 7}, 0)
+	out, _ := m.Take()
+	require.Len(t, out, 1)
+	assert.True(t, out[0].Direct)
+	assert.Equal(t, at(2), out[0].Addr)
+	require.NotEmpty(t, out[0].Message.News)
+	assert.Equal(t, uint64(2), out[0].Message.News[0].Session)
+}
+
 // During an upgrade two processes of a name are as it should be.
 func TestUpgradeIsOneMember(t *testing.T) {
 	w := joined(t, 10, 6)
--- a/internal/fleet/membership/news.go
+++ b/internal/fleet/membership/news.go
@@ -49,7 +49,7 @@
 	case Sync:
 		if msg.Digest != m.sum() && m.standing == active {
 			m.counts.Exchanges++
-			m.post(Send{To: from.Name, Addr: from.Addr, Stream: true, Message: Message{Kind: Exchange}})
+			m.post(Send{To: from.Name, Addr: from.Addr, Stream: true, Message: Message{Kind: Exchange}}, from.Session)
 		}
 	case Exchange:
 		if via != 0 {
--- a/internal/fleet/membership/types.go
+++ b/internal/fleet/membership/types.go
@@ -78,7 +78,7 @@
 type Send struct {
 	To      string         // the member's name; empty: only its address is known
 	Addr    netip.AddrPort // as the member told it
-	Seed    bool           // Addr is one to dial as it is
+	Direct  bool           // Addr is to be dialled as it is, whatever is set for the name
 	Stream  bool           // over a connection
 	Via     uint64         // on the connection on which the request came; 0: a new one
 	Message Message
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -207,7 +207,7 @@
 
 // dial is where a member is found from here.
 func (l *Links) dial(s *membership.Send) netip.AddrPort {
-	if a, ok := l.file.Dial[s.To]; ok && !s.Seed {
+	if a, ok := l.file.Dial[s.To]; ok && !s.Direct {
 		return a
 	}
 	return s.Addr
