--- a/cmd/lilaccove/fleet_test.go
+++ b/cmd/lilaccove/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"os/exec"
 	"regexp"
 	"slices"
 	"strconv"
@@ -329,3 +330,105 @@
 	assert.Len(t, r.Known, 3, "nobody came into being by noise")
 	p.judge(0.9)
 }
+
+// peerSettings allow gateways to talk to each other.
+var peerSettings = strings.Replace(testSettings, `{"Cancel"`, `{"Peers":true,"Cancel"`, 1)
+
+// freePort is an address that nobody has at the moment, for UDP and TCP.
+func freePort(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// Two processes of an upgrade are one member all along; the new one takes over the address when the old one has ended.
+func TestFleetMembershipUpgrade(t *testing.T) {
+	p := newParty(t, 1)
+	peers := p.Node(0).Peers.String()
+	listen := freePort(t)
+	file := t.TempDir() + "/fleet.yaml"
+	require.NoError(t, os.WriteFile(file, fmt.Appendf(nil, "fleet: lab\nlisten: %s\nseeds: [%s]\n", listen, peers), 0o600))
+	s := held(t, func(s *site) {
+		s.fleet, s.settings = file, strings.Replace(peerSettings, `"Instances":1`, `"Instances":2`, 1)
+	})
+	member := func() (m peer.ReportMember) {
+		r, err := p.Node(0).Fleet()
+		require.NoError(t, err)
+		for _, x := range r.View.Members {
+			if x.Name == "n1" {
+				m = x
+			}
+		}
+		return m
+	}
+	p.eventually("it is a member", func() bool { return member().Addr == listen })
+	first := member().Session
+	next := s.successor()
+	p.eventually("the new process has the name", func() bool {
+		m := member()
+		require.NotEmpty(t, m.Session, "the name is in the view all along")
+		return m.Session != first && m.Addr != listen
+	})
+	s.eventually("the old one knows", func() bool { return strings.Contains(s.logged(), "event=fleet_superseded") })
+	s.term()
+	s.exits()
+	p.eventually("it moves to the address that is set", func() bool {
+		m := member()
+		require.NotEmpty(t, m.Session, "the end of the old process takes nobody out")
+		return m.Addr == listen
+	})
+	assert.NotContains(t, s.logged()+next.logged(), "fleet_twice")
+	assert.Equal(t, []string{"alive"}, p.states("n1"))
+	next.term()
+	next.exits()
+	p.eventually("it leaves", func() bool { return member().Session == "" })
+}
+
+// states are those in which gateway 0 has told of another, one after the other, without repeats.
+func (p *party) states(name string) (list []string) {
+	for _, e := range p.Node(0).Events() {
+		if strings.HasPrefix(e, "fleet_member name="+name+" ") {
+			_, rest, _ := strings.Cut(e, "state=")
+			list = append(list, strings.Fields(rest)[0])
+		}
+	}
+	return slices.Compact(list)
+}
+
+// Drained by an operator, a gateway is no member; it observes, and comes back with the second call.
+func TestFleetMembershipDrain(t *testing.T) {
+	p := newParty(t, 4)
+	_, err := p.Node(2).Call("PUT", "/v1/gateway/drain")
+	require.NoError(t, err)
+	p.agree(3, p.all()...)
+	_, err = p.Node(2).Call("PUT", "/v1/gateway/activate")
+	require.NoError(t, err)
+	p.agree(4, p.all()...)
+	assert.Empty(t, p.dead(p.all()...))
+	p.judge(0.9)
+}
+
+// What the settings forbid is refused at the start, with what would do.
+func TestFleetFileWhereItIsForbidden(t *testing.T) {
+	t.Parallel()
+	for want, c := range map[string]struct{ settings, file string }{
+		"Allowed.Peers is not true":      {testSettings, "fleet: x\nlisten: 127.0.0.1:0\n"},
+		"no such file":                   {peerSettings, ""},
+		"fleet.yaml:2:9: listen":         {peerSettings, "fleet: x\nlisten: here\n"},
+		"unknown; one of fleet, listen":  {peerSettings, "fleet: x\nlisten: 127.0.0.1:0\nsedes: []\n"},
+		"fleet.yaml:1:1: listen: missin": {peerSettings, "fleet: x\n"},
+	} {
+		dir := t.TempDir()
+		s := &site{t: t, settings: c.settings, sockets: 256, memory: 192, listen: "127.0.0.1:0", config: dir + "/config.json"}
+		s.configure("127.0.0.1:9", list(1, true))
+		if c.file != "" {
+			require.NoError(t, os.WriteFile(dir+"/fleet.yaml", []byte(c.file), 0o600))
+		}
+		cmd := exec.Command(os.Args[0], "--fleet", dir+"/fleet.yaml")
+		cmd.Env = append(os.Environ(), "LILACCOVE_RUN=1", "GW_CONFIG="+s.config)
+		out, err := cmd.CombinedOutput()
+		assert.Error(t, err)
+		assert.Contains(t, string(out), want)
+	}
+}
--- a/cmd/lilaccove/operations_test.go
+++ b/cmd/lilaccove/operations_test.go
@@ -221,21 +221,26 @@
 }
 
 // held is a site whose clients' socket the test holds open.
-func held(t *testing.T) *site {
+func held(t *testing.T, change ...func(*site)) *site {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { ln.Close() })
 	f, err := ln.(*net.TCPListener).File()
 	require.NoError(t, err)
 	t.Cleanup(func() { f.Close() })
-	return newSite(t, func(s *site) { s.managed, s.inherited, s.listen = true, f, ln.Addr().String() })
+	return newSite(t, func(s *site) {
+		s.managed, s.inherited, s.listen = true, f, ln.Addr().String()
+		for _, c := range change {
+			c(s)
+		}
+	})
 }
 
 // successor starts the program once more beside s.
 func (s *site) successor() *site {
 	next := &site{
 		t: s.t, p: s.p, a: s.a, b: s.b, disc: s.disc, exited: make(chan error, 1), log: &bytes.Buffer{}, settings: s.settings,
-		sockets: s.sockets, memory: s.memory, config: s.config, listen: s.listen, tmp: s.tmp, managed: true, inherited: s.inherited,
+		sockets: s.sockets, memory: s.memory, config: s.config, listen: s.listen, tmp: s.tmp, managed: true, inherited: s.inherited, fleet: s.fleet,
 	}
 	next.start()
 	return next
--- a/cmd/lilaccove/rig_test.go
+++ b/cmd/lilaccove/rig_test.go
@@ -249,6 +249,7 @@
 	managed   bool     // it has an operators' address
 	manage    string   // which
 	inherited *os.File // the clients' socket, held open by the test
+	fleet     string   // the path of its fleet file; empty: none
 }
 
 // newSite starts the program; change may alter what it is told before.
@@ -277,6 +278,9 @@
 	if s.managed {
 		s.cmd.Env = append(s.cmd.Env, "GW_MANAGEMENT=127.0.0.1:0")
 	}
+	if s.fleet != "" {
+		s.cmd.Env = append(s.cmd.Env, "GW_FLEET="+s.fleet)
+	}
 	if s.inherited != nil {
 		s.cmd.ExtraFiles = []*os.File{nil, s.inherited} // descriptor 4
 		s.cmd.Env = append(s.cmd.Env, "GW_INHERITED_FD=4")
--- /dev/null
+++ b/cmd/lilacctl/members_test.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// gateway answers as one does.
+func gateway(t *testing.T, code int, body string) string {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(code)
+		_, _ = w.Write([]byte(body))
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+const said = `{"name":"NAME","addr":"127.0.0.1:7400","member":true,"view":{"version":4,"digest":"DIGEST","members":[{"name":"n1"},{"name":"n2"}]},
+"known":[{"name":"n2","addr":"127.0.0.1:7401","state":"suspect"},{"name":"n9","addr":"127.0.0.1:7409","state":"dead"}]}`
+
+func says(name, digest string) string {
+	return strings.NewReplacer("NAME", name, "DIGEST", digest).Replace(said)
+}
+
+// call runs the command line; it returns what it prints and its exit status.
+func call(args ...string) (string, int) {
+	c := command()
+	var out bytes.Buffer
+	c.SetOut(&out)
+	c.SetErr(&out)
+	c.SetArgs(args)
+	err := c.Execute()
+	var s status
+	switch {
+	case err == nil:
+		return out.String(), 0
+	case errors.As(err, &s):
+		return out.String() + s.why, s.code
+	}
+	return out.String() + err.Error(), exitTrouble
+}
+
+func TestMembers(t *testing.T) {
+	a, b := gateway(t, 200, says("n1", "aa")), gateway(t, 200, says("n3", "aa"))
+	out, code := call("members", "--at", a, "--at", b)
+	require.Zero(t, code, out)
+	assert.Contains(t, out, "n2       127.0.0.1:7401")
+	assert.Contains(t, out, "n1=suspect n3=suspect")
+	assert.NotContains(t, out, "n9", "who has ended is listed with --all")
+	out, _ = call("members", "--at", a, "--all")
+	assert.Contains(t, out, "n9")
+	out, code = call("members", "--at", a, "--json")
+	require.Zero(t, code)
+	assert.Contains(t, out, `"digest": "aa"`)
+}
+
+func TestExitStatuses(t *testing.T) {
+	a := gateway(t, 200, says("n1", "aa"))
+	for want, c := range map[string]struct {
+		at   string
+		code int
+	}{
+		"2 different views":          {gateway(t, 200, says("n2", "bb")), exitFinding},
+		"two processes are named n2": {gateway(t, 200, strings.Replace(says("n2", "aa"), `{"name":"n2"}`, `{"name":"n2","twice":true}`, 1)), exitFinding},
+		"has lost its name":          {gateway(t, 200, strings.Replace(says("n2", "aa"), `"member":true`, `"superseded":true`, 1)), exitFinding},
+		"no answer from 127.0.0.1:1": {"127.0.0.1:1", exitUnreachable},
+		"no fleet file":              {gateway(t, 404, "this gateway has no fleet file\n"), exitUnreachable},
+		"cannot be read":             {gateway(t, 200, "what"), exitUnreachable},
+		"is no address":              {"here", exitUnreachable},
+	} {
+		out, code := call("members", "--at", a, "--at", c.at)
+		assert.Equal(t, c.code, code, want)
+		assert.Contains(t, out, want)
+	}
+	_, code := call("members")
+	assert.Equal(t, exitTrouble, code)
+}
--- a/internal/fleet/membership/machine.go
+++ b/internal/fleet/membership/machine.go
@@ -14,7 +14,7 @@
 
 const (
 	healthMost    = 8 // Lifeguard's S
-	suspicion     = 4 // periods before an undoubted suspicion ends, times log10 of the fleet
+	suspicion     = 3 // periods before an undoubted suspicion ends, times log10 of the fleet
 	suspicionMost = 6 // times that without confirmations
 	confirmations = 3 // that shorten it all the way
 	retransmit    = 4 // times log10 of the fleet is how often a piece of news is sent on
@@ -75,7 +75,7 @@
 	seq        uint64
 	session    uint64
 	indirect   bool
-	next, last time.Duration // when helpers are asked; when it has failed
+	next, last time.Duration // when it is sent again; when it has failed
 	asked      int           // helpers
 	nacks      int
 }
@@ -299,10 +299,7 @@
 		at(m.nextReach)
 	}
 	if p := m.probe; p != nil {
-		if !p.indirect {
-			at(p.next)
-		}
-		at(p.last)
+		at(min(p.next, p.last))
 	}
 	for _, o := range m.doubted {
 		at(o.doubt.until)
@@ -367,14 +364,17 @@
 // probing is SWIM's failure detector: one member a period, each once a round, in a random order.
 func (m *Machine) probing() {
 	if p := m.probe; p != nil {
-		if !p.indirect && p.next <= m.now {
-			p.indirect = true
-			ask := Message{Kind: PingReq, Seq: p.seq, Target: p.m.Name, Session: p.session, Addr: p.m.Addr}
-			for _, o := range m.pick(m.cfg.Helpers, p.m) {
-				p.asked++
-				m.send(o, ask)
+		if p.next <= m.now {
+			// A datagram may just have been lost: it is sent again and again, and helpers are asked once.
+			if p.next = m.now + m.cfg.Timeout/2; !p.indirect {
+				p.indirect = true
+				ask := Message{Kind: PingReq, Seq: p.seq, Target: p.m.Name, Session: p.session, Addr: p.m.Addr}
+				for _, o := range m.pick(m.cfg.Helpers, p.m) {
+					p.asked++
+					m.send(o, ask)
+				}
 			}
-			m.ping(p) // a datagram may just have been lost
+			m.ping(p)
 		}
 		if p.last <= m.now {
 			m.probe = nil
@@ -610,7 +610,7 @@
 	return list
 }
 
-// tell has a piece of news go round. It takes the place of what it makes old.
+// tell has a piece of news go round, before those that have been sent as often. It takes the place of what it makes old.
 func (m *Machine) tell(e Entry) {
 	k := e.Name
 	if e.State == Suspect {
@@ -619,12 +619,13 @@
 	m.queue = slices.DeleteFunc(m.queue, func(n news) bool {
 		return n.key == k || n.e.Name == e.Name && (e.State != Suspect || n.e.State != Suspect)
 	})
-	m.queue = append(m.queue, news{key: k, e: e})
+	m.queue = slices.Insert(m.queue, 0, news{key: k, e: e})
 }
 
 // raise has this gateway's word prevail over an incarnation.
 func (m *Machine) raise(over uint64) {
 	m.own.Incarnation = max(m.own.Incarnation, over) + 1
+	m.digest = 0
 	m.tell(m.own)
 	m.spread(m.cfg.Helpers)
 }
--- a/internal/fleet/membership/machine_test.go
+++ b/internal/fleet/membership/machine_test.go
@@ -247,6 +247,21 @@
 	assert.Positive(t, m.Counts().Overflow)
 }
 
+// In a calm fleet nobody sends whole lists: the digests are equal.
+func TestCalmFleetExchangesNoLists(t *testing.T) {
+	w := joined(t, 14, 40)
+	w.run(10 * time.Second)
+	count := func() (n uint64) {
+		for _, o := range w.nodes {
+			n += o.m.Counts().Exchanges
+		}
+		return n
+	}
+	before := count()
+	w.run(30 * time.Second)
+	assert.Equal(t, before, count())
+}
+
 func TestSameSeedSameRun(t *testing.T) {
 	sum := func() (n int) {
 		w := joined(t, 13, 20)
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -178,6 +178,9 @@
 // fleetFile is what a gateway is told of the fleet: it finds all others behind relays of its own.
 func (l *Lab) fleetFile(i int) []byte {
 	b := []byte("fleet: lab\nlisten: 127.0.0.1:0\nseeds:\n")
+	if len(l.nodes) == 1 {
+		return []byte("fleet: lab\nlisten: 127.0.0.1:0\n")
+	}
 	dial := []byte("dial:\n")
 	for j := range l.nodes {
 		a := l.mesh.Dial(i, j)
--- a/internal/netloop/netloop_test.go
+++ b/internal/netloop/netloop_test.go
@@ -232,3 +232,48 @@
 	p.put(a)
 	assert.Zero(t, p.held)
 }
+
+// Datagrams come whole and in bounds; one that is too large is only told, and the share of the time is kept.
+func TestPackets(t *testing.T) {
+	loop, err := New(64, 0, 1<<20)
+	require.NoError(t, err)
+	defer loop.Close()
+	var got []string
+	large := 0
+	slow := time.Duration(0)
+	spare := loop.Spare()
+	a, err := loop.ListenPackets(netip.MustParseAddrPort("127.0.0.1:0"), 0.1, func(_ netip.AddrPort, b []byte) {
+		got = append(got, string(b))
+		for begun := time.Now(); time.Since(begun) < slow; {
+		}
+	}, func(netip.AddrPort) { large++ })
+	require.NoError(t, err)
+	b, err := loop.ListenPackets(netip.MustParseAddrPort("127.0.0.1:0"), 0.1, func(netip.AddrPort, []byte) {}, nil)
+	require.NoError(t, err)
+	assert.Equal(t, spare-2, loop.Spare())
+	assert.True(t, b.Send(a.Addr, []byte("one")))
+	assert.True(t, b.Send(a.Addr, make([]byte, MostPacket+1)))
+	assert.True(t, b.Send(a.Addr, nil))
+	assert.False(t, b.Send(netip.MustParseAddrPort("[::1]:9"), nil), "of another family")
+	late := loop.At(loop.Now()+10*time.Second, loop.Stop)
+	defer late.Stop()
+	require.NoError(t, loop.Run(func() bool {
+		if len(got) == 2 && large == 1 {
+			slow = 15 * time.Millisecond
+			b.Send(a.Addr, []byte("slow"))
+		}
+		if a.Rests() > 0 && len(got) == 3 {
+			b.Send(a.Addr, []byte("after"))
+		}
+		if len(got) >= 4 {
+			loop.Stop()
+		}
+		return false
+	}))
+	assert.Equal(t, []string{"one", "", "slow", "after"}, got[:4])
+	a.Close()
+	a.Close()
+	b.Close()
+	assert.Equal(t, spare, loop.Spare())
+	assert.False(t, b.Send(a.Addr, nil))
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,159 @@
+package peer
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lilaccove/internal/fleet"
+	"lilaccove/internal/fleet/membership"
+	"lilaccove/internal/netloop"
+)
+
+func testCodec(t testing.TB, name string) *codec {
+	c, err := newCodec(name)
+	require.NoError(t, err)
+	return c
+}
+
+func someone(name string) membership.Entry {
+	return membership.Entry{Name: name, Addr: netip.MustParseAddrPort("127.0.0.1:7400"), Incarnation: 5, Session: 7}
+}
+
+func TestEnvelope(t *testing.T) {
+	c := testCodec(t, "a")
+	msg := membership.Message{Kind: membership.Ping, From: someone("n1"), Seq: 3, Target: "n2", News: []membership.Entry{someone("n3")}}
+	b, err := c.pack(nil, channelMembership, msg)
+	require.NoError(t, err)
+	channel, body, err := c.open(b)
+	require.NoError(t, err)
+	assert.EqualValues(t, channelMembership, channel)
+	got, err := c.membership(body)
+	require.NoError(t, err)
+	assert.Equal(t, msg, got)
+
+	_, _, err = testCodec(t, "b").open(b)
+	assert.ErrorIs(t, err, errForeign)
+	for i := range b { // each damaged byte shows
+		d := append([]byte(nil), b...)
+		d[i] ^= 0x10
+		_, _, err := c.open(d)
+		assert.Error(t, err, "byte %d", i)
+	}
+	for n := range b {
+		_, _, err := c.open(b[:n])
+		assert.Error(t, err)
+	}
+}
+
+// What a later version adds passes; what cannot be does not.
+func TestBodies(t *testing.T) {
+	c := testCodec(t, "a")
+	open := func(body any) error {
+		b, err := c.enc.Marshal(body)
+		require.NoError(t, err)
+		_, err = c.membership(b)
+		return err
+	}
+	from := map[int]any{1: "n1", 2: []byte{127, 0, 0, 1, 1, 0}, 3: 5, 4: 7}
+	assert.NoError(t, open(map[int]any{1: 1, 2: from, 77: "new"}))
+	for what, body := range map[string]any{
+		"no sender":       map[int]any{1: 1},
+		"an unknown kind": map[int]any{1: 99, 2: from},
+		"an odd name":     map[int]any{1: 1, 2: map[int]any{1: "a b", 2: []byte{127, 0, 0, 1, 1, 0}, 3: 5}},
+		"no address":      map[int]any{1: 1, 2: map[int]any{1: "n1", 3: 5}},
+		"an age to come":  map[int]any{1: 1, 2: map[int]any{1: "n1", 2: []byte{127, 0, 0, 1, 1, 0}, 3: uint64(1) << 63}},
+		"odd news":        map[int]any{1: 1, 2: from, 9: []any{map[int]any{1: "x"}}},
+		"a list":          []int{1},
+	} {
+		assert.ErrorIs(t, open(body), errBad, what)
+	}
+}
+
+func FuzzMembership(f *testing.F) {
+	c := testCodec(f, "a")
+	b, _ := c.enc.Marshal(membership.Message{Kind: membership.Ping, From: someone("n1"), News: []membership.Entry{someone("n2")}})
+	f.Add(b)
+	f.Add([]byte{0xa1, 0x09, 0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	now := 1_800_000_000 * time.Second
+	f.Fuzz(func(t *testing.T, body []byte) {
+		msg, err := c.membership(body)
+		if err != nil {
+			return
+		}
+		m := membership.New(membership.Config{Name: "n1", Addr: someone("n1").Addr, Start: now, Session: 1}, now)
+		m.Receive(now, msg, 0)
+		m.Receive(now+time.Second, msg, 1)
+		m.Tick(m.Wake())
+		for _, s := range func() []membership.Send { out, _ := m.Take(); return out }() {
+			if _, err := c.pack(nil, channelMembership, s.Message); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+func FuzzOpen(f *testing.F) {
+	c := testCodec(f, "a")
+	b, _ := c.pack(nil, channelMembership, membership.Message{Kind: membership.Ping, From: someone("n1")})
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) { _, _, _ = c.open(b) })
+}
+
+// BenchmarkDatagram is one probe's way through: opened, decided on, answered.
+func BenchmarkDatagram(b *testing.B) {
+	c := testCodec(b, "a")
+	now := 1_800_000_000 * time.Second
+	m := membership.New(membership.Config{Name: "n1", Addr: someone("n1").Addr, Start: now, Session: 1}, now)
+	text, err := c.pack(nil, channelMembership, membership.Message{Kind: membership.Ping, From: someone("n2"), Seq: 1, Target: "n1", Session: 1})
+	require.NoError(b, err)
+	b.ReportAllocs()
+	for b.Loop() {
+		_, body, _ := c.open(text)
+		msg, err := c.membership(body)
+		require.NoError(b, err)
+		m.Receive(now, msg, 0)
+		out, _ := m.Take()
+		for i := range out {
+			if _, err := c.pack(nil, channelMembership, out[i].Message); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+}
+
+// Two gateways on one loop find each other, also with a list that is too large for a datagram.
+func TestTwoOnOneLoop(t *testing.T) {
+	loop, err := netloop.New(256, 0, 16<<20)
+	require.NoError(t, err)
+	defer loop.Close()
+	any := netip.MustParseAddrPort("127.0.0.1:0")
+	a, err := New(loop, "a", &fleet.File{Fleet: "f", Listen: any}, loop.Now())
+	require.NoError(t, err)
+	var news []membership.Entry
+	for i := range 200 {
+		e := someone(fmt.Sprintf("x%03d", i))
+		e.State = membership.Left
+		news = append(news, e)
+	}
+	a.m.Receive(loop.Now(), membership.Message{Kind: membership.Gossip, From: news[0], Observer: true, News: news}, 0)
+	b, err := New(loop, "b", &fleet.File{Fleet: "f", Listen: any, Seeds: []netip.AddrPort{a.udp.Addr}}, loop.Now())
+	require.NoError(t, err)
+	_, err = New(loop, "c d", &fleet.File{Fleet: "f", Listen: any}, loop.Now())
+	assert.ErrorContains(t, err, "letters, digits")
+	late := loop.At(loop.Now()+10*time.Second, loop.Stop)
+	defer late.Stop()
+	require.NoError(t, loop.Run(func() bool {
+		if len(a.View().Members) == 2 && len(b.View().Members) == 2 && len(b.m.Members()) == 201 {
+			loop.Stop()
+		}
+		return false
+	}))
+	assert.Equal(t, a.View().Digest, b.View().Digest)
+	assert.Len(t, b.m.Members(), 201)
+	assert.Positive(t, b.counts.Streams+a.counts.Streams)
+}
