--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/lilaccove ./cmd/adapter
 
 tools:
-	mkdir -p bin && go build -o bin/ ./cmd/lilacload
+	mkdir -p bin && go build -o bin/ ./cmd/lilacload ./cmd/lilacctl
 
 test:
 	go test ./...
--- a/internal/load/run/report.go
+++ b/internal/load/run/report.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"strings"
 	"text/tabwriter"
 
@@ -88,15 +89,23 @@
 	return nil
 }
 
+// nines is where a percentile stands on the usual axis, on which 90, 99 and 99.9 are as far apart.
+func nines(percentile float64) float64 { return -math.Log10(1 - percentile/100) }
+
 // Plots writes two pictures: latency by percentile, and service over time with stages and events.
 func (r *Report) Plots(prefix string) error {
 	curve := plot.New()
 	curve.Title.Text, curve.X.Label.Text, curve.Y.Label.Text = "Latency by percentile", "percentile", "ms"
 	var latency, service plotter.XYs
 	for _, p := range r.Curve {
-		latency = append(latency, plotter.XY{X: p.Percentile, Y: p.Latency})
-		service = append(service, plotter.XY{X: p.Percentile, Y: p.Service})
+		latency = append(latency, plotter.XY{X: nines(p.Percentile), Y: p.Latency})
+		service = append(service, plotter.XY{X: nines(p.Percentile), Y: p.Service})
+	}
+	var ticks plot.ConstantTicks
+	for _, p := range []float64{0, 50, 90, 99, 99.9, 99.99} {
+		ticks = append(ticks, plot.Tick{Value: nines(p), Label: fmt.Sprint(p)})
 	}
+	curve.X.Tick.Marker = ticks
 	if err := plotutil.AddLines(curve, "from the intended moment", latency, "from the real sending", service); err != nil {
 		return err
 	}
