Bound connections at databases by the fleet's budget, lent between real processes

With budgets in the fleet file the pool opens no more connections to a database than this gateway's part, checked before each use against the request's deadline; the module hears of it (Bounded) and refuses at once what there is no room for.

--- a/cmd/lilaccove/fleet_test.go
+++ b/cmd/lilaccove/fleet_test.go
@@ -50,10 +50,15 @@
 
 // newParty starts n gateways and the load, and waits until all have one view.
 func newParty(t *testing.T, n int, twins ...int) *party {
+	return newPartyOf(t, n, fmt.Sprintf(partyPlan, n), twins...)
+}
+
+// newPartyOf is newParty with a plan of its own.
+func newPartyOf(t *testing.T, n int, text string, twins ...int) *party {
 	if testing.Short() {
 		t.Skip("several processes and real time")
 	}
-	pl, err := plan.Parse("party", fmt.Appendf(nil, partyPlan, n))
+	pl, err := plan.Parse("party", []byte(text))
 	require.NoError(t, err)
 	arrivals, err := plan.Schedule(pl)
 	require.NoError(t, err)
--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -99,9 +99,24 @@
 	}
 	counts := stats.New(set.Classes)
 	core := gateway.New(loop, router, set.MaxOpen, counts)
-	pool := backend.New(loop, core, backend.Options{
+	var links *peer.Links
+	var budgets *peer.Budgets
+	if party != nil {
+		if links, err = peer.New(loop, cfg.Name, party, loop.Now()); err != nil {
+			return err
+		}
+		budgets = links.Budgets()
+	}
+	options := backend.Options{
 		ConnIdle: set.ConnIdle, DialTimeout: set.DialTimeout, ProbeReport: set.ProbeReport, Reserve: sockets / 16,
-	})
+	}
+	if budgets != nil {
+		options.Budget = budgets
+	}
+	pool := backend.New(loop, core, options)
+	if budgets != nil {
+		budgets.Granted = pool.Granted
+	}
 	watch := discovery.New(loop, core, ask, set.Zones)
 	core.Connect(pool, watch)
 	// Clients get half of the descriptors at most: idle ones must never keep the gateway
@@ -112,12 +127,7 @@
 	}
 	ops := &operations{
 		loop: loop, front: clients, core: core, watch: watch, pool: pool, counts: counts,
-		memory: memory, sockets: sockets, begunAt: loop.Now(),
-	}
-	if party != nil {
-		if ops.links, err = peer.New(loop, cfg.Name, party, loop.Now()); err != nil {
-			return err
-		}
+		memory: memory, sockets: sockets, begunAt: loop.Now(), links: links,
 	}
 	manage := ""
 	if cfg.Management != "" {
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -15,18 +15,19 @@
 
 // conn is one connection to a database. It carries one job at a time.
 type conn struct {
-	pool   *Pool
-	host   *host
-	nc     *netloop.Conn
-	timer  *netloop.Timer // by which it must be up, or has rested
-	up     bool           // the database has greeted it
-	idleAt time.Duration
-	left   int           // bytes to come of a row that is passed on
-	heard  time.Duration // when the last of them came
-	held   bool          // the client has to read first
-	body   [][]byte      // of a large statement, what is still to be written
-	job    *job
-	answer answer
+	pool    *Pool
+	host    *host
+	nc      *netloop.Conn
+	timer   *netloop.Timer // by which it must be up, or has rested
+	up      bool           // the database has greeted it
+	idleAt  time.Duration
+	left    int           // bytes to come of a row that is passed on
+	heard   time.Duration // when the last of them came
+	held    bool          // the client has to read first
+	dropped bool
+	body    [][]byte // of a large statement, what is still to be written
+	job     *job
+	answer  answer
 }
 
 // answer is what has come for the current job, or for the greeting.
@@ -73,7 +74,13 @@
 	if !c.up {
 		c.host.dialing--
 	}
-	c.nc.Close()
+	if c.nc.Close(); !c.dropped {
+		c.dropped = true
+		c.host.open--
+		if p := c.pool; p.opt.Budget != nil { // another may be opened now, when this call is over
+			p.loop.At(p.loop.Now(), func() { p.fill(c.host) })
+		}
+	}
 }
 
 // start writes a job. Of a statement only the digits of d are new; the rest goes out
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -3,6 +3,7 @@
 package backend
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -19,6 +20,7 @@
 	Probed(host policy.HostID, o policy.Outcome, r gateway.Reply)
 	Written(a *gateway.Attempt) // its last byte was taken by the kernel
 	Began(a *gateway.Attempt) bool
+	Fleet(e policy.Event)
 	Part(a *gateway.Attempt, b []byte) (more bool)
 }
 
@@ -28,9 +30,19 @@
 	DialTimeout time.Duration // a connection is up by then, or has failed; probes, too
 	ProbeReport bool          // probes ask for the load report
 	Reserve     int           // descriptors left for clients and discovery
+	Budget      Budget        // of connections; nil: as many as descriptors allow
+}
+
+// Budget bounds the connections to each host by what the whole fleet may have.
+type Budget interface {
+	// Allowed is how many may be open and used from now until a moment.
+	Allowed(host policy.HostID, until time.Duration) int
+	// Need tells how many are used, and how many more are waited for.
+	Need(host policy.HostID, used, waiting int)
 }
 
 const (
+	needEvery  = 100 * time.Millisecond
 	inputMost  = pgwire.MostValue + 4096 // the largest message that is collected fits with its head
 	streamRead = 32 << 10                // of a larger one so much is read at once
 	quietTime  = 5 * time.Second         // within which more of it must come
@@ -56,6 +68,9 @@
 	resting []*conn // they have just answered
 	waiting []*job  // for a connection, oldest first
 	dialing int
+	open    int // connections, those on their way included
+	told    bool
+	most    int // attempts, as told
 }
 
 // restTime is how long a connection stays unused behind an answer: a second copy or
@@ -82,9 +97,65 @@
 		startup: pgwire.Startup("api", "ledger"),
 	}
 	p.sweep()
+	if opt.Budget != nil {
+		p.keep()
+	}
 	return p
 }
 
+// keep tells of the need for connections, and closes idle ones that are no longer in the budget.
+func (p *Pool) keep() {
+	p.loop.At(p.loop.Now()+needEvery, p.keep)
+	for _, h := range p.hosts {
+		p.trim(h, p.loop.Now())
+		p.need(h)
+		p.tell(h)
+	}
+}
+
+// tell has the module send no more to h than it has connections for. Half as many more may wait for one of them: that
+// is how a need for more shows.
+func (p *Pool) tell(h *host) {
+	n := p.opt.Budget.Allowed(h.id, p.loop.Now())
+	if n > 0 {
+		n += max(1, n/2)
+	}
+	if !h.told || n != h.most {
+		h.told, h.most = true, n
+		p.core.Fleet(policy.Bounded{Host: h.id, Bounded: true, Most: n})
+	}
+}
+
+func (p *Pool) need(h *host) {
+	p.opt.Budget.Need(h.id, h.open-len(h.idle), len(h.waiting))
+}
+
+// over is how many connections to h are open beyond what may be used until a moment; below zero: so many more may be.
+func (p *Pool) over(h *host, until time.Duration) int {
+	if p.opt.Budget == nil {
+		return math.MinInt
+	}
+	return h.open - p.opt.Budget.Allowed(h.id, until)
+}
+
+// trim closes idle connections over the budget. Those in use stay: none was begun that might outlast it.
+func (p *Pool) trim(h *host, until time.Duration) {
+	for len(h.idle) > 0 && p.over(h, until) > 0 {
+		h.idle[0].drop()
+		h.idle = slices.Delete(h.idle, 0, 1)
+	}
+}
+
+// Granted tells that there is more of the budget of a host.
+func (p *Pool) Granted(id policy.HostID) {
+	if h := p.hosts[id]; h != nil {
+		p.tell(h)
+		for range len(h.waiting) {
+			p.fill(h)
+		}
+	}
+}
+
 // Listed keeps the addresses of hosts. Connections to where one was before, or to one
 // that is gone, are of no use; a list that is not of changes holds all that are not gone.
 func (p *Pool) Listed(kind policy.ListKind, entries []gateway.Entry) {
@@ -99,7 +170,9 @@
 		if e.Dial != h.addr || e.Status == policy.Gone {
 			p.HangUp(e.Host)
 		}
-		h.addr = e.Dial
+		if h.addr = e.Dial; p.opt.Budget != nil {
+			h.told = false // the module may have forgotten it meanwhile
+		}
 		p.leave(h, e.Status == policy.Gone)
 	}
 	for id, h := range p.hosts {
@@ -189,6 +262,7 @@
 		p.finish(j, policy.ConnectFailed, gateway.Reply{}) // not a byte was written
 		return
 	}
+	p.trim(h, j.until)
 	for n := len(h.idle); n > 0; n = len(h.idle) {
 		c := h.idle[n-1]
 		h.idle = h.idle[:n-1]
@@ -199,7 +273,13 @@
 		c.drop() // it has ended, or something came on it that nobody asked for
 	}
 	h.waiting = append(h.waiting, j)
-	j.timer = p.loop.At(min(j.until, now+p.opt.DialTimeout), func() { p.abandon(j, policy.ConnectFailed) })
+	j.timer = p.loop.At(min(j.until, now+p.opt.DialTimeout), func() {
+		o := policy.ConnectFailed
+		if p.over(h, j.until) >= 0 {
+			o = policy.Full // the host is well: there is no connection to be had
+		}
+		p.abandon(j, o)
+	})
 	p.fill(h)
 }
 
@@ -211,6 +291,10 @@
 }
 
 func (p *Pool) dial(h *host) {
+	if p.over(h, h.waiting[0].until) >= 0 {
+		p.need(h)
+		return
+	}
 	if p.loop.Spare() <= p.opt.Reserve && !p.dropIdle() {
 		p.short.Printf(p.loop.Now(), "event=no_descriptor host=%s spare=%d", h.id, p.loop.Spare())
 		p.dialFailed(h, policy.ConnectFailed)
@@ -224,6 +308,7 @@
 	}
 	c.nc = nc
 	h.dialing++
+	h.open++
 	c.timer = p.loop.At(p.loop.Now()+p.opt.DialTimeout, c.lateUp)
 }
 
@@ -238,7 +323,7 @@
 	if oldest == nil {
 		return false
 	}
-	oldest.idle[0].nc.Close()
+	oldest.idle[0].drop()
 	oldest.idle = slices.Delete(oldest.idle, 0, 1)
 	return true
 }
@@ -271,6 +356,10 @@
 	h := c.host
 	if len(h.waiting) > 0 {
 		j := h.waiting[0]
+		if p.over(h, j.until) > 0 {
+			c.drop()
+			return
+		}
 		h.waiting = h.waiting[1:]
 		c.start(j)
 		return
@@ -313,7 +402,7 @@
 			delete(p.hosts, id) // attempts on their way keep it for themselves
 		}
 		for p.opt.ConnIdle > 0 && len(h.idle) > 0 && h.idle[0].idleAt < oldest {
-			h.idle[0].nc.Close()
+			h.idle[0].drop()
 			h.idle = slices.Delete(h.idle, 0, 1)
 		}
 	}
--- a/internal/fleet/budget/budget.go
+++ b/internal/fleet/budget/budget.go
@@ -26,6 +26,7 @@
 	keysMost  = 4096
 	// A process may lend for so long before it sees that a successor has begun beside it.
 	upgradeSees = time.Second
+	seenWithin  = 300 * time.Millisecond // by when it usually has
 )
 
 // Kind is what a message is for.
@@ -113,7 +114,9 @@
 	cfg     Config
 	rnd     *rand.Rand
 	now     time.Duration
+	begun   time.Duration
 	quiet   time.Duration // until then a predecessor's loans may run
+	hold    time.Duration // until then the process beside this one may not have seen it
 	part    int           // 1; 2 while another process of this gateway has the other half
 	second  bool          // this process has the smaller half
 	none    bool          // another process has the home parts
@@ -131,7 +134,7 @@
 func New(cfg Config, now time.Duration) *Machine {
 	return &Machine{
 		cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 0x6275)), now: now, part: 1, keys: map[string]*account{}, empty: map[string]time.Duration{},
-		quiet: now + long(cfg.Lease, cfg.Drift) + upgradeSees,
+		begun: now, quiet: now + long(cfg.Lease, cfg.Drift) + upgradeSees,
 	}
 }
 
@@ -179,7 +182,7 @@
 func (m *Machine) own(a *account) int {
 	n := a.home
 	switch {
-	case m.none:
+	case m.none || m.now < m.hold:
 		return 0
 	case m.now < m.quiet:
 		n = a.reserve()
@@ -247,9 +250,12 @@
 // is the one with the smaller half. A process that begins beside another waits until that has heard of it.
 func (m *Machine) SetBeside(now time.Duration, beside, second bool) {
 	m.now = max(m.now, now)
-	m.part, m.second = 1, second
-	if beside {
-		m.part = 2
+	if m.part, m.second = 1, second; !beside {
+		return
+	}
+	m.part = 2
+	if m.now-m.begun < upgradeSees {
+		m.hold = m.begun + seenWithin
 	}
 }
 
@@ -259,12 +265,12 @@
 	m.none = on
 }
 
-// Forget drops a key that nobody uses any more, once nothing of it is lent or borrowed.
+// Forget tells that a key is not needed at the moment; it is dropped once nothing of it is lent or borrowed.
 func (m *Machine) Forget(now time.Duration, key string) {
 	m.now = max(m.now, now)
 	if a := m.keys[key]; a != nil {
-		m.lapse(a)
-		if len(a.lent)+len(a.borrowed)+a.inUse+a.waiting == 0 {
+		a.inUse, a.waiting = 0, 0
+		if m.lapse(a); len(a.lent)+len(a.borrowed) == 0 {
 			delete(m.keys, key)
 			m.order = slices.DeleteFunc(m.order, func(o *account) bool { return o == a })
 		}
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.yaml.in/yaml/v3"
@@ -20,6 +21,14 @@
 	Period    time.Duration             // of probes; 0: the default
 	Still     time.Duration             // how long a change holds before it counts; 0: the default
 	Most      int                       // members kept at most; 0: the default
+	Budgets   *Budgets                  // nil: none is divided
+}
+
+// Budgets are what the whole fleet may spend at once.
+type Budgets struct {
+	Holders     []string      // the gateways among which they are divided
+	Connections int           // to each database
+	Lease       time.Duration // of what one holder lends another
 }
 
 // MostMembers bounds what a file may ask for.
@@ -32,7 +41,7 @@
 		return nil, err
 	}
 	f := &File{Dial: map[string]netip.AddrPort{}}
-	got := r.Fields(top, "", "fleet", "listen", "advertise", "seeds", "dial", "period", "still", "most")
+	got := r.Fields(top, "", "fleet", "listen", "advertise", "seeds", "dial", "period", "still", "most", "budgets")
 	need := func(key string) *yaml.Node {
 		if got[key] == nil && top.Kind == yaml.MappingNode {
 			r.Fail(top, key, "missing")
@@ -79,12 +88,45 @@
 	if n := got["most"]; n != nil {
 		f.Most = r.Count(n, "most", 2, MostMembers)
 	}
+	if n := got["budgets"]; n != nil {
+		f.Budgets = budgets(r, n)
+	}
 	if err := r.Err(); err != nil {
 		return nil, err
 	}
 	return f, nil
 }
 
+func budgets(r *yamlfile.Reader, n *yaml.Node) *Budgets {
+	b := &Budgets{Lease: 8 * time.Second}
+	f := r.Fields(n, "budgets", "holders", "connections", "lease")
+	if list := f["holders"]; list == nil || list.Kind != yaml.SequenceNode || len(list.Content) == 0 {
+		r.Fail(n, "holders", "a list of the names of all gateways that share the budgets is wanted, the same in every file")
+	} else {
+		for _, v := range list.Content {
+			name, _ := r.Text(v, "holders")
+			switch {
+			case !Name(name):
+				r.Fail(v, "holders", "%q is no name of a gateway", name)
+			case slices.Contains(b.Holders, name):
+				r.Fail(v, "holders", "%s stands twice", name)
+			}
+			b.Holders = append(b.Holders, name)
+		}
+	}
+	if v := f["connections"]; v == nil {
+		r.Fail(n, "connections", "missing: how many all gateways together may have at one database")
+	} else if b.Connections = r.Count(v, "connections", 1, 1_000_000); b.Connections < len(b.Holders) {
+		r.Fail(v, "connections", "%d for %d holders: each wants one at least", b.Connections, len(b.Holders))
+	}
+	if v := f["lease"]; v != nil {
+		if b.Lease = r.Time(v, "lease"); b.Lease < time.Second || b.Lease > time.Minute {
+			r.Fail(v, "lease", "from 1s to 1m0s would do; longer than the longest deadline of a request")
+		}
+	}
+	return b
+}
+
 // Name tells whether a text can name a gateway or a fleet.
 func Name(s string) bool {
 	if s == "" || len(s) > 64 {
--- a/internal/fleet/membership/machine.go
+++ b/internal/fleet/membership/machine.go
@@ -186,6 +186,14 @@
 	return list
 }
 
+// Addr is where a member that lives told others to look for it.
+func (m *Machine) Addr(name string) (a netip.AddrPort, ok bool) {
+	if o := m.members[name]; o != nil && o.State.Live() {
+		return o.Addr, true
+	}
+	return a, false
+}
+
 // Health is Lifeguard's multiplier: 0 is well, 8 is the most that this process doubts itself.
 func (m *Machine) Health() int { return m.health }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -174,6 +174,9 @@
 	g.events = append(g.events, policy.Suspended{Host: host, Out: out})
 }
 
+// Fleet passes on what the fleet tells of hosts: policy.Bounded, Preferred or Heard.
+func (g *Gateway) Fleet(e policy.Event) { g.events = append(g.events, e) }
+
 // Take accepts a request. Its answer may come before Take returns.
 func (g *Gateway) Take(q *Request) {
 	now := g.loop.Now()
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -194,7 +194,14 @@
 			dial = fmt.Appendf(dial, "  %s: %s\n", l.name(j), a)
 		}
 	}
-	return append(b, dial...)
+	b = append(b, dial...)
+	if p := l.Plan.Lab; p.Budget > 0 {
+		b = fmt.Appendf(b, "budgets:\n  connections: %d\n  lease: %d ms\n  holders:\n", p.Budget, max(1000, p.Lease.Milliseconds()))
+		for j := range p.Gateways {
+			b = fmt.Appendf(b, "    - %s\n", l.name(j))
+		}
+	}
+	return b
 }
 
 func (n *Node) alive() bool {
--- a/internal/load/plan/plan.go
+++ b/internal/load/plan/plan.go
@@ -112,7 +112,9 @@
 	Delay    string        `json:"delay"`      // constant or exponential
 	Lag      time.Duration `json:"lag_ns"`     // of replicas
 	Cold     time.Duration `json:"cold_ns"`
-	Fleet    bool          `json:"fleet"` // gateways have a fleet file, and relays between them
+	Fleet    bool          `json:"fleet"`            // gateways have a fleet file, and relays between them
+	Budget   int           `json:"budget,omitempty"` // connections of all gateways to each database; 0: not divided
+	Lease    time.Duration `json:"lease_ns,omitempty"`
 }
 
 // Length is how long the stages take.
@@ -420,13 +422,13 @@
 }
 
 func (r *reader) lab(p *Plan, n *yaml.Node) {
-	f := r.Fields(n, "lab", "gateways", "members", "cores", "queue", "service", "delay", "lag", "cold", "fleet")
-	for key, to := range map[string]*int{"gateways": &p.Lab.Gateways, "members": &p.Lab.Members, "cores": &p.Lab.Cores, "queue": &p.Lab.Queue} {
+	f := r.Fields(n, "lab", "gateways", "members", "cores", "queue", "service", "delay", "lag", "cold", "fleet", "budget", "lease")
+	for key, to := range map[string]*int{"gateways": &p.Lab.Gateways, "members": &p.Lab.Members, "cores": &p.Lab.Cores, "queue": &p.Lab.Queue, "budget": &p.Lab.Budget} {
 		if f[key] != nil {
 			*to = r.Count(f[key], key, 1, 1000)
 		}
 	}
-	for key, to := range map[string]*time.Duration{"service": &p.Lab.Service, "lag": &p.Lab.Lag, "cold": &p.Lab.Cold} {
+	for key, to := range map[string]*time.Duration{"service": &p.Lab.Service, "lag": &p.Lab.Lag, "cold": &p.Lab.Cold, "lease": &p.Lab.Lease} {
 		if f[key] != nil {
 			*to = r.Time(f[key], key)
 		}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -56,6 +56,7 @@
 	bad     netloop.Sparse
 	news    netloop.Sparse
 	version uint64 // of the view that was logged
+	budgets *Budgets
 }
 
 // rate bounds what one sender may have read.
@@ -93,10 +94,16 @@
 	if l.moved {
 		loop.At(loop.Now()+moveEvery, l.move)
 	}
+	if l.budgets, err = l.divide(name); err != nil {
+		return nil, err
+	}
 	l.after()
 	return l, nil
 }
 
+// Budgets are this gateway's parts of the fleet's budgets; nil: none are divided.
+func (l *Links) Budgets() *Budgets { return l.budgets }
+
 // bind opens the two sockets, on one port.
 func (l *Links) bind(addr netip.AddrPort) error {
 	for attempt := 1; ; attempt++ {
@@ -158,6 +165,9 @@
 	if l.beside != on {
 		l.beside = on
 		l.m.SetBeside(on)
+		if l.budgets != nil {
+			l.budgets.stand(l.m.View())
+		}
 		l.after()
 	}
 }
@@ -179,6 +189,9 @@
 	for _, c := range changes {
 		l.tell(c)
 	}
+	if l.budgets != nil && (len(changes) > 0 || l.m.View().Version != l.version) {
+		l.budgets.stand(l.m.View())
+	}
 	if v := l.m.View(); v.Version != l.version {
 		l.version = v.Version
 		log.Printf("event=fleet_view version=%d members=%d digest=%016x", v.Version, len(v.Members), v.Digest)
@@ -225,14 +238,31 @@
 			s.Message.News = s.Message.News[:n-1]
 			continue
 		}
-		if err != nil || !l.udp.Send(l.dial(s), b) {
-			l.counts.Unsent++
-			return
-		}
-		l.counts.Out++
-		l.counts.OutBytes += uint64(len(b))
+		l.datagramTo(l.dial(s), b, err)
+		return
+	}
+}
+
+// datagramTo sends one datagram, if it could be packed.
+func (l *Links) datagramTo(to netip.AddrPort, b []byte, err error) {
+	if err != nil || !l.udp.Send(to, b) {
+		l.counts.Unsent++
+		return
+	}
+	l.counts.Out++
+	l.counts.OutBytes += uint64(len(b))
+}
+
+// post sends a message of another channel to a member, if it lives.
+func (l *Links) post(to string, channel byte, body any) {
+	addr, ok := l.m.Addr(to)
+	if !ok {
+		l.counts.Unsent++
 		return
 	}
+	b, err := l.codec.pack(l.buf[:0], channel, body)
+	l.buf = b
+	l.datagramTo(l.dial(&membership.Send{To: to, Addr: addr}), b, err)
 }
 
 // datagram takes one in.
@@ -264,20 +294,23 @@
 // take opens an envelope and hands on what is in it; false: it was no good.
 func (l *Links) take(from netip.AddrPort, b []byte, via uint64) bool {
 	channel, body, err := l.codec.open(b)
-	var msg membership.Message
-	if err == nil && channel != channelMembership {
+	switch {
+	case err != nil:
+	case channel == channelMembership:
+		var msg membership.Message
+		if msg, err = l.codec.membership(body); err == nil {
+			l.m.Receive(l.loop.Now(), msg, via)
+			l.after()
+		}
+	case channel == channelBudget && l.budgets != nil:
+		err = l.budgets.receive(body)
+	default:
 		err = errVersion
 	}
-	if err == nil {
-		msg, err = l.codec.membership(body)
-	}
 	if err != nil {
 		l.drop(from, err)
-		return false
 	}
-	l.m.Receive(l.loop.Now(), msg, via)
-	l.after()
-	return true
+	return err == nil
 }
 
 func (l *Links) drop(from netip.AddrPort, err error) {
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -107,5 +107,18 @@
 	line("dropped.large", k.Large)
 	line("dropped.rate", k.Rate)
 	line("rests", l.udp.Rests())
+	if l.budgets == nil {
+		return b
+	}
+	own, lent, borrowed := l.budgets.m.Sums()
+	n := l.budgets.m.Counts()
+	line("budget.own", uint64(own))
+	line("budget.lent", uint64(lent))
+	line("budget.borrowed", uint64(borrowed))
+	line("budget.asked", n.Asked)
+	line("budget.granted", n.Granted)
+	line("budget.refused", n.Refused)
+	line("budget.returned", n.Returned)
+	line("budget.lapsed", n.Lapsed)
 	return b
 }
--- a/internal/standin/database.go
+++ b/internal/standin/database.go
@@ -17,6 +17,7 @@
 	drainGrace = 2 * time.Second
 	mostWaits  = 10 * time.Minute // of a silent answer
 	keepIDs    = 5
+	closeSeen  = 50 * time.Millisecond // by when a connection that was closed is noticed
 )
 
 func (h *Host) accept() {
@@ -33,7 +34,9 @@
 			c.Close()
 			continue
 		}
-		h.conns[c] = true
+		now := time.Now()
+		h.conns[c] = now
+		time.AfterFunc(closeSeen, func() { h.count(now) })
 		w.counts.Connections++
 		w.wg.Add(1)
 		w.mu.Unlock()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -43,6 +43,7 @@
 	Foreign            int // statements that no client of the protocol sends
 	Drained            int // statements begun on a database two seconds after it was to get nothing new
 	Connections        int
+	MostOpen           int      // connections at one database at one time
 	StaleIDs, TwiceIDs []string // the first of them
 }
 
@@ -79,8 +80,8 @@
 	applied time.Time // never goes back
 	slots   chan struct{}
 	waiting int
-	paused  chan struct{} // closed when it goes on; nil: it runs
-	conns   map[net.Conn]bool
+	paused  chan struct{}          // closed when it goes on; nil: it runs
+	conns   map[net.Conn]time.Time // since when
 }
 
 // New starts a world.
@@ -113,7 +114,7 @@
 	w.named++
 	h := &Host{
 		w: w, ID: fmt.Sprintf("s-%04x", w.named), Group: group, ln: ln, primary: primary, health: "in_service", born: born, lag: w.opt.Lag,
-		slots: make(chan struct{}, w.opt.Cores), conns: map[net.Conn]bool{},
+		slots: make(chan struct{}, w.opt.Cores), conns: map[net.Conn]time.Time{},
 	}
 	w.hosts = append(w.hosts, h)
 	w.wg.Add(1)
@@ -266,6 +267,20 @@
 	w.wg.Wait()
 }
 
+// count notes how many connections stood together at a moment. It is called a while after that, when those that had
+// been closed by then are out of the books.
+func (h *Host) count(at time.Time) {
+	h.w.mu.Lock()
+	defer h.w.mu.Unlock()
+	n := 0
+	for _, since := range h.conns {
+		if !since.After(at) {
+			n++
+		}
+	}
+	h.w.counts.MostOpen = max(h.w.counts.MostOpen, n)
+}
+
 func (h *Host) close() {
 	h.ln.Close()
 	h.w.mu.Lock()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -60,7 +60,8 @@
 	gap       time.Duration // mean time between its outcomes
 
 	probedAt, judgedAt, sentAt time.Duration
-	probing                    bool
+	probing, bounded, first    bool
+	most                       int // attempts that may be out to it at once, where bounded
 }
 
 // group is one primary with its replicas, and the breaker on that primary.
@@ -134,6 +135,7 @@
 	ease     float64          // 0 to 1: how far cold hosts, all together, answer in good time
 	easeAt   time.Duration
 	since    time.Duration
+	subset   bool // some hosts are preferred
 	refused  int  // calls to discovery that failed in a row
 	mute     bool // the last probe that came back told no role: probes tell only that a process runs
 }
@@ -188,6 +190,8 @@
 			if q := r.requests[e.Request]; q != nil {
 				r.finish(q)
 			}
+		default:
+			r.onFleet(e)
 		}
 	}
 	for n := len(r.wakes); n > 0 && r.wakes[n-1].at <= r.now; n = len(r.wakes) {
@@ -251,9 +255,8 @@
 	}
 }
 
-// askForList asks at a random moment of a time that grows with the number of routers. Discovery takes calls
-// one by one and fails those that waited long: after a common loss it is asked a little more slowly than it
-// can answer. Asked any faster its queue stays as long as callers wait, and nobody is ever served.
+// askForList asks at a random moment of a time that grows with the number of routers: after a common loss a
+// little more slowly than discovery can answer, or its queue stays as long as callers wait.
 func (r *Router) askForList(pace time.Duration) {
 	span := min(max(pace*time.Duration(r.set.Routers), r.set.MustAskIn/10), 2*r.set.MustAskIn)
 	if r.refused == 0 {
@@ -380,6 +383,26 @@
 	}
 }
 
+// onFleet takes what the fleet tells. It bounds, orders or dates what this router may do by itself anyway.
+func (r *Router) onFleet(e Event) {
+	switch e := e.(type) {
+	case Bounded:
+		if h := r.hosts[e.Host]; h != nil {
+			h.bounded, h.most = e.Bounded, e.Most
+			r.stir(h.group)
+		}
+	case Preferred:
+		r.subset = len(e.Hosts) > 0
+		for _, h := range r.order {
+			h.first = slices.Contains(e.Hosts, h.id)
+		}
+	case Heard:
+		if h := r.hosts[e.Host]; h != nil && e.Position > h.pos {
+			r.learnPosition(h, min(e.Position, r.now))
+		}
+	}
+}
+
 // warmth is the share of its capacity that h can be counted on to have.
 func (r *Router) warmth(h *host) float64 {
 	if h.startedAt <= 0 || min(r.set.ColdTime, r.set.FallTime) <= 0 || r.set.FallMultiple <= 0 {
@@ -389,21 +412,12 @@
 	return min(1, r.set.StartCapacity+(1-r.set.StartCapacity)*max(0, age))
 }
 
-// work is that of a request of class, in answers of the shortest class: long answers of all classes, as in a
-// jam, make none of them dearer.
+// work is that of a request of class, in answers of the shortest: a jam of all classes makes none dearer.
 func (r *Router) work(class int) float64 { return r.latency[class] / slices.Min(r.latency) }
 
 // coldRoom keeps a cold host h from being pushed over: in any FallTime all routers together must send it less
-// than FallMultiple times what it can do. What hosts answer bounds what they can do: served, a second and
-// warm host (see judge), adds up over any routers, however uneven, to a warm host's capacity at most. So the
-// budget for h grows by a part of FallMultiple x warmth x served, and saves a quarter of a FallTime's growth
-// at most. The part is coldPart, under a half, for one that has just started: hosts smaller than others and
-// chance have the rest. It rises with the warmth as long as cold hosts answer in good time (ease), for one
-// that is asked for all it can do answers late long before it falls. Where all members are cold, or the
-// router new, a quarter of what is asked for is the measure: clients that ask again and a burst make less
-// than four times of what a group can do. A request draws a lot with the budget as its chance and pays it,
-// won or lost: bursts, retries and held requests that draw again change who gets the budget, not its sum, and
-// hundreds of routers with a part of a request each send that sum, not a request each.
+// than FallMultiple times what it can do. What hosts answer (served) bounds what they can do over any number
+// of routers; where all are cold, a quarter of what is asked for. A request draws, and pays won or lost.
 func (r *Router) coldRoom(h *host, q *request) bool {
 	w := r.warmth(h)
 	if w >= 1 || r.heavy(q) {
@@ -421,9 +435,8 @@
 
 // Breaker.
 
-// countFailure counts a failure of the primary; a success resets the count. A primary that loses answers
-// passes its probes: when its breaker opens again with no success between, probes close it only after a
-// doubling hold.
+// countFailure counts a failure of the primary; a success resets the count. When a breaker opens again with
+// no success between, probes, which a primary that loses answers passes, close it after a doubling hold.
 func (r *Router) countFailure(h *host) {
 	if g := h.group; g.primary == h && !g.open {
 		if g.fails++; g.fails >= breakerThreshold {
@@ -500,8 +513,7 @@
 		return
 	}
 	if r.set.Behind == BehindServe && q.lookUntil == 0 && r.look(q) {
-		// Positions age faster than probes come: ask again before the primary is burdened. Waits a small part
-		// of the aim at most.
+		// Positions age faster than probes come: they are asked for before the primary is burdened.
 		q.lookUntil = r.now + q.class.Aim/8
 	}
 	if r.now < q.lookUntil && !q.g.open {
@@ -511,9 +523,7 @@
 	r.routePrimary(q)
 }
 
-// mayTry tells whether q goes to the primary of an open breaker. Where probes bring no role an answer closes
-// it, of one request at a time to a primary that has passed a probe since: a read, or a write where none has
-// come.
+// mayTry: one request at a time goes to the primary of an open breaker that passed a probe since then.
 func (r *Router) mayTry(q *request) bool {
 	p, pause := q.g.primary, probeSoon<<min(max(q.g.trips, 1)-1, 5)
 	if q.onlyPrimary() {
@@ -556,9 +566,7 @@
 }
 
 // onTheWay is a replica that a write calls at before it goes to the primary, or is refused: turned away
-// untouched it brings position and role, where probes tell neither. Where a router meets a replica seldom,
-// bounded reads would else fall to the primary and stay there, for only a replica's answer could bring a new
-// position.
+// untouched it brings position and role, where probes tell neither and bounded reads would stay on primaries.
 func (r *Router) onTheWay(q *request) (best *host) {
 	if q.class.Level != Write || len(q.attempts) > 0 || !r.mute || r.bound == long ||
 		r.set.Routers <= fewRouters {
@@ -580,8 +588,7 @@
 	return best
 }
 
-// leastKnown is the member whose role was heard of longest ago, where only a write can ask for it: turned
-// away it ran nowhere, and the answer tells the role.
+// leastKnown is the member whose role was heard of longest ago, where only a write, turned away, can tell it.
 func (r *Router) leastKnown(q *request) (oldest *host) {
 	if r.set.Probes && !r.mute || q.class.Level != Write {
 		return nil
@@ -595,12 +602,13 @@
 	return oldest
 }
 
-// room tells whether h may have one more attempt of this router. The limit follows answer times (see judge):
-// many routers together can crowd a host with few attempts each, so it goes below one, as a pause between
-// attempts. Classes worth less for their time leave room to others, where seldom heard of only reads on a
-// primary.
+// room tells whether h may have one more attempt. The limit follows answer times (see judge) and goes below
+// one, as a pause between attempts. Classes worth less for their time leave room to others.
 func (r *Router) room(h *host, q *request) bool {
 	limit, primary := h.limit, h == h.group.primary
+	if h.bounded && len(h.out) >= h.most {
+		return false
+	}
 	if h.gap <= seldom || primary && r.set.Routers > fewRouters { // else the throttle sheds by rank
 		limit /= r.rank(q.Class, primary)
 	} else if primary && q.class.Level != Write {
@@ -666,8 +674,7 @@
 	return left && (!q.mayRun && q.out == 0 || q.class.Repeat == Retryable || inWindow)
 }
 
-// giveUp gives the final answer at once: a refusal where trying again is known to be harmless, else a
-// failure.
+// giveUp gives the final answer at once: a refusal where trying again is harmless for certain, or a failure.
 func (r *Router) giveUp(q *request) {
 	var a Action = Fail{Request: q.ID}
 	if q.class.Repeat == Retryable || q.class.Repeat == DedupAll || !q.mayRun && q.out == 0 {
@@ -707,7 +714,7 @@
 			return h
 		}
 	}
-	near := func(h *host) bool { return h.zone == r.set.Zone }
+	near := func(h *host) bool { return h.first || !r.subset && h.zone == r.set.Zone }
 	var best *host
 	for _, h := range fit {
 		switch {
@@ -745,16 +752,14 @@
 
 // Attempts.
 
-// throttle keeps queues short where a router sees each host too rarely to learn its limit: the answers of all
-// replicas, or of all primaries, set the share of requests that is sent at all, against a shortage of all.
+// throttle keeps queues short where hosts are heard of too rarely to learn limits: by all replicas' answers.
 func (r *Router) throttle(h *host, factor float64) {
 	if primary := h == h.group.primary; h.gap > seldom {
 		r.admit[primary] = min(1, max(admitLeast, factor*r.admit[primary]))
 	}
 }
 
-// rank is 1 for the class worth most for its time among those that such a host takes, and higher for others,
-// which get less. In worth a second, the root keeps some of each.
+// rank is 1 for the class worth most for its time at such a host, and higher for others, which get less.
 func (r *Router) rank(class int, primary bool) float64 {
 	value := func(i int) float64 { return cmp.Or(r.set.Classes[i].Worth, 1) / r.latency[i] }
 	most := 0.0
@@ -914,8 +919,7 @@
 	r.countFailure(h)
 }
 
-// cutLimit cuts by time rather than by answers: each tells the more, the fewer there are. Many routers
-// together need a lower floor than a few.
+// cutLimit cuts by time: an answer tells the more, the fewer there are. Many routers need a lower floor.
 func (r *Router) cutLimit(h *host) {
 	h.limit = max(min(0.2, 2/float64(max(r.set.Routers, 1))), h.limit*(1-0.025*h.weight(24)))
 }
@@ -930,8 +934,7 @@
 // left tells that h is off the list for good: machines that replace others have new ids.
 func (r *Router) left(h *host) bool { return h.status == Gone && !r.set.GoneIsAdvice }
 
-// forget halves served and the time it covers, drops hosts that left, and marks that replicas are bound to be
-// past; until they are known to be, base stands for them.
+// forget halves served and its time, drops hosts that left, and marks that replicas are past, or base is.
 func (r *Router) forget() {
 	r.wakeAt(r.now+markAge, r.forget)
 	r.served, r.asked, r.since = r.served/2, r.asked/2, r.now-(r.now-r.since)/2
@@ -984,9 +987,8 @@
 	}
 }
 
-// seek probes the primary, or every member while the breaker is open or the primary unknown, ever slower. It
-// ends when a primary has answered; the next request that needs one begins it anew. Where probes tell no role
-// only the primary's are of use, and all routers share their cost.
+// seek probes the primary, or every member while the breaker is open or the primary unknown, ever slower,
+// until a primary has answered. Where probes tell no role only the primary is, at all routers' shared cost.
 func (r *Router) seek(g *group) {
 	g.seeking = false
 	all := g.open || g.primary == nil
@@ -1008,8 +1010,7 @@
 	}
 }
 
-// look asks the two replicas that are likeliest to fit for their positions, where probes tell any; it tells
-// whether there is one to wait for.
+// look asks the two replicas that are likeliest to fit for their positions; false: there is none to wait for.
 func (r *Router) look(q *request) bool {
 	var likely []*host
 	for _, i := range r.rnd.Perm(len(q.g.hosts)) {
--- a/policy/types.go
+++ b/policy/types.go
@@ -224,6 +224,23 @@
 	}
 )
 
+type (
+	// Bounded tells how many attempts may be out to a host at once, as far as the fleet's budget goes.
+	Bounded struct {
+		Host    HostID
+		Bounded bool // false: no bound any more
+		Most    int
+	}
+	// Preferred are the hosts that this router uses first among equals; those not named are not preferred.
+	Preferred struct{ Hosts []HostID }
+	// Heard tells that another router knows a host to have applied all commits up to a position. It is a floor, as
+	// one heard from the host itself; no role follows from it.
+	Heard struct {
+		Host     HostID
+		Position time.Duration
+	}
+)
+
 func (Members) event()   {}
 func (Request) event()   {}
 func (Result) event()    {}
@@ -231,6 +248,9 @@
 func (Probed) event()    {}
 func (Elapsed) event()   {}
 func (Suspended) event() {}
+func (Bounded) event()   {}
+func (Preferred) event() {}
+func (Heard) event()     {}
 
 // Action is something the router wants done: one of the types below.
 type Action interface{ action() }
