--- a/internal/fleet/budget/budget.go
+++ b/internal/fleet/budget/budget.go
@@ -102,6 +102,7 @@
 	inUse, waiting int
 	busyAt         time.Duration // when what is borrowed was last needed in full
 	nextAsk        time.Duration
+	unmet          map[string]time.Duration // who was refused here, and when
 }
 
 // Counts are what has happened since the start.
@@ -387,6 +388,10 @@
 		m.counts.Lent += uint64(units)
 	} else {
 		m.counts.Refused++
+		if a.unmet == nil {
+			a.unmet = map[string]time.Duration{}
+		}
+		a.unmet[msg.From] = m.now
 	}
 	m.send(msg.From, Message{Kind: Grant, Session: msg.Session, Key: a.key, Serial: msg.Serial, Units: units})
 }
@@ -413,10 +418,26 @@
 	m.granted = append(m.granted, a.key)
 }
 
-// extend lets a loan go on, unless the units are wanted at home.
+// sharesWith tells whether another holder was refused lately that has less from here than a borrower.
+func (m *Machine) sharesWith(a *account, borrower string) bool {
+	has := map[string]int{}
+	for _, l := range a.lent {
+		has[l.who] += l.units
+	}
+	for who, at := range a.unmet {
+		if at+2*hintLasts <= m.now {
+			delete(a.unmet, who)
+		} else if who != borrower && has[who] < has[borrower] {
+			return true
+		}
+	}
+	return false
+}
+
+// extend lets a loan go on, unless the units are wanted at home, or by one that has less.
 func (m *Machine) extend(a *account, msg Message) {
 	i := slices.IndexFunc(a.lent, func(l loan) bool { return same(l, msg) })
-	if i < 0 || m.part != 1 || m.none || a.inUse+a.waiting > m.own(a) {
+	if i < 0 || m.part != 1 || m.none || a.inUse+a.waiting > m.own(a) || m.sharesWith(a, msg.From) {
 		return // it lapses
 	}
 	a.lent[i].until = max(a.lent[i].until, m.now+long(m.cfg.Lease, m.cfg.Drift))
