--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -102,7 +102,7 @@
 	var links *peer.Links
 	var budgets *peer.Budgets
 	if party != nil {
-		if links, err = peer.New(loop, cfg.Name, party, loop.Now()); err != nil {
+		if links, err = peer.New(loop, cfg.Name, zone(set), party, loop.Now()); err != nil {
 			return err
 		}
 		budgets = links.Budgets()
@@ -129,6 +129,26 @@
 		loop: loop, front: clients, core: core, watch: watch, pool: pool, counts: counts,
 		memory: memory, sockets: sockets, begunAt: loop.Now(), links: links,
 	}
+	var changed []func() // what follows from a new list
+	if links != nil && party.Subsets {
+		s := &subsets{loop: loop, core: core, links: links, zones: set.Zones}
+		changed = append(changed, s.stir)
+		links.OnView(s.stir)
+		s.stir()
+	}
+	if links != nil && party.Positions {
+		s := links.SharePositions(core.InList, core.Fleet)
+		grain := set.Policy.PositionGrain // a write's position is rounded up
+		core.OnPosition(func(host policy.HostID, at time.Duration) { s.Learned(host, at-grain) })
+		changed = append(changed, s.Forget)
+	}
+	if len(changed) > 0 {
+		core.OnList(func() {
+			for _, do := range changed {
+				do()
+			}
+		})
+	}
 	manage := ""
 	if cfg.Management != "" {
 		addr, err := netip.ParseAddrPort(cfg.Management)
@@ -188,6 +208,14 @@
 	return cfg, nil
 }
 
+// zone is the name of the gateway's.
+func zone(set settings.Settings) string {
+	if i := set.Policy.Zone; i >= 0 && i < len(set.Zones) {
+		return set.Zones[i]
+	}
+	return ""
+}
+
 // loadFleet reads the fleet file, if one is named.
 func loadFleet(path string, env func(string) string, set settings.Settings) (*fleet.File, error) {
 	if path == "" {
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -22,6 +22,8 @@
 	Still     time.Duration             // how long a change holds before it counts; 0: the default
 	Most      int                       // members kept at most; 0: the default
 	Budgets   *Budgets                  // nil: none is divided
+	Positions bool                      // gateways tell each other how far databases have come
+	Subsets   bool                      // each gateway uses some replicas of a group first
 }
 
 // Budgets are what the whole fleet may spend at once.
@@ -41,7 +43,7 @@
 		return nil, err
 	}
 	f := &File{Dial: map[string]netip.AddrPort{}}
-	got := r.Fields(top, "", "fleet", "listen", "advertise", "seeds", "dial", "period", "still", "most", "budgets")
+	got := r.Fields(top, "", "fleet", "listen", "advertise", "seeds", "dial", "period", "still", "most", "budgets", "subsets", "positions")
 	need := func(key string) *yaml.Node {
 		if got[key] == nil && top.Kind == yaml.MappingNode {
 			r.Fail(top, key, "missing")
@@ -88,6 +90,8 @@
 	if n := got["most"]; n != nil {
 		f.Most = r.Count(n, "most", 2, MostMembers)
 	}
+	f.Positions = r.Bool(got["positions"], "positions")
+	f.Subsets = r.Bool(got["subsets"], "subsets")
 	if n := got["budgets"]; n != nil {
 		f.Budgets = budgets(r, n)
 	}
--- a/internal/fleet/membership/machine.go
+++ b/internal/fleet/membership/machine.go
@@ -60,6 +60,7 @@
 	session uint64
 	addr    netip.AddrPort
 	twice   bool
+	zone    string
 }
 
 // news is a piece that is sent on with other messages.
@@ -136,7 +137,7 @@
 	cfg = cfg.Defaults()
 	m := &Machine{
 		cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 0x7377696d)), now: now, members: map[string]*member{},
-		own:        Entry{Name: cfg.Name, Addr: cfg.Addr, Incarnation: uint64(max(1, cfg.Start.Microseconds())), Session: cfg.Session},
+		own:        Entry{Name: cfg.Name, Addr: cfg.Addr, Incarnation: uint64(max(1, cfg.Start.Microseconds())), Session: cfg.Session, Zone: cfg.Zone},
 		reachPause: reachFirst,
 	}
 	m.seq = m.rnd.Uint64() >> 8
--- a/internal/fleet/membership/news.go
+++ b/internal/fleet/membership/news.go
@@ -348,7 +348,7 @@
 	if !live {
 		return key{}
 	}
-	return key{session: e.Session, addr: e.Addr, twice: e.Twice}
+	return key{session: e.Session, addr: e.Addr, twice: e.Twice, zone: e.Zone}
 }
 
 // show brings the view up to date.
@@ -375,7 +375,7 @@
 	v := View{Version: m.view.Version + 1}
 	add := func(name string, k key) {
 		if k != (key{}) {
-			v.Members = append(v.Members, Member{Name: name, Addr: k.addr, Session: k.session, Twice: k.twice})
+			v.Members = append(v.Members, Member{Name: name, Addr: k.addr, Session: k.session, Twice: k.twice, Zone: k.zone})
 		}
 	}
 	for _, o := range m.names {
--- a/internal/fleet/membership/types.go
+++ b/internal/fleet/membership/types.go
@@ -44,6 +44,7 @@
 	State       State          `cbor:"5,keyasint,omitempty"`
 	Twice       bool           `cbor:"6,keyasint,omitempty"` // another process claims the name
 	By          string         `cbor:"7,keyasint,omitempty"` // who suspects it
+	Zone        string         `cbor:"8,keyasint,omitempty"` // where it is
 }
 
 // Kind is what a message is for.
@@ -97,6 +98,7 @@
 	Addr    netip.AddrPort `json:"addr"`
 	Session uint64         `json:"session"`
 	Twice   bool           `json:"twice,omitempty"` // two processes claim the name: a fault
+	Zone    string         `json:"zone,omitempty"`
 }
 
 // View is the stable view: members sorted by name. A change is in it once it has held still for Config.Still; a
@@ -118,6 +120,7 @@
 	Addr    netip.AddrPort
 	Start   time.Duration // the moment of the process's start, the first incarnation
 	Session uint64
+	Zone    string
 	Seed    uint64
 	Seeds   []netip.AddrPort // where others may be found
 	Most    int              // members kept at most, the dead included
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,8 +6,10 @@
 
 import (
 	"log"
+	"maps"
 	"math"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -121,7 +123,9 @@
 	most      int
 	probes    map[policy.HostID]time.Duration
 	counts    *stats.Counters
-	listed    map[policy.HostID]bool
+	listed    map[policy.HostID]policy.Member
+	changed   func() // the list has
+	position  func(host policy.HostID, at time.Duration)
 	suspended map[policy.HostID]bool
 	decided   []func() // called when the next Step is carried out
 }
@@ -134,7 +138,7 @@
 	return &Gateway{
 		loop: loop, router: router, most: most, counts: counts,
 		requests: map[policy.RequestID]*Request{}, probes: map[policy.HostID]time.Duration{},
-		listed: map[policy.HostID]bool{}, suspended: map[policy.HostID]bool{},
+		listed: map[policy.HostID]policy.Member{}, suspended: map[policy.HostID]bool{},
 	}
 }
 
@@ -155,7 +159,7 @@
 // Suspend leaves a database out, or lets it serve again; then is called as soon as no request
 // can go against that. It tells whether the database is known. Discovery does not change it.
 func (g *Gateway) Suspend(host policy.HostID, out bool, then func()) bool {
-	if !g.listed[host] && !g.suspended[host] {
+	if _, listed := g.listed[host]; !listed && !g.suspended[host] {
 		return false
 	}
 	g.SetSuspended(host, out)
@@ -271,6 +275,8 @@
 		g.ended(a, o, r)
 		return
 	}
+	g.told(a.Host, r.HasPosition, r.Position)
+	g.told(a.Host, r.Report.HasPosition, r.Report.Position)
 	if o == policy.OK && g.end(q) {
 		g.counts.Of(q.Class).Passed++
 		q.Client.Served(r.Value)
@@ -338,6 +344,7 @@
 
 // Probed tells how a probe ended.
 func (g *Gateway) Probed(host policy.HostID, o policy.Outcome, r Reply) {
+	g.told(host, r.Report.HasPosition, r.Report.Position)
 	g.events = append(g.events, policy.Probed{
 		Host: host, Outcome: o, Latency: g.loop.Now() - g.probes[host], Report: r.Report,
 	})
@@ -354,14 +361,38 @@
 		clear(g.listed)
 	}
 	for _, e := range entries {
-		if g.listed[e.Host] = true; e.Status == policy.Gone {
+		if g.listed[e.Host] = e.Member; e.Status == policy.Gone {
 			delete(g.listed, e.Host)
 		}
 	}
 	g.backends.Listed(kind, entries)
 	g.events = append(g.events, m)
+	if g.changed != nil {
+		g.changed()
+	}
 }
 
+// OnList has do called whenever the list has changed.
+func (g *Gateway) OnList(do func()) { g.changed = do }
+
+// OnPosition has do called with each position that a database tells.
+func (g *Gateway) OnPosition(do func(host policy.HostID, at time.Duration)) { g.position = do }
+
+func (g *Gateway) told(host policy.HostID, has bool, at time.Duration) {
+	if has && g.position != nil {
+		g.position(host, at)
+	}
+}
+
+// InList tells whether a database is in the list.
+func (g *Gateway) InList(host policy.HostID) bool {
+	_, ok := g.listed[host]
+	return ok
+}
+
+// Hosts are the databases of the list.
+func (g *Gateway) Hosts() []policy.Member { return slices.Collect(maps.Values(g.listed)) }
+
 // Step lets the module decide on all that was gathered. It tells whether carrying the
 // actions out has led to new events.
 func (g *Gateway) Step() (again bool) {
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -195,6 +195,12 @@
 		}
 	}
 	b = append(b, dial...)
+	if l.Plan.Lab.Subsets {
+		b = append(b, "subsets: true\n"...)
+	}
+	if l.Plan.Lab.Positions {
+		b = append(b, "positions: true\n"...)
+	}
 	if p := l.Plan.Lab; p.Budget > 0 {
 		b = fmt.Appendf(b, "budgets:\n  connections: %d\n  lease: %d ms\n  holders:\n", p.Budget, max(1000, p.Lease.Milliseconds()))
 		for j := range p.Gateways {
--- a/internal/load/plan/plan.go
+++ b/internal/load/plan/plan.go
@@ -104,17 +104,19 @@
 
 // Lab is the world of stand-ins.
 type Lab struct {
-	Gateways int           `json:"gateways"`
-	Members  int           `json:"members"`
-	Cores    int           `json:"cores"`
-	Queue    int           `json:"queue"`
-	Service  time.Duration `json:"service_ns"` // mean time of a statement
-	Delay    string        `json:"delay"`      // constant or exponential
-	Lag      time.Duration `json:"lag_ns"`     // of replicas
-	Cold     time.Duration `json:"cold_ns"`
-	Fleet    bool          `json:"fleet"`            // gateways have a fleet file, and relays between them
-	Budget   int           `json:"budget,omitempty"` // connections of all gateways to each database; 0: not divided
-	Lease    time.Duration `json:"lease_ns,omitempty"`
+	Gateways  int           `json:"gateways"`
+	Members   int           `json:"members"`
+	Cores     int           `json:"cores"`
+	Queue     int           `json:"queue"`
+	Service   time.Duration `json:"service_ns"` // mean time of a statement
+	Delay     string        `json:"delay"`      // constant or exponential
+	Lag       time.Duration `json:"lag_ns"`     // of replicas
+	Cold      time.Duration `json:"cold_ns"`
+	Fleet     bool          `json:"fleet"`            // gateways have a fleet file, and relays between them
+	Budget    int           `json:"budget,omitempty"` // connections of all gateways to each database; 0: not divided
+	Lease     time.Duration `json:"lease_ns,omitempty"`
+	Subsets   bool          `json:"subsets,omitempty"`
+	Positions bool          `json:"positions,omitempty"` // gateways tell each other of them
 }
 
 // Length is how long the stages take.
@@ -390,11 +392,7 @@
 	if f["rate"] != nil {
 		e.Link.Rate, _ = r.Number(f["rate"], "rate", "20 kB/s", map[string]float64{"B/s": 1, "kB/s": 1e3, "MB/s": 1e6})
 	}
-	if s, ok := r.Text(f["cut"], "cut"); ok {
-		if e.Link.Cut = s == "true"; s != "true" && s != "false" {
-			r.Fail(f["cut"], "cut", "%q is neither true nor false", s)
-		}
-	}
+	e.Link.Cut = r.Bool(f["cut"], "cut")
 	if n := f["sides"]; n != nil {
 		if n.Kind != yaml.SequenceNode || len(n.Content) < 2 {
 			r.Fail(n, "sides", "two lists or more are wanted, like [[0, 1], [2, 3]]")
@@ -422,7 +420,7 @@
 }
 
 func (r *reader) lab(p *Plan, n *yaml.Node) {
-	f := r.Fields(n, "lab", "gateways", "members", "cores", "queue", "service", "delay", "lag", "cold", "fleet", "budget", "lease")
+	f := r.Fields(n, "lab", "gateways", "members", "cores", "queue", "service", "delay", "lag", "cold", "fleet", "budget", "lease", "subsets", "positions")
 	for key, to := range map[string]*int{"gateways": &p.Lab.Gateways, "members": &p.Lab.Members, "cores": &p.Lab.Cores, "queue": &p.Lab.Queue, "budget": &p.Lab.Budget} {
 		if f[key] != nil {
 			*to = r.Count(f[key], key, 1, 1000)
@@ -433,11 +431,9 @@
 			*to = r.Time(f[key], key)
 		}
 	}
-	if s, ok := r.Text(f["fleet"], "fleet"); ok {
-		if p.Lab.Fleet = s == "true"; s != "true" && s != "false" {
-			r.Fail(f["fleet"], "fleet", "%q is neither true nor false", s)
-		}
-	}
+	p.Lab.Fleet = r.Bool(f["fleet"], "fleet")
+	p.Lab.Subsets = r.Bool(f["subsets"], "subsets")
+	p.Lab.Positions = r.Bool(f["positions"], "positions")
 	for i, e := range p.Events {
 		for _, g := range slices.Concat(e.Gateways, e.From, e.To, slices.Concat(e.Sides...)) {
 			if g >= p.Lab.Gateways {
--- a/internal/peer/envelope.go
+++ b/internal/peer/envelope.go
@@ -103,5 +103,5 @@
 // sound tells whether an entry can be one. An incarnation is a moment; one from an age to come could not be refuted.
 func sound(e membership.Entry) bool {
 	return fleet.Name(e.Name) && e.Addr.IsValid() && e.Addr.Port() != 0 && e.Incarnation > 0 && e.Incarnation < 1<<62 &&
-		e.State <= membership.Left && (e.By == "" || fleet.Name(e.By))
+		e.State <= membership.Left && (e.By == "" || fleet.Name(e.By)) && len(e.Zone) <= 64
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -37,26 +37,28 @@
 
 // Links are a gateway's ties to the others of its fleet. Everything runs on the loop's goroutine.
 type Links struct {
-	loop    *netloop.Loop
-	file    *fleet.File
-	codec   *codec
-	m       *membership.Machine
-	udp     *netloop.Packets
-	ln      *netloop.Listener
-	timer   *netloop.Timer
-	beside  bool
-	moved   bool // bound elsewhere than told, as the address was taken
-	via     uint64
-	in      map[uint64]*stream
-	order   []*stream // of those that others opened, oldest first
-	out     int
-	buf     []byte
-	counts  Counts
-	senders map[netip.AddrPort]*rate
-	bad     netloop.Sparse
-	news    netloop.Sparse
-	version uint64 // of the view that was logged
-	budgets *Budgets
+	loop      *netloop.Loop
+	file      *fleet.File
+	codec     *codec
+	m         *membership.Machine
+	udp       *netloop.Packets
+	ln        *netloop.Listener
+	timer     *netloop.Timer
+	beside    bool
+	moved     bool // bound elsewhere than told, as the address was taken
+	via       uint64
+	in        map[uint64]*stream
+	order     []*stream // of those that others opened, oldest first
+	out       int
+	buf       []byte
+	counts    Counts
+	senders   map[netip.AddrPort]*rate
+	bad       netloop.Sparse
+	news      netloop.Sparse
+	version   uint64 // of the view that was logged
+	budgets   *Budgets
+	seen      func()     // the view has changed
+	positions *Positions // nil: they are not shared
 }
 
 // rate bounds what one sender may have read.
@@ -65,8 +67,8 @@
 	n    int
 }
 
-// New joins a fleet. The name is the gateway's; start is the moment at which the process began.
-func New(loop *netloop.Loop, name string, file *fleet.File, start time.Duration) (*Links, error) {
+// New joins a fleet. The name and the zone are the gateway's; start is the moment at which the process began.
+func New(loop *netloop.Loop, name, zone string, file *fleet.File, start time.Duration) (*Links, error) {
 	if !fleet.Name(name) {
 		return nil, fmt.Errorf("fleet: a gateway named %q cannot be a member; letters, digits, dots, dashes and underscores, 64 at most", name)
 	}
@@ -86,7 +88,7 @@
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
 	cfg := membership.Config{
-		Name: name, Addr: l.told(), Start: start, Session: rand.Uint64() | 1, Seed: rand.Uint64(), Seeds: file.Seeds,
+		Name: name, Addr: l.told(), Start: start, Session: rand.Uint64() | 1, Seed: rand.Uint64(), Seeds: file.Seeds, Zone: zone,
 		Period: file.Period, Still: file.Still, Most: file.Most,
 	}
 	l.m = membership.New(cfg, loop.Now())
@@ -172,6 +174,15 @@
 	}
 }
 
+// OnView has do called whenever the stable view has changed.
+func (l *Links) OnView(do func()) { l.seen = do }
+
+// Name is the gateway's.
+func (l *Links) Name() string {
+	own, _ := l.m.Own()
+	return own.Name
+}
+
 // View is the stable view, see membership.View.
 func (l *Links) View() membership.View { return l.m.View() }
 
@@ -194,6 +205,12 @@
 	}
 	if v := l.m.View(); v.Version != l.version {
 		l.version = v.Version
+		if l.positions != nil {
+			l.positions.stand(v)
+		}
+		if l.seen != nil {
+			l.seen()
+		}
 		log.Printf("event=fleet_view version=%d members=%d digest=%016x", v.Version, len(v.Members), v.Digest)
 	}
 	l.timer.Stop()
@@ -304,6 +321,8 @@
 		}
 	case channel == channelBudget && l.budgets != nil:
 		err = l.budgets.receive(body)
+	case channel == channelState && l.positions != nil:
+		err = l.positions.receive(body)
 	default:
 		err = errVersion
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -132,7 +132,7 @@
 	require.NoError(t, err)
 	defer loop.Close()
 	any := netip.MustParseAddrPort("127.0.0.1:0")
-	a, err := New(loop, "a", &fleet.File{Fleet: "f", Listen: any}, loop.Now())
+	a, err := New(loop, "a", "", &fleet.File{Fleet: "f", Listen: any}, loop.Now())
 	require.NoError(t, err)
 	var news []membership.Entry
 	for i := range 200 {
@@ -141,9 +141,9 @@
 		news = append(news, e)
 	}
 	a.m.Receive(loop.Now(), membership.Message{Kind: membership.Gossip, From: news[0], Observer: true, News: news}, 0)
-	b, err := New(loop, "b", &fleet.File{Fleet: "f", Listen: any, Seeds: []netip.AddrPort{a.udp.Addr}}, loop.Now())
+	b, err := New(loop, "b", "", &fleet.File{Fleet: "f", Listen: any, Seeds: []netip.AddrPort{a.udp.Addr}}, loop.Now())
 	require.NoError(t, err)
-	_, err = New(loop, "c d", &fleet.File{Fleet: "f", Listen: any}, loop.Now())
+	_, err = New(loop, "c d", "", &fleet.File{Fleet: "f", Listen: any}, loop.Now())
 	assert.ErrorContains(t, err, "letters, digits")
 	late := loop.At(loop.Now()+10*time.Second, loop.Stop)
 	defer late.Stop()
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -107,6 +107,14 @@
 	line("dropped.large", k.Large)
 	line("dropped.rate", k.Rate)
 	line("rests", l.udp.Rests())
+	if l.positions != nil {
+		n := l.positions.p.Counts()
+		line("positions.learned", n.Learned)
+		line("positions.heard", n.Heard)
+		line("positions.old", n.Old)
+		line("positions.ahead", n.Ahead)
+		line("positions.unknown", n.Unknown)
+	}
 	if l.budgets == nil {
 		return b
 	}
--- a/internal/standin/database.go
+++ b/internal/standin/database.go
@@ -216,7 +216,9 @@
 		}
 		return
 	}
-	w.counts.Reads++
+	if w.counts.Reads++; h.primary {
+		w.counts.PrimaryReads++
+	}
 	position := h.position(time.Now())
 	bound := w.opt.Bounds[string(head.Class)]
 	// The bound counts from the last byte of the sending.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -37,6 +37,7 @@
 // Counts are what happened in the world.
 type Counts struct {
 	Reads, Writes      int // that ran
+	PrimaryReads       int // of the reads
 	Duplicates         int // writes that ran a second time
 	Stale              int // reads answered from data older than their class or session allows
 	Misses, Full       int
--- a/internal/yamlfile/yamlfile.go
+++ b/internal/yamlfile/yamlfile.go
@@ -166,6 +166,15 @@
 	return int(x)
 }
 
+// Bool reads true or false; false where there is none.
+func (r *Reader) Bool(n *yaml.Node, key string) bool {
+	s, ok := r.Text(n, key)
+	if ok && s != "true" && s != "false" {
+		r.Fail(n, key, "%q is neither true nor false", s)
+	}
+	return s == "true"
+}
+
 // Addr reads an address with its port.
 func (r *Reader) Addr(n *yaml.Node, key string) (a netip.AddrPort) {
 	s, ok := r.Text(n, key)
