Carry operators' words on databases to the whole fleet, with a rule for copies that differ

A suspension told to one gateway held at that one only. PUT /v1/fleet/databases/ID/suspend and resume go to all: version vectors by process, pushed at once, compared each second; words said without knowledge of each other are all kept, out wins and the conflict is told until an operator speaks again. A gateway with a fleet file says no to the empty query until it has compared with another, at most 2 s.

Shown with four processes: a killed gateway that returns without a memory never uses a suspended database (TestFleetStateSuspension), words on both sides of a partition (TestFleetStateConflict).

--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -127,7 +127,11 @@
 	}
 	ops := &operations{
 		loop: loop, front: clients, core: core, watch: watch, pool: pool, counts: counts,
-		memory: memory, sockets: sockets, begunAt: loop.Now(), links: links,
+		memory: memory, sockets: sockets, begunAt: loop.Now(), links: links, out: map[string]bool{},
+	}
+	if links != nil {
+		links.OnWord(ops.word)
+		clients.Hold(true) // until what operators told the fleet is known
 	}
 	var changed []func() // what follows from a new list
 	if links != nil && party.Subsets {
--- a/cmd/lilaccove/operations.go
+++ b/cmd/lilaccove/operations.go
@@ -45,7 +45,8 @@
 	watch  *discovery.Client
 	pool   *backend.Pool
 	counts *stats.Counters
-	links  *peer.Links // to the fleet; nil: without a fleet file
+	links  *peer.Links     // to the fleet; nil: without a fleet file
+	out    map[string]bool // databases left out by a word to this gateway alone; only with links
 
 	memory, sockets int
 	begunAt         time.Duration
@@ -92,6 +93,9 @@
 
 // open begins to accept clients: at once, or beside a process that serves them, when it can do as well.
 func (o *operations) open() error {
+	if o.links != nil && !o.links.CaughtUp() {
+		return nil
+	}
 	if o.beside && (o.core.Members() == 0 || !o.watch.Heard()) && o.loop.Now() < o.begunAt+heardTime {
 		return nil
 	}
@@ -143,7 +147,7 @@
 // adopt does what another process was told, or a predecessor.
 func (o *operations) adopt(s handover.State) {
 	for id, e := range s.Suspended {
-		o.core.SetSuspended(policy.HostID(id), e.On)
+		o.core.SetSuspended(policy.HostID(id), o.suspended(id, e.On))
 	}
 	o.drain(s.Drained.On)
 }
@@ -167,6 +171,8 @@
 		return "no databases are known", false
 	case !o.front.Opened():
 		return "starting", false
+	case o.links != nil && !o.links.CaughtUp():
+		return "catching up with the fleet", false
 	}
 	return "", true
 }
@@ -191,7 +197,7 @@
 // Suspend leaves a database out, or has it serve again, here and in a process beside this one.
 func (o *operations) Suspend(id string, out bool, then func()) bool {
 	o.look()
-	known := o.core.Suspend(policy.HostID(id), out, func() {
+	known := o.core.Suspend(policy.HostID(id), o.suspended(id, out), func() {
 		if !o.beside {
 			then()
 			return
@@ -207,6 +213,44 @@
 	return known
 }
 
+// suspended notes a word to this gateway alone; it tells what holds: the fleet's word leaves a database out as well.
+func (o *operations) suspended(id string, out bool) bool {
+	if o.links == nil {
+		return out
+	}
+	if o.out[id] = out; !out {
+		delete(o.out, id)
+	}
+	return out || o.links.Out(id)
+}
+
+// word does what operators told the whole fleet. It binds at once, also of a database that the list does not name yet.
+func (o *operations) word(id string, out bool) {
+	o.core.SetSuspended(policy.HostID(id), out || o.out[id])
+}
+
+// FleetState is what operators told the fleet; false: this gateway is in none.
+func (o *operations) FleetState() ([]byte, bool) {
+	if o.links == nil {
+		return nil, false
+	}
+	return o.links.State(), true
+}
+
+// FleetSuspend has the whole fleet leave a database out, or use it again.
+func (o *operations) FleetSuspend(id string, out bool, then func()) bool {
+	if o.links == nil || !o.core.InList(policy.HostID(id)) && !o.links.Out(id) {
+		return false
+	}
+	if !o.links.Say(id, out) {
+		return false
+	}
+	if !o.core.Suspend(policy.HostID(id), out || o.out[id], then) {
+		then() // not listed any more: nothing is sent there anyway
+	}
+	return true
+}
+
 // Drain empties the gateway, or has it work again.
 func (o *operations) Drain(on bool) {
 	log.Printf("event=drain on=%t clients=%d owed=%d", on, o.front.Clients(), o.core.Owed())
@@ -263,6 +307,7 @@
 // check is called behind each round: it begins to serve, and exits once nothing is owed.
 func (o *operations) check() {
 	if !o.ending {
+		o.front.Hold(o.links != nil && !o.links.CaughtUp())
 		if err := o.open(); err != nil {
 			log.Printf("event=not_open err=%q", err)
 			o.loop.Stop()
--- /dev/null
+++ b/cmd/lilaccove/words_test.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lilaccove/internal/peer"
+)
+
+// state is what gateway i knows of operators' words.
+func (p *party) state(i int) (r peer.StateReport) {
+	text, err := p.Node(i).Call("GET", "/v1/fleet/state")
+	require.NoError(p.t, err)
+	require.NoError(p.t, json.Unmarshal(text, &r))
+	return r
+}
+
+func (p *party) word(i int, host, verb string) {
+	p.t.Helper()
+	_, err := p.Node(i).Call("PUT", "/v1/fleet/databases/"+host+"/"+verb)
+	require.NoError(p.t, err)
+}
+
+// left waits until some gateways leave out so many databases.
+func (p *party) left(n int, list ...int) {
+	p.t.Helper()
+	p.eventually(fmt.Sprintf("%d databases are left out at %v", n, list), func() bool {
+		for _, i := range list {
+			if p.figure(i, "skipped_databases") != n {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// A word told to one gateway binds all. One that is killed and returns without a memory knows it before it takes clients:
+// the database gets nothing all along.
+func TestFleetStateSuspension(t *testing.T) {
+	p := newPartyOf(t, 4, fmt.Sprintf(sharedPlan, 4))
+	host := p.World().Members()[1]
+	p.eventually("it is in use", func() bool { return host.Begun() > 20 })
+	p.word(2, host.ID, "suspend")
+	p.left(1, p.all()...)
+	require.Equal(t, p.state(0).Digest, p.state(3).Digest)
+	p.eventually("what was under way is over", func() bool {
+		before, reads := host.Begun(), p.World().Counts().Reads
+		p.eventually("reads go on elsewhere", func() bool { return p.World().Counts().Reads > reads+30 })
+		return host.Begun() == before
+	})
+	begun := host.Begun()
+	for _, i := range []int{2, 0} {
+		p.Node(i).Kill()
+		_, err := p.Start(i)
+		require.NoError(t, err)
+		p.eventually("it is back in the front", func() bool { return p.Front().Admitted() == 4 && p.state(i).CaughtUp })
+		reads := p.World().Counts().Reads
+		p.eventually("reads go on", func() bool { return p.World().Counts().Reads > reads+200 })
+	}
+	p.left(1, p.all()...)
+	assert.Equal(t, begun, host.Begun(), "a gateway that returned used it")
+	p.word(1, host.ID, "resume")
+	p.left(0, p.all()...)
+	p.eventually("it is in use again", func() bool { return host.Begun() > begun })
+	_, err := p.Node(1).Call("PUT", "/v1/fleet/databases/nobody/suspend")
+	assert.ErrorContains(t, err, "404")
+	p.judge(0.7)
+}
+
+// Words said on both sides of a partition: the database stays out and the conflict is told until an operator speaks again.
+func TestFleetStateConflict(t *testing.T) {
+	p := newPartyOf(t, 4, fmt.Sprintf(sharedPlan, 4))
+	host := p.World().Members()[2].ID
+	p.word(0, host, "suspend")
+	p.left(1, p.all()...)
+	sides := [][]int{{0, 1}, {2, 3}}
+	p.Mesh().Partition(sides, true)
+	p.agree(2, 0, 1)
+	p.word(0, host, "resume")
+	p.left(0, 0, 1)
+	p.word(3, host, "suspend")
+	p.left(1, 2, 3)
+	p.Mesh().Partition(sides, false)
+	p.left(1, p.all()...)
+	p.eventually("each tells of the conflict", func() bool {
+		for i := range 4 {
+			if s := p.state(i); len(s.Conflicts) != 1 || s.Digest != p.state(0).Digest {
+				return false
+			}
+		}
+		return true
+	})
+	p.word(2, host, "resume")
+	p.left(0, p.all()...)
+	assert.Empty(t, p.state(1).Conflicts)
+	// A word to one gateway alone holds beside the fleet's.
+	_, err := p.Node(0).Call("PUT", "/v1/databases/"+host+"/suspend")
+	require.NoError(t, err)
+	p.word(1, host, "suspend")
+	p.left(1, p.all()...)
+	p.word(1, host, "resume")
+	p.left(0, 1, 2, 3)
+	p.left(1, 0)
+	p.judge(0.7)
+}
--- /dev/null
+++ b/internal/fleet/state/words_test.go
@@ -0,0 +1,178 @@
+package state
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// crew is gateways with copies of the words, and the messages between them.
+type crew struct {
+	list  []*Words
+	names []string
+	rnd   *rand.Rand
+	now   time.Duration
+	cut   func(a, b int) bool
+	loss  float64
+	held  []WordsSend
+	from  []int
+}
+
+func newCrew(n int, seed uint64) *crew {
+	c := &crew{rnd: rand.New(rand.NewPCG(seed, 2)), now: now}
+	for i := range n {
+		c.names = append(c.names, fmt.Sprint("n", i))
+	}
+	for i := range n {
+		c.list = append(c.list, nil)
+		c.start(i)
+	}
+	return c
+}
+
+func (c *crew) start(i int) {
+	c.list[i] = NewWords(c.names[i], fmt.Sprint(c.names[i], "@", c.rnd.Uint64()), c.rnd.Uint64())
+	c.list[i].Live(c.names)
+}
+
+// round lets half a second pass and delivers messages in any order, some twice.
+func (c *crew) round() {
+	c.now += 500 * time.Millisecond
+	for i, s := range c.list {
+		s.Tick(c.now)
+		c.collect(i)
+	}
+	for n := 0; len(c.held) > 0 && n < 10_000; n++ {
+		k := c.rnd.IntN(len(c.held))
+		s, i := c.held[k], c.from[k]
+		if c.rnd.Float64() >= c.loss/2 {
+			c.held, c.from = append(c.held[:k], c.held[k+1:]...), append(c.from[:k], c.from[k+1:]...)
+		}
+		var j int
+		_, _ = fmt.Sscanf(s.To, "n%d", &j)
+		if c.cut != nil && c.cut(i, j) || c.rnd.Float64() < c.loss {
+			continue
+		}
+		c.list[j].Receive(c.names[i], s.Message)
+		c.collect(j)
+	}
+}
+
+func (c *crew) collect(i int) {
+	for _, s := range c.list[i].Take() {
+		c.held, c.from = append(c.held, s), append(c.from, i)
+	}
+}
+
+func (c *crew) say(i int, host string, out bool) {
+	c.list[i].Say(c.now, host, out)
+	c.collect(i)
+}
+
+func (c *crew) equal() bool {
+	for _, s := range c.list {
+		if s.Digest() != c.list[0].Digest() {
+			return false
+		}
+	}
+	return true
+}
+
+// Words, losses, cuts and restarts in any order: afterwards all copies are equal, and what was said last with knowledge
+// of the rest holds.
+func TestWordsConverge(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		n := rapid.IntRange(2, 8).Draw(r, "n")
+		c := newCrew(n, rapid.Uint64().Draw(r, "seed"))
+		c.loss = rapid.Float64Range(0, 0.5).Draw(r, "loss")
+		for range rapid.IntRange(1, 25).Draw(r, "steps") {
+			i := rapid.IntRange(0, n-1).Draw(r, "who")
+			switch rapid.SampledFrom([]string{"say", "say", "round", "cut", "heal", "restart"}).Draw(r, "what") {
+			case "say":
+				c.say(i, fmt.Sprint("s", rapid.IntRange(0, 3).Draw(r, "host")), rapid.Bool().Draw(r, "out"))
+			case "round":
+				c.round()
+			case "cut":
+				k := rapid.IntRange(1, n-1).Draw(r, "side")
+				c.cut = func(a, b int) bool { return (a < k) != (b < k) }
+			case "heal":
+				c.cut = nil
+			case "restart":
+				c.start(i)
+			}
+		}
+		c.cut, c.loss = nil, 0
+		for k := 0; k < 60 && !c.equal(); k++ {
+			c.round()
+		}
+		require.True(r, c.equal())
+		c.say(0, "s0", false)
+		c.round()
+		for _, s := range c.list {
+			out, conflict := s.Out("s0")
+			require.False(r, out || conflict, "a word said with knowledge of all prevails")
+		}
+	})
+}
+
+func TestConcurrentWordsLeaveOut(t *testing.T) {
+	c := newCrew(4, 1)
+	c.say(0, "s1", true)
+	c.round()
+	c.cut = func(a, b int) bool { return (a < 2) != (b < 2) }
+	c.say(0, "s1", false) // one side has it serve again
+	c.say(3, "s1", true)  // the other says once more that it must not
+	c.round()
+	out, _ := c.list[1].Out("s1")
+	assert.False(t, out)
+	c.cut = nil
+	for range 10 {
+		c.round()
+	}
+	require.True(t, c.equal())
+	for _, s := range c.list {
+		out, conflict := s.Out("s1")
+		assert.True(t, out, "out wins")
+		assert.True(t, conflict, "and the conflict is told")
+	}
+	c.say(2, "s1", false)
+	c.round()
+	out, conflict := c.list[0].Out("s1")
+	assert.False(t, out || conflict)
+}
+
+// A process that starts anew knows nothing: it catches up, and its own words are none of its predecessor's.
+func TestReturnCatchesUp(t *testing.T) {
+	c := newCrew(3, 1)
+	c.say(0, "s1", true)
+	c.round()
+	c.start(0)
+	assert.False(t, c.list[0].Synced())
+	c.say(0, "s2", true)
+	c.round()
+	c.round()
+	assert.True(t, c.list[0].Synced())
+	for _, h := range []string{"s1", "s2"} {
+		for _, s := range c.list {
+			out, conflict := s.Out(h)
+			assert.True(t, out && !conflict, h)
+		}
+	}
+	assert.True(t, c.equal())
+}
+
+func TestWordsAreBounded(t *testing.T) {
+	s := NewWords("a", "a@1", 1)
+	for i := range wordsMost {
+		require.True(t, s.Say(now, fmt.Sprint("s", i), i > 0))
+	}
+	assert.True(t, s.Say(now, "x", true), "the one that leaves nothing out makes room")
+	assert.False(t, s.Say(now, "y", true))
+	assert.False(t, s.merge(Word{Host: "z", Vector: map[string]uint64{"b": 1}}))
+	assert.Len(t, s.All(), wordsMost)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -87,6 +87,7 @@
 	welcome []byte
 	closing bool          // each connection goes as soon as it owes nothing
 	easing  time.Duration // each goes behind its next answer, and idle ones by then; 0: they stay
+	held    bool          // so it is before the first yes
 	drained bool          // the empty query is answered with a no
 	crowded netloop.Sparse
 	bad     netloop.Sparse
@@ -166,6 +167,9 @@
 	f.ease(until)
 }
 
+// Hold has the empty query answered with a no as long as the gateway should not be given clients yet.
+func (f *Front) Hold(on bool) { f.held = on }
+
 // Fill takes Empty back.
 func (f *Front) Fill() { f.drained, f.easing = false, 0 }
 
@@ -535,7 +539,9 @@
 	text, err := pgwire.Text(body)
 	if err == nil && pgwire.Blank(text) {
 		c.nc.Consume(n)
-		if c.front.drained {
+		if c.front.held {
+			c.say(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeCannotConnectNow, "the gateway is starting", "")))
+		} else if c.front.drained {
 			c.say(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeCannotConnectNow, "the gateway is drained", "")))
 		} else {
 			c.say(pgwire.AppendReady(pgwire.AppendEmpty(nil)))
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -38,6 +38,10 @@
 	Suspend(id string, out bool, then func()) bool
 	// Fleet tells in JSON which other gateways are known; false: this one is in no fleet.
 	Fleet() ([]byte, bool)
+	// FleetState tells in JSON what operators told the whole fleet; false: this gateway is in no fleet.
+	FleetState() ([]byte, bool)
+	// FleetSuspend is Suspend for the whole fleet.
+	FleetSuspend(id string, out bool, then func()) bool
 	// Drain empties the gateway, or has it work again.
 	Drain(on bool)
 }
@@ -155,14 +159,9 @@
 			c.answer(200, string(c.s.ops.Metrics(nil)))
 		}
 	case "/v1/fleet/members":
-		if !c.method(q, "GET") {
-			return
-		}
-		if text, ok := c.s.ops.Fleet(); ok {
-			c.reply(200, "application/json", "", string(text))
-		} else {
-			c.answer(404, "this gateway has no fleet file\n")
-		}
+		c.fleet(q, c.s.ops.Fleet)
+	case "/v1/fleet/state":
+		c.fleet(q, c.s.ops.FleetState)
 	case "/v1/gateway/drain", "/v1/gateway/activate":
 		if c.method(q, "PUT") {
 			c.s.ops.Drain(strings.HasSuffix(q.Path, "drain"))
@@ -173,9 +172,26 @@
 	}
 }
 
-// database handles /v1/databases/ID/suspend and its like.
+// fleet answers with what is known of the fleet.
+func (c *call) fleet(q http1.Request, say func() ([]byte, bool)) {
+	if !c.method(q, "GET") {
+		return
+	}
+	if text, ok := say(); ok {
+		c.reply(200, "application/json", "", string(text))
+	} else {
+		c.answer(404, "this gateway has no fleet file\n")
+	}
+}
+
+// database handles /v1/databases/ID/suspend and its like, and the same below /v1/fleet.
 func (c *call) database(q http1.Request) {
+	suspend := c.s.ops.Suspend
 	rest, ok := strings.CutPrefix(q.Path, "/v1/databases/")
+	if !ok {
+		suspend = c.s.ops.FleetSuspend
+		rest, ok = strings.CutPrefix(q.Path, "/v1/fleet/databases/")
+	}
 	name, verb, two := strings.Cut(rest, "/")
 	if !ok || !two || verb != "suspend" && verb != "resume" {
 		c.answer(404, "no such path\n")
@@ -189,7 +205,7 @@
 	if !c.method(q, "PUT") {
 		return
 	}
-	if !c.s.ops.Suspend(id, verb == "suspend", func() { c.answer(200, "ok\n") }) {
+	if !suspend(id, verb == "suspend", func() { c.answer(200, "ok\n") }) {
 		c.answer(404, fmt.Sprintf("no database %q\n", id))
 	}
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -57,6 +57,7 @@
 	news      netloop.Sparse
 	version   uint64 // of the view that was logged
 	budgets   *Budgets
+	words     *words
 	seen      func()     // the view has changed
 	positions *Positions // nil: they are not shared
 }
@@ -96,6 +97,7 @@
 	if l.moved {
 		loop.At(loop.Now()+moveEvery, l.move)
 	}
+	l.words = l.newWords()
 	if l.budgets, err = l.divide(name); err != nil {
 		return nil, err
 	}
@@ -200,6 +202,9 @@
 	for _, c := range changes {
 		l.tell(c)
 	}
+	if l.words != nil && len(changes) > 0 {
+		l.words.stand()
+	}
 	if l.budgets != nil && (len(changes) > 0 || l.m.View().Version != l.version) {
 		l.budgets.stand(l.m.View())
 	}
@@ -321,6 +326,8 @@
 		}
 	case channel == channelBudget && l.budgets != nil:
 		err = l.budgets.receive(body)
+	case channel == channelWords:
+		err = l.words.receive(body)
 	case channel == channelState && l.positions != nil:
 		err = l.positions.receive(body)
 	default:
--- a/internal/standin/database.go
+++ b/internal/standin/database.go
@@ -131,6 +131,7 @@
 	}
 	isWrite := strings.HasPrefix(text[strings.Index(text, "*/")+2:], " INSERT")
 	w.mu.Lock()
+	h.begun++
 	if h.health != "in_service" && time.Since(h.told) > drainGrace+50*time.Millisecond {
 		w.counts.Drained++
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -83,6 +83,7 @@
 	waiting int
 	paused  chan struct{}          // closed when it goes on; nil: it runs
 	conns   map[net.Conn]time.Time // since when
+	begun   int                    // statements that came, whatever became of them
 }
 
 // New starts a world.
@@ -282,6 +283,13 @@
 	h.w.counts.MostOpen = max(h.w.counts.MostOpen, n)
 }
 
+// Begun is how many statements of clients have come to the database.
+func (h *Host) Begun() int {
+	h.w.mu.Lock()
+	defer h.w.mu.Unlock()
+	return h.begun
+}
+
 func (h *Host) close() {
 	h.ln.Close()
 	h.w.mu.Lock()
