--- a/cmd/lilaccove/words_test.go
+++ b/cmd/lilaccove/words_test.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"lilaccove/internal/load/plan"
 	"lilaccove/internal/peer"
 )
 
@@ -42,7 +44,7 @@
 // the database gets nothing all along.
 func TestFleetStateSuspension(t *testing.T) {
 	p := newPartyOf(t, 4, fmt.Sprintf(sharedPlan, 4))
-	host := p.World().Members()[1]
+	host := p.World().Members()[0] // a primary: who does not know better uses it first
 	p.eventually("it is in use", func() bool { return host.Begun() > 20 })
 	p.word(2, host.ID, "suspend")
 	p.left(1, p.all()...)
@@ -55,6 +57,10 @@
 	begun := host.Begun()
 	for _, i := range []int{2, 0} {
 		p.Node(i).Kill()
+		for j := range 4 { // what others know is long on its way
+			p.Mesh().Set(i, j, plan.Link{Delay: 300 * time.Millisecond})
+			p.Mesh().Set(j, i, plan.Link{Delay: 300 * time.Millisecond})
+		}
 		_, err := p.Start(i)
 		require.NoError(t, err)
 		p.eventually("it is back in the front", func() bool { return p.Front().Admitted() == 4 && p.state(i).CaughtUp })
--- a/cmd/lilacctl/main.go
+++ b/cmd/lilacctl/main.go
@@ -62,6 +62,6 @@
 	members.Flags().BoolVar(&all, "all", false, "list those that have ended as well")
 	members.Flags().DurationVar(&wait, "timeout", 2*time.Second, "how long a gateway may take to answer")
 	_ = members.MarkFlagRequired("at")
-	root.AddCommand(members)
+	root.AddCommand(members, stateCommand(), wordCommand("suspend", "Leave a database out"), wordCommand("resume", "Have a database serve again"))
 	return root
 }
--- a/cmd/lilacctl/members.go
+++ b/cmd/lilacctl/members.go
@@ -47,30 +47,45 @@
 
 const mostAnswer = 8 << 20
 
-func members(at string, wait time.Duration) (*peer.Report, error) {
+// call asks one gateway; a status that is not 200 is an error with what it says.
+func call(at, method, path string, wait time.Duration) ([]byte, error) {
 	if _, err := netip.ParseAddrPort(at); err != nil {
 		return nil, fmt.Errorf("%q is no address; write it like 127.0.0.1:7510", at)
 	}
+	q, err := http.NewRequest(method, "http://"+at+path, nil)
+	if err != nil {
+		return nil, err
+	}
 	client := &http.Client{Timeout: wait, Transport: &http.Transport{DisableKeepAlives: true}}
-	got, err := client.Get("http://" + at + "/v1/fleet/members")
+	got, err := client.Do(q)
 	if err != nil {
 		return nil, err
 	}
 	defer got.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(got.Body, mostAnswer))
+	if err == nil && got.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: %s", got.Status, strings.TrimSpace(string(text)))
+	}
+	return text, err
+}
+
+// fetch asks for something in JSON.
+func fetch[T any](at, path string, wait time.Duration) (*T, error) {
+	text, err := call(at, http.MethodGet, path, wait)
 	if err != nil {
 		return nil, err
 	}
-	if got.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("%s: %s", got.Status, strings.TrimSpace(string(text)))
-	}
-	r := &peer.Report{}
+	r := new(T)
 	if err := json.Unmarshal(text, r); err != nil {
 		return nil, fmt.Errorf("the answer cannot be read: %w", err)
 	}
 	return r, nil
 }
 
+func members(at string, wait time.Duration) (*peer.Report, error) {
+	return fetch[peer.Report](at, "/v1/fleet/members", wait)
+}
+
 // verdict is the exit status: who does not answer goes before what was found.
 func (list answers) verdict() error {
 	var silent, findings []string
--- a/cmd/lilacctl/members_test.go
+++ b/cmd/lilacctl/members_test.go
@@ -29,8 +29,8 @@
 	return strings.NewReplacer("NAME", name, "DIGEST", digest).Replace(said)
 }
 
-// call runs the command line; it returns what it prints and its exit status.
-func call(args ...string) (string, int) {
+// runs runs the command line; it returns what it prints and its exit status.
+func runs(args ...string) (string, int) {
 	c := command()
 	var out bytes.Buffer
 	c.SetOut(&out)
@@ -49,14 +49,14 @@
 
 func TestMembers(t *testing.T) {
 	a, b := gateway(t, 200, says("n1", "aa")), gateway(t, 200, says("n3", "aa"))
-	out, code := call("members", "--at", a, "--at", b)
+	out, code := runs("members", "--at", a, "--at", b)
 	require.Zero(t, code, out)
 	assert.Contains(t, out, "n2       127.0.0.1:7401")
 	assert.Contains(t, out, "n1=suspect n3=suspect")
 	assert.NotContains(t, out, "n9", "who has ended is listed with --all")
-	out, _ = call("members", "--at", a, "--all")
+	out, _ = runs("members", "--at", a, "--all")
 	assert.Contains(t, out, "n9")
-	out, code = call("members", "--at", a, "--json")
+	out, code = runs("members", "--at", a, "--json")
 	require.Zero(t, code)
 	assert.Contains(t, out, `"digest": "aa"`)
 }
@@ -75,10 +75,37 @@
 		"cannot be read":             {gateway(t, 200, "what"), exitUnreachable},
 		"is no address":              {"here", exitUnreachable},
 	} {
-		out, code := call("members", "--at", a, "--at", c.at)
+		out, code := runs("members", "--at", a, "--at", c.at)
 		assert.Equal(t, c.code, code, want)
 		assert.Contains(t, out, want)
 	}
-	_, code := call("members")
+	_, code := runs("members")
 	assert.Equal(t, exitTrouble, code)
 }
+
+func TestState(t *testing.T) {
+	words := `{"name":"n1","digest":"aa","caught_up":true,"words":[{"host":"s-1","out":true,"vector":{"n1@1":1},"at_ms":1,"by":"n1"}]}`
+	a, b := gateway(t, 200, words), gateway(t, 200, strings.Replace(words, `"aa"`, `"bb"`, 1))
+	out, code := runs("state", "--at", a)
+	require.Zero(t, code, out)
+	assert.Contains(t, out, "s-1       suspend")
+	out, code = runs("state", "--at", a, "--at", b)
+	assert.Equal(t, exitFinding, code)
+	assert.Contains(t, out, "2 different copies")
+	out, code = runs("state", "--at", gateway(t, 200, strings.Replace(words, `"words"`, `"conflicts":["s-1"],"words"`, 1)))
+	assert.Equal(t, exitFinding, code)
+	assert.Contains(t, out, "words about s-1 differ")
+	_, code = runs("state", "--at", "127.0.0.1:1", "--json")
+	assert.Equal(t, exitUnreachable, code)
+}
+
+func TestWords(t *testing.T) {
+	a := gateway(t, 200, "ok\n")
+	out, code := runs("suspend", "s-1", "--at", a, "--fleet")
+	require.Zero(t, code, out)
+	out, code = runs("resume", "s-9", "--at", gateway(t, 404, "no such database\n"))
+	assert.Equal(t, exitFinding, code)
+	assert.Contains(t, out, "does not know it")
+	_, code = runs("resume", "s-9", "--at", "127.0.0.1:1")
+	assert.Equal(t, exitUnreachable, code)
+}
--- /dev/null
+++ b/cmd/lilacctl/state.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"lilaccove/internal/peer"
+)
+
+// stateCommand tells what operators told the fleet, as each gateway has it.
+func stateCommand() *cobra.Command {
+	var at []string
+	var asJSON bool
+	var wait time.Duration
+	c := &cobra.Command{
+		Use: "state --at 127.0.0.1:7510", Short: "What operators told the whole fleet, and whether all have it", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return state(c.OutOrStdout(), at, asJSON, wait) },
+	}
+	c.Flags().StringArrayVar(&at, "at", nil, "a gateway's operators' address; may be given several times")
+	c.Flags().BoolVar(&asJSON, "json", false, "print what the gateways said, as JSON")
+	c.Flags().DurationVar(&wait, "timeout", 2*time.Second, "how long a gateway may take to answer")
+	_ = c.MarkFlagRequired("at")
+	return c
+}
+
+func state(w io.Writer, at []string, asJSON bool, wait time.Duration) error {
+	var silent, findings []string
+	digests := map[string]bool{}
+	said := map[string]*peer.StateReport{}
+	t := tabwriter.NewWriter(w, 2, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "ASKED\tNAME\tCAUGHT UP\tWORDS\tDIGEST")
+	var newest *peer.StateReport
+	for _, a := range at {
+		r, err := fetch[peer.StateReport](a, "/v1/fleet/state", wait)
+		said[a] = r
+		if err != nil {
+			silent = append(silent, a)
+			fmt.Fprintf(t, "%s\t-\t-\t-\t%v\n", a, err)
+			continue
+		}
+		digests[r.Digest] = true
+		if newest == nil || len(r.Words) > len(newest.Words) {
+			newest = r
+		}
+		for _, h := range r.Conflicts {
+			findings = append(findings, r.Name+": words about "+h+" differ; it is left out until you say suspend or resume once more")
+		}
+		fmt.Fprintf(t, "%s\t%s\t%t\t%d\t%s\n", a, r.Name, r.CaughtUp, len(r.Words), r.Digest)
+	}
+	if newest != nil && len(newest.Words) > 0 {
+		fmt.Fprintf(t, "\nDATABASE\tWORD\tSAID AT\tTO\n")
+		for _, x := range newest.Words {
+			word := map[bool]string{true: "suspend", false: "resume"}[x.Out]
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", x.Host, word, time.UnixMilli(x.AtMS).UTC().Format(time.RFC3339), x.By)
+		}
+	}
+	if len(digests) > 1 {
+		findings = append(findings, fmt.Sprintf("%d different copies", len(digests)))
+	}
+	if asJSON {
+		e := json.NewEncoder(w)
+		e.SetIndent("", " ")
+		if err := e.Encode(said); err != nil {
+			return err
+		}
+	} else if err := t.Flush(); err != nil {
+		return err
+	}
+	switch {
+	case len(silent) > 0:
+		return status{exitUnreachable, "no answer from " + strings.Join(silent, ", ")}
+	case len(findings) > 0:
+		return status{exitFinding, strings.Join(findings, "; ")}
+	}
+	return nil
+}
+
+// wordCommand tells one gateway, or the whole fleet, to leave a database out or to use it.
+func wordCommand(verb, short string) *cobra.Command {
+	var at string
+	var fleet bool
+	var wait time.Duration
+	c := &cobra.Command{
+		Use: verb + " DATABASE --at 127.0.0.1:7510", Short: short + ", here or with --fleet everywhere", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			path := "/v1/databases/"
+			if fleet {
+				path = "/v1/fleet/databases/"
+			}
+			if _, err := call(at, http.MethodPut, path+url.PathEscape(args[0])+"/"+verb, wait); err != nil {
+				if strings.Contains(err.Error(), " 404 ") || strings.HasPrefix(err.Error(), "404") {
+					return status{exitFinding, fmt.Sprintf("%s: the gateway does not know it, or has no fleet file: %v", args[0], err)}
+				}
+				return status{exitUnreachable, err.Error()}
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%s: %s\n", args[0], verb)
+			return nil
+		},
+	}
+	c.Flags().StringVar(&at, "at", "", "a gateway's operators' address")
+	c.Flags().BoolVar(&fleet, "fleet", false, "tell the whole fleet")
+	c.Flags().DurationVar(&wait, "timeout", 2*time.Second, "how long the gateway may take to answer")
+	_ = c.MarkFlagRequired("at")
+	return c
+}
--- a/internal/lab/front.go
+++ b/internal/lab/front.go
@@ -43,11 +43,11 @@
 	return f
 }
 
-// Set says where a gateway's clients connect.
+// Set says where a gateway's clients connect. A process that has started is admitted once it says yes.
 func (f *Front) Set(i int, addr string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.doors[i].addr = addr
+	f.doors[i] = door{addr: addr}
 }
 
 // Admitted counts the gateways in use.
