Tell who acts on which versions, and bring up a gateway whose list stays old

A watch that tells no changes without being silent leaves a gateway on an old list for good. Gateways tell each other the versions they act on (list, words, view, files, build); one whose list is older than another's for a second asks discovery anew, spread over the fleet, three times at most for a version that discovery does not tell. GET /v1/fleet/versions, lilacctl versions.

Shown with four processes: the stand-in withholds changes from one gateway, which hears of the newer list from the others, asks once and is brought up; nobody else asks.

--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -3,6 +3,8 @@
 package main
 
 import (
+	"cmp"
+	"crypto/sha256"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -131,6 +133,9 @@
 	}
 	if links != nil {
 		links.OnWord(ops.word)
+		links.Audit(peer.Facts{
+			List: watch.Seq, Ask: watch.Renew, Config: digest(os.Getenv("GW_CONFIG")), File: digest(fleetPath(fleetFile, os.Getenv)), Build: build(),
+		})
 		clients.Hold(true) // until what operators told the fleet is known
 	}
 	var changed []func() // what follows from a new list
@@ -220,12 +225,35 @@
 	return ""
 }
 
+// digest is a short one of a file.
+func digest(path string) string {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return ""
+	}
+	return fmt.Sprintf("%x", sha256.Sum256(text))[:16]
+}
+
+// build names the program: the revision that it was built from, where the build told it.
+func build() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value[:min(12, len(s.Value))]
+		}
+	}
+	return info.Main.Version
+}
+
+// fleetPath is where the fleet file is; empty: none is named.
+func fleetPath(flag string, env func(string) string) string { return cmp.Or(flag, env("GW_FLEET")) }
+
 // loadFleet reads the fleet file, if one is named.
 func loadFleet(path string, env func(string) string, set settings.Settings) (*fleet.File, error) {
-	if path == "" {
-		path = env("GW_FLEET")
-	}
-	if path == "" {
+	if path = fleetPath(path, env); path == "" {
 		return nil, nil
 	}
 	if !set.Peers {
--- a/cmd/lilaccove/operations.go
+++ b/cmd/lilaccove/operations.go
@@ -237,6 +237,14 @@
 	return o.links.State(), true
 }
 
+// FleetVersions tells who acts on which versions; false: this gateway is in no fleet.
+func (o *operations) FleetVersions() ([]byte, bool) {
+	if o.links == nil {
+		return nil, false
+	}
+	return o.links.Versions(), true
+}
+
 // FleetSuspend has the whole fleet leave a database out, or use it again.
 func (o *operations) FleetSuspend(id string, out bool, then func()) bool {
 	if o.links == nil || !o.core.InList(policy.HostID(id)) && !o.links.Out(id) {
--- /dev/null
+++ b/cmd/lilaccove/versions_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lilaccove/internal/peer"
+)
+
+// A gateway whose watch tells no changes any more, without being silent, hears from the others that there is a newer list
+// and asks for it. Nobody else does.
+func TestFleetAuditStraggler(t *testing.T) {
+	p := newPartyOf(t, 4, fmt.Sprintf(sharedPlan, 4))
+	p.World().Withhold()
+	for i := 1; i < 4; i++ { // they watch anew
+		require.NoError(t, p.Node(i).Term())
+		_, err := p.Start(i)
+		require.NoError(t, err)
+	}
+	p.agree(4, p.all()...)
+	known := p.figure(0, "known_databases")
+	require.NoError(t, p.World().Grow(0))
+	for i := 1; i < 4; i++ {
+		p.eventually("the others hear of it", func() bool { return p.figure(i, "known_databases") == known+1 })
+	}
+	p.eventually("the straggler is brought up", func() bool { return p.figure(0, "known_databases") == known+1 })
+	assert.Equal(t, 1, p.figure(0, "fleet_behind_asked"))
+	for i := 1; i < 4; i++ {
+		assert.Zero(t, p.figure(i, "fleet_behind_asked"))
+	}
+	p.eventually("each knows what all act on", func() bool {
+		lists := map[int64]bool{}
+		for i := range 4 {
+			text, err := p.Node(i).Call("GET", "/v1/fleet/versions")
+			require.NoError(t, err)
+			var r peer.VersionsReport
+			require.NoError(t, json.Unmarshal(text, &r))
+			if len(r.Versions) != 4 {
+				return false
+			}
+			for _, v := range r.Versions {
+				lists[v.List] = true
+			}
+		}
+		return len(lists) == 1
+	})
+	p.judge(0.7)
+}
--- a/cmd/lilacctl/main.go
+++ b/cmd/lilacctl/main.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -25,6 +26,17 @@
 
 func (s status) Error() string { return s.why }
 
+// verdict is what the exit status says: who does not answer goes before what was found.
+func verdict(silent, findings []string) error {
+	switch {
+	case len(silent) > 0:
+		return status{exitUnreachable, "no answer from " + strings.Join(silent, ", ")}
+	case len(findings) > 0:
+		return status{exitFinding, strings.Join(findings, "; ")}
+	}
+	return nil
+}
+
 func main() {
 	err := command().Execute()
 	if err == nil {
@@ -62,6 +74,6 @@
 	members.Flags().BoolVar(&all, "all", false, "list those that have ended as well")
 	members.Flags().DurationVar(&wait, "timeout", 2*time.Second, "how long a gateway may take to answer")
 	_ = members.MarkFlagRequired("at")
-	root.AddCommand(members, stateCommand(), wordCommand("suspend", "Leave a database out"), wordCommand("resume", "Have a database serve again"))
+	root.AddCommand(members, stateCommand(), versionsCommand(), wordCommand("suspend", "Leave a database out"), wordCommand("resume", "Have a database serve again"))
 	return root
 }
--- a/cmd/lilacctl/members.go
+++ b/cmd/lilacctl/members.go
@@ -108,13 +108,7 @@
 	if len(digests) > 1 {
 		findings = append(findings, fmt.Sprintf("%d different views", len(digests)))
 	}
-	switch {
-	case len(silent) > 0:
-		return status{exitUnreachable, "no answer from " + strings.Join(silent, ", ")}
-	case len(findings) > 0:
-		return status{exitFinding, strings.Join(findings, "; ")}
-	}
-	return nil
+	return verdict(silent, findings)
 }
 
 func (list answers) json(w io.Writer) error {
--- a/cmd/lilacctl/members_test.go
+++ b/cmd/lilacctl/members_test.go
@@ -109,3 +109,16 @@
 	_, code = runs("resume", "s-9", "--at", "127.0.0.1:1")
 	assert.Equal(t, exitUnreachable, code)
 }
+
+func TestVersions(t *testing.T) {
+	a := gateway(t, 200, `{"name":"n1","versions":[{"name":"n1","list":7,"words":1},{"name":"n2","list":6,"behind_ms":2500,"heard_ms_ago":300}]}`)
+	out, code := runs("versions", "--at", a)
+	assert.Equal(t, exitFinding, code, out)
+	assert.Contains(t, out, "n2 acts on list 6, the newest is 7")
+	assert.Contains(t, out, "2.5s")
+	b := gateway(t, 200, `{"name":"n2","versions":[{"name":"n2","list":7}]}`)
+	out, code = runs("versions", "--at", a, "--at", b)
+	assert.Zero(t, code, out, "what a gateway says of itself is newest")
+	_, code = runs("versions", "--at", "127.0.0.1:1")
+	assert.Equal(t, exitUnreachable, code)
+}
--- a/cmd/lilacctl/state.go
+++ b/cmd/lilacctl/state.go
@@ -74,13 +74,7 @@
 	} else if err := t.Flush(); err != nil {
 		return err
 	}
-	switch {
-	case len(silent) > 0:
-		return status{exitUnreachable, "no answer from " + strings.Join(silent, ", ")}
-	case len(findings) > 0:
-		return status{exitFinding, strings.Join(findings, "; ")}
-	}
-	return nil
+	return verdict(silent, findings)
 }
 
 // wordCommand tells one gateway, or the whole fleet, to leave a database out or to use it.
--- /dev/null
+++ b/cmd/lilacctl/versions.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"lilaccove/internal/peer"
+)
+
+// versionsCommand tells which gateway acts on which versions, in one screen.
+func versionsCommand() *cobra.Command {
+	var at []string
+	var asJSON bool
+	var wait time.Duration
+	c := &cobra.Command{
+		Use: "versions --at 127.0.0.1:7510", Short: "Which gateway acts on which versions, and who is behind", Args: cobra.NoArgs,
+		Long: "Each gateway knows the versions of the others; the first that answers is enough. With several the newest telling of\n" +
+			"each gateway counts.",
+		RunE: func(c *cobra.Command, _ []string) error { return versions(c.OutOrStdout(), at, asJSON, wait) },
+	}
+	c.Flags().StringArrayVar(&at, "at", nil, "a gateway's operators' address; may be given several times")
+	c.Flags().BoolVar(&asJSON, "json", false, "print what the gateways said, as JSON")
+	c.Flags().DurationVar(&wait, "timeout", 2*time.Second, "how long a gateway may take to answer")
+	_ = c.MarkFlagRequired("at")
+	return c
+}
+
+func versions(w io.Writer, at []string, asJSON bool, wait time.Duration) error {
+	var silent, findings []string
+	said := map[string]*peer.VersionsReport{}
+	newest := map[string]peer.VersionReport{}
+	var names []string
+	for _, a := range at {
+		r, err := fetch[peer.VersionsReport](a, "/v1/fleet/versions", wait)
+		if said[a] = r; err != nil {
+			silent = append(silent, a+" ("+err.Error()+")")
+			continue
+		}
+		for _, v := range r.Versions {
+			old, known := newest[v.Name]
+			if !known {
+				names = append(names, v.Name)
+			}
+			if !known || v.Name == r.Name || old.HeardMS > v.HeardMS {
+				newest[v.Name] = v
+			}
+		}
+	}
+	list := int64(0)
+	for _, v := range newest {
+		list = max(list, v.List)
+	}
+	t := tabwriter.NewWriter(w, 2, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "GATEWAY\tLIST\tBEHIND\tWORDS\tVIEW\tCONFIG\tFLEET FILE\tBUILD\tHEARD")
+	for _, n := range names {
+		v := newest[n]
+		behind := "-"
+		if v.List < list {
+			behind = (time.Duration(v.BehindMS) * time.Millisecond).String()
+			findings = append(findings, fmt.Sprintf("%s acts on list %d, the newest is %d", n, v.List, list))
+		}
+		fmt.Fprintf(t, "%s\t%d\t%s\t%x\t%x\t%s\t%s\t%s\t%v ago\n", n, v.List, behind, v.Words, v.View, v.Config, v.File, v.Build,
+			time.Duration(v.HeardMS)*time.Millisecond)
+	}
+	if asJSON {
+		e := json.NewEncoder(w)
+		e.SetIndent("", " ")
+		if err := e.Encode(said); err != nil {
+			return err
+		}
+	} else if err := t.Flush(); err != nil {
+		return err
+	}
+	return verdict(silent, findings)
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -152,6 +152,15 @@
 	c.Subscribe()
 }
 
+// Seq is the version of the list now.
+func (c *Client) Seq() int64 { return c.seq }
+
+// Renew asks again at once, though a watch is on: it may tell nothing any more without being silent.
+func (c *Client) Renew() {
+	c.drop()
+	c.Subscribe()
+}
+
 // listen sets until when discovery must have been heard again.
 func (c *Client) listen(until time.Duration) {
 	c.timer.Stop()
--- /dev/null
+++ b/internal/fleet/audit/versions_test.go
@@ -0,0 +1,105 @@
+package audit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const start = 1_800_000_000 * time.Second
+
+// troop is machines that tell each other without loss.
+type troop struct {
+	list  []*Versions
+	now   time.Duration
+	asked []time.Duration
+}
+
+func newTroop(n int) *troop {
+	c := &troop{now: start}
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprintf("n%03d", i))
+	}
+	for i, name := range names {
+		v := New(Config{Name: name, Bound: 2 * time.Second, Pace: 100 * time.Millisecond, Seed: uint64(i)})
+		v.Live(names)
+		v.Set(Version{Session: 1, List: 5})
+		c.list = append(c.list, v)
+	}
+	return c
+}
+
+func (c *troop) run(d time.Duration, asks func(i int)) {
+	for end := c.now + d; c.now < end; c.now += 100 * time.Millisecond {
+		for i, v := range c.list {
+			out, ask := v.Tick(c.now)
+			if ask {
+				c.asked = append(c.asked, c.now)
+				asks(i)
+			}
+			for _, s := range out {
+				var k int
+				_, _ = fmt.Sscanf(s.To, "n%d", &k)
+				c.list[k].Receive(c.now, s.Message)
+			}
+		}
+	}
+}
+
+// One that is behind notices, asks after the bound and is brought up; nobody else asks.
+func TestStragglerAsks(t *testing.T) {
+	c := newTroop(8)
+	for i := 1; i < 8; i++ {
+		c.list[i].Set(Version{Session: 1, List: 6})
+	}
+	begun := c.now
+	c.run(10*time.Second, func(i int) {
+		require.Zero(t, i)
+		c.list[0].Set(Version{Session: 1, List: 6})
+	})
+	require.Len(t, c.asked, 1)
+	assert.Greater(t, c.asked[0]-begun, 2*time.Second)
+	since, _ := c.list[0].Behind()
+	assert.Zero(t, since)
+	for _, k := range c.list[3].All() {
+		assert.EqualValues(t, 6, k.List)
+		assert.Zero(t, k.Behind)
+	}
+}
+
+// Many stragglers do not ask at once.
+func TestStragglersTakeTurns(t *testing.T) {
+	c := newTroop(100)
+	c.list[0].Set(Version{Session: 1, List: 6})
+	c.run(30*time.Second, func(i int) { c.list[i].Set(Version{Session: 1, List: 6}) })
+	require.Len(t, c.asked, 99)
+	in := map[time.Duration]int{}
+	for _, at := range c.asked {
+		in[at.Truncate(time.Second)]++
+	}
+	for at, n := range in {
+		assert.Less(t, n, 30, "in the second from %v", at)
+	}
+}
+
+// A version that discovery does not have is asked for a few times only.
+func TestOddVersionIsGivenUp(t *testing.T) {
+	c := newTroop(3)
+	c.list[2].Set(Version{Session: 1, List: 1 << 40})
+	c.run(5*time.Minute, func(int) {})
+	assert.Len(t, c.asked, 2*asksMost)
+}
+
+func TestWhoSaysNothingIsForgotten(t *testing.T) {
+	v := New(Config{Name: "a", Bound: time.Second, Pace: time.Millisecond})
+	v.Receive(start, Message{Versions: []Version{{Name: "b", Session: 1, List: 3}, {Name: ""}, {Name: "a", List: 99}, {Name: "c", List: -1}}})
+	assert.Len(t, v.All(), 2)
+	v.Receive(start, Message{Versions: []Version{{Name: "b", Session: 1, List: 2}}})
+	assert.EqualValues(t, 3, v.All()[1].List, "an old telling changes nothing")
+	v.Tick(start + 2*keepAfter)
+	assert.Len(t, v.All(), 1)
+}
--- a/internal/fleet/share/share.go
+++ b/internal/fleet/share/share.go
@@ -1,14 +1,12 @@
-// Package share divides work among the gateways of a fleet without talk: which members of a group each uses first (a
-// subset), and whose turn something is. Everything follows from the lists given, so that two gateways with equal
-// lists come to equal answers; with unequal ones subsets overlap and turns are doubled or left out, and nothing worse
-// may come of it. It has no input or output.
+// Package share divides the members of a group among the gateways of a fleet without talk: which each uses first (a
+// subset). Everything follows from the lists given, so that two gateways with equal lists come to equal answers; with
+// unequal ones subsets overlap, and nothing worse may come of it. It has no input or output.
 package share
 
 import (
 	"encoding/binary"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -189,33 +187,3 @@
 	}
 	return false
 }
-
-// Turn is the next moment, not before from, at which something about a subject is a gateway's turn, when all of the
-// fleet are to come to one turn each in every period: evenly spaced, in an order that depends on the subject. Zero
-// gateways, or a name that is not among them: from itself, for then nobody else can be relied on. A gateway that is dead
-// simply does not act in its turn; the next one's comes by itself.
-func Turn(gateways []Gateway, name, subject string, from, period time.Duration) time.Duration {
-	n := len(gateways)
-	rank, found := 0, false
-	own := score(name, subject)
-	for _, g := range gateways {
-		if g.Name == name {
-			found = true
-		} else if s := score(g.Name, subject); s < own || s == own && g.Name < name {
-			rank++
-		}
-	}
-	if !found || period <= 0 {
-		return from
-	}
-	// Subjects begin their periods at moments of their own, or all would be asked for at once.
-	offset := time.Duration(score(subject)%uint64(period)) + period*time.Duration(rank)/time.Duration(n)
-	at := from - (from-offset)%period
-	for at < from {
-		at += period
-	}
-	for at-period >= from {
-		at -= period
-	}
-	return at
-}
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -40,6 +40,8 @@
 	Fleet() ([]byte, bool)
 	// FleetState tells in JSON what operators told the whole fleet; false: this gateway is in no fleet.
 	FleetState() ([]byte, bool)
+	// FleetVersions tells in JSON who acts on which versions; false: this gateway is in no fleet.
+	FleetVersions() ([]byte, bool)
 	// FleetSuspend is Suspend for the whole fleet.
 	FleetSuspend(id string, out bool, then func()) bool
 	// Drain empties the gateway, or has it work again.
@@ -160,6 +162,8 @@
 		}
 	case "/v1/fleet/members":
 		c.fleet(q, c.s.ops.Fleet)
+	case "/v1/fleet/versions":
+		c.fleet(q, c.s.ops.FleetVersions)
 	case "/v1/fleet/state":
 		c.fleet(q, c.s.ops.FleetState)
 	case "/v1/gateway/drain", "/v1/gateway/activate":
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -24,9 +24,10 @@
 	later []func() // answers it owes
 }
 
-func (s *staff) Ready() (string, bool)      { return s.ready, s.ready == "" }
-func (s *staff) Metrics(b []byte) []byte    { return append(b, "edge_gw.in_progress=0\n"...) }
-func (s *staff) FleetState() ([]byte, bool) { return []byte("{}"), s.ready == "" }
+func (s *staff) Ready() (string, bool)         { return s.ready, s.ready == "" }
+func (s *staff) Metrics(b []byte) []byte       { return append(b, "edge_gw.in_progress=0\n"...) }
+func (s *staff) FleetVersions() ([]byte, bool) { return []byte("{}"), s.ready == "" }
+func (s *staff) FleetState() ([]byte, bool)    { return []byte("{}"), s.ready == "" }
 func (s *staff) FleetSuspend(id string, out bool, then func()) bool {
 	return s.Suspend("fleet "+id, out, then)
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -57,6 +57,7 @@
 	news      netloop.Sparse
 	version   uint64 // of the view that was logged
 	budgets   *Budgets
+	versions  *versions // nil: they are not told
 	words     *words
 	seen      func()     // the view has changed
 	positions *Positions // nil: they are not shared
@@ -326,6 +327,8 @@
 		}
 	case channel == channelBudget && l.budgets != nil:
 		err = l.budgets.receive(body)
+	case channel == channelVersions && l.versions != nil:
+		err = l.versions.receive(body)
 	case channel == channelWords:
 		err = l.words.receive(body)
 	case channel == channelState && l.positions != nil:
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -107,6 +107,11 @@
 	line("dropped.large", k.Large)
 	line("dropped.rate", k.Rate)
 	line("rests", l.udp.Rests())
+	if l.versions != nil {
+		since, asked := l.versions.v.Behind()
+		line("behind", uint64(min(since, 1)))
+		line("behind_asked", asked)
+	}
 	if l.positions != nil {
 		n := l.positions.p.Counts()
 		line("positions.learned", n.Learned)
--- /dev/null
+++ b/internal/peer/versions.go
@@ -0,0 +1,114 @@
+package peer
+
+import (
+	"encoding/json"
+	"fmt"
+	"log"
+	"math/rand/v2"
+	"time"
+
+	"lilaccove/internal/fleet/audit"
+)
+
+const (
+	channelVersions = 5
+	versionsEvery   = 250 * time.Millisecond
+	behindBound     = time.Second
+	askPace         = 100 * time.Millisecond // of a fleet of stragglers, as the module's between calls to discovery
+)
+
+// Facts are what this process acts on, as far as the fleet is told of it.
+type Facts struct {
+	List         func() int64 // the version of the list now
+	Ask          func()       // asks discovery out of turn
+	Config, File string       // digests
+	Build        string
+}
+
+type versions struct {
+	l     *Links
+	v     *audit.Versions
+	facts Facts
+	told  bool // that this process is behind
+}
+
+// Audit begins to tell others what this process acts on, and to bring its list up when others have a newer one.
+func (l *Links) Audit(f Facts) {
+	own, _ := l.m.Own()
+	s := &versions{l: l, facts: f, v: audit.New(audit.Config{Name: own.Name, Bound: behindBound, Pace: askPace, Seed: rand.Uint64()})}
+	l.versions = s
+	s.tick()
+}
+
+func (s *versions) tick() {
+	l := s.l
+	own, member := l.m.Own()
+	var names []string
+	view := l.m.View()
+	for _, m := range view.Members {
+		names = append(names, m.Name)
+	}
+	s.v.Live(names)
+	s.v.Set(audit.Version{
+		Session: own.Session, List: s.facts.List(), Words: l.words.w.Digest(), View: view.Digest, Config: s.facts.Config, File: s.facts.File, Build: s.facts.Build,
+	})
+	out, ask := s.v.Tick(l.loop.Now())
+	if member { // one that is drained, or whose name is another's, only listens
+		for _, m := range out {
+			l.post(m.To, channelVersions, m.Message)
+		}
+	}
+	since, asked := s.v.Behind()
+	if behind := since > 0 && ask || s.told && since > 0; behind != s.told {
+		s.told = behind
+		log.Printf("event=fleet_behind on=%t list=%d asked=%d", behind, s.facts.List(), asked)
+	}
+	if ask {
+		s.facts.Ask()
+	}
+	l.loop.At(l.loop.Now()+versionsEvery, s.tick)
+}
+
+func (s *versions) receive(body []byte) error {
+	var msg audit.Message
+	if err := s.l.codec.dec.Unmarshal(body, &msg); err != nil {
+		return fmt.Errorf("%w: %v", errBad, err)
+	}
+	s.v.Receive(s.l.loop.Now(), msg)
+	return nil
+}
+
+// VersionsReport is what GET /v1/fleet/versions tells.
+type VersionsReport struct {
+	Name     string          `json:"name"`
+	Versions []VersionReport `json:"versions"`
+}
+
+// VersionReport is one gateway's versions as another knows them.
+type VersionReport struct {
+	audit.Version
+	HeardMS  int64 `json:"heard_ms_ago"`
+	BehindMS int64 `json:"behind_ms,omitempty"` // for so long others have had a newer list
+}
+
+// Versions tells in JSON who acts on which versions.
+func (l *Links) Versions() []byte {
+	now := l.loop.Now()
+	own, _ := l.m.Own()
+	r := VersionsReport{Name: own.Name}
+	for _, k := range l.versions.v.All() {
+		x := VersionReport{Version: k.Version}
+		if k.Heard > 0 {
+			x.HeardMS = (now - k.Heard).Milliseconds()
+		}
+		if k.Behind > 0 {
+			x.BehindMS = (now - k.Behind).Milliseconds()
+		}
+		r.Versions = append(r.Versions, x)
+	}
+	b, err := json.Marshal(r)
+	if err != nil {
+		return []byte("{}")
+	}
+	return append(b, '\n')
+}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -107,9 +108,10 @@
 	after, _ := strconv.Atoi(q.URL.Query().Get("after"))
 	ch := make(chan []byte, 256)
 	d.w.mu.Lock()
-	first := []byte("\n")
+	// What changed is not kept: it is the whole list, or nothing, which is told as well.
+	first := fmt.Appendf(nil, "{\"seq\":%d,\"hosts\":[]}\n", d.w.seq)
 	if after != d.w.seq {
-		first = append(d.w.list(), '\n') // what changed is not kept: the whole list
+		first = append(d.w.list(), '\n')
 	}
 	d.w.watch[ch] = true
 	d.w.mu.Unlock()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -194,6 +194,25 @@
 	}
 }
 
+// Withhold has the watches that are on now hear of no change any more, though they are not silent: a list that
+// stays old without a sign. Who asks again is told all.
+func (w *World) Withhold() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clear(w.watch)
+}
+
+// Grow adds a replica to a group.
+func (w *World) Grow(group int) error {
+	h, err := w.add(group, false, time.Now())
+	if err == nil {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.tell(h)
+	}
+	return err
+}
+
 // Replace drains one database, hands its part as primary over, starts another in its place and takes it off the list.
 // It is the step of a rolling deploy; stop ends it early.
 func (w *World) Replace(h *Host, drain time.Duration, stop <-chan struct{}) error {
