--- a/internal/peer/words.go
+++ b/internal/peer/words.go
@@ -14,8 +14,7 @@
 const (
 	channelWords = 4
 	wordsEvery   = 100 * time.Millisecond
-	catchUpMost  = 2 * time.Second        // a gateway that starts waits so long for another's words at most
-	aloneAfter   = 500 * time.Millisecond // without another in sight it waits no longer
+	catchUpMost  = 2 * time.Second // a gateway that starts waits so long for another's words at most
 )
 
 // words are those of operators to the whole fleet.
@@ -110,7 +109,7 @@
 // CaughtUp tells whether this gateway knows what operators told the fleet, or need not wait for it any longer.
 func (l *Links) CaughtUp() bool {
 	age := l.loop.Now() - l.words.begun
-	return l.words.w.Synced() || age > catchUpMost || age > aloneAfter && len(l.m.Members()) == 0
+	return l.words.w.Synced() || age > catchUpMost || len(l.file.Seeds) == 0 && len(l.m.Members()) == 0
 }
 
 // StateReport is what GET /v1/fleet/state tells.
