--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -134,7 +134,7 @@
 	if links != nil {
 		links.OnWord(ops.word)
 		links.Audit(peer.Facts{
-			List: watch.Seq, Ask: watch.Renew, Config: digest(os.Getenv("GW_CONFIG")), File: digest(fleetPath(fleetFile, os.Getenv)), Build: build(),
+			List: watch.Seq, Ask: watch.Renew, Config: sameSettings(cfg.Settings), File: digest(party.Common()), Build: build(),
 		})
 		clients.Hold(true) // until what operators told the fleet is known
 	}
@@ -225,13 +225,22 @@
 	return ""
 }
 
-// digest is a short one of a file.
-func digest(path string) string {
-	text, err := os.ReadFile(path)
+// digest is a short one of a text.
+func digest(text []byte) string { return fmt.Sprintf("%x", sha256.Sum256(text))[:16] }
+
+// sameSettings is a digest of the settings without what is each gateway's own, so that equal ones are equal.
+func sameSettings(text json.RawMessage) string {
+	var all map[string]any
+	if err := json.Unmarshal(text, &all); err != nil {
+		return ""
+	}
+	delete(all, "SlotNo")
+	delete(all, "Zone")
+	same, err := json.Marshal(all) // keys are sorted
 	if err != nil {
 		return ""
 	}
-	return fmt.Sprintf("%x", sha256.Sum256(text))[:16]
+	return digest(same)
 }
 
 // build names the program: the revision that it was built from, where the build told it.
@@ -248,12 +257,9 @@
 	return info.Main.Version
 }
 
-// fleetPath is where the fleet file is; empty: none is named.
-func fleetPath(flag string, env func(string) string) string { return cmp.Or(flag, env("GW_FLEET")) }
-
 // loadFleet reads the fleet file, if one is named.
 func loadFleet(path string, env func(string) string, set settings.Settings) (*fleet.File, error) {
-	if path = fleetPath(path, env); path == "" {
+	if path = cmp.Or(path, env("GW_FLEET")); path == "" {
 		return nil, nil
 	}
 	if !set.Peers {
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -2,6 +2,7 @@
 package fleet
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"time"
@@ -33,6 +34,11 @@
 	Lease       time.Duration // of what one holder lends another
 }
 
+// Common is the part that is to be equal in all files of a fleet, as text.
+func (f *File) Common() []byte {
+	return fmt.Appendf(nil, "%s %v %v %d %s %t %t", f.Fleet, f.Period, f.Still, f.Most, f.Budgets.text(), f.Positions, f.Subsets)
+}
+
 // MostMembers bounds what a file may ask for.
 const MostMembers = 4096
 
@@ -143,3 +149,10 @@
 	}
 	return true
 }
+
+func (b *Budgets) text() string {
+	if b == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%v %d %v", b.Holders, b.Connections, b.Lease)
+}
--- a/internal/fleet/file_test.go
+++ b/internal/fleet/file_test.go
@@ -20,6 +20,18 @@
 	}, f)
 }
 
+// What has to be equal is equal in files that differ in the addresses alone, and in no others.
+func TestCommon(t *testing.T) {
+	parse := func(text string) string {
+		f, err := Parse("f", []byte(text))
+		require.NoError(t, err)
+		return string(f.Common())
+	}
+	a := parse("fleet: a\nlisten: 127.0.0.1:1\nbudgets: {holders: [x, y], connections: 4}\n")
+	assert.Equal(t, a, parse("fleet: a\nlisten: 127.0.0.1:2\nseeds: [127.0.0.1:1]\nbudgets: {holders: [x, y], connections: 4}\n"))
+	assert.NotEqual(t, a, parse("fleet: a\nlisten: 127.0.0.1:1\nbudgets: {holders: [y, x], connections: 4}\n"))
+}
+
 // The file that is shipped is one that works.
 func TestTheExample(t *testing.T) {
 	text, err := os.ReadFile("../../deploy/fleet.yaml")
