--- a/cmd/lilacctl/main.go
+++ b/cmd/lilacctl/main.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 	"time"
@@ -26,6 +27,22 @@
 
 func (s status) Error() string { return s.why }
 
+// asking makes a command that asks gateways and prints what they say.
+func asking(use, short, long string, do func(w io.Writer, at []string, asJSON bool, wait time.Duration) error) *cobra.Command {
+	var at []string
+	var asJSON bool
+	var wait time.Duration
+	c := &cobra.Command{
+		Use: use + " --at 127.0.0.1:7510", Short: short, Long: long, Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return do(c.OutOrStdout(), at, asJSON, wait) },
+	}
+	c.Flags().StringArrayVar(&at, "at", nil, "a gateway's operators' address; may be given several times")
+	c.Flags().BoolVar(&asJSON, "json", false, "print what the gateways said, as JSON")
+	c.Flags().DurationVar(&wait, "timeout", 2*time.Second, "how long a gateway may take to answer")
+	_ = c.MarkFlagRequired("at")
+	return c
+}
+
 // verdict is what the exit status says: who does not answer goes before what was found.
 func verdict(silent, findings []string) error {
 	switch {
@@ -56,24 +73,20 @@
 		Long: "Asks gateways at their operators' addresses (management in the configuration).\n" +
 			"Exit status: 0 all is as it should be, 1 the call was wrong, 2 something was found, 3 a gateway did not answer.",
 	}
-	var at []string
-	var asJSON, all bool
-	var wait time.Duration
-	members := &cobra.Command{
-		Use: "members --at 127.0.0.1:7510", Short: "Which gateways know which others", Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			list := ask(at, wait)
-			if asJSON {
-				return list.json(c.OutOrStdout())
-			}
-			return list.table(c.OutOrStdout(), all)
-		},
-	}
-	members.Flags().StringArrayVar(&at, "at", nil, "a gateway's operators' address; may be given several times")
-	members.Flags().BoolVar(&asJSON, "json", false, "print what the gateways said, as JSON")
+	var all bool
+	members := asking("members", "Which gateways know which others", "", func(w io.Writer, at []string, asJSON bool, wait time.Duration) error {
+		if list := ask(at, wait); asJSON {
+			return list.json(w)
+		} else {
+			return list.table(w, all)
+		}
+	})
 	members.Flags().BoolVar(&all, "all", false, "list those that have ended as well")
-	members.Flags().DurationVar(&wait, "timeout", 2*time.Second, "how long a gateway may take to answer")
-	_ = members.MarkFlagRequired("at")
-	root.AddCommand(members, stateCommand(), versionsCommand(), wordCommand("suspend", "Leave a database out"), wordCommand("resume", "Have a database serve again"))
+	root.AddCommand(members,
+		asking("state", "What operators told the whole fleet, and whether all have it", "", state),
+		asking("versions", "Which gateway acts on which versions, and who is behind",
+			"Each gateway knows the versions of the others; the first that answers is enough. With several the newest telling of\n"+
+				"each gateway counts.", versions),
+		wordCommand("suspend", "Leave a database out"), wordCommand("resume", "Have a database serve again"))
 	return root
 }
--- a/cmd/lilacctl/state.go
+++ b/cmd/lilacctl/state.go
@@ -15,22 +15,7 @@
 	"lilaccove/internal/peer"
 )
 
-// stateCommand tells what operators told the fleet, as each gateway has it.
-func stateCommand() *cobra.Command {
-	var at []string
-	var asJSON bool
-	var wait time.Duration
-	c := &cobra.Command{
-		Use: "state --at 127.0.0.1:7510", Short: "What operators told the whole fleet, and whether all have it", Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error { return state(c.OutOrStdout(), at, asJSON, wait) },
-	}
-	c.Flags().StringArrayVar(&at, "at", nil, "a gateway's operators' address; may be given several times")
-	c.Flags().BoolVar(&asJSON, "json", false, "print what the gateways said, as JSON")
-	c.Flags().DurationVar(&wait, "timeout", 2*time.Second, "how long a gateway may take to answer")
-	_ = c.MarkFlagRequired("at")
-	return c
-}
-
+// state tells what operators told the fleet, as each gateway has it.
 func state(w io.Writer, at []string, asJSON bool, wait time.Duration) error {
 	var silent, findings []string
 	digests := map[string]bool{}
--- a/cmd/lilacctl/versions.go
+++ b/cmd/lilacctl/versions.go
@@ -7,29 +7,10 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/spf13/cobra"
-
 	"lilaccove/internal/peer"
 )
 
-// versionsCommand tells which gateway acts on which versions, in one screen.
-func versionsCommand() *cobra.Command {
-	var at []string
-	var asJSON bool
-	var wait time.Duration
-	c := &cobra.Command{
-		Use: "versions --at 127.0.0.1:7510", Short: "Which gateway acts on which versions, and who is behind", Args: cobra.NoArgs,
-		Long: "Each gateway knows the versions of the others; the first that answers is enough. With several the newest telling of\n" +
-			"each gateway counts.",
-		RunE: func(c *cobra.Command, _ []string) error { return versions(c.OutOrStdout(), at, asJSON, wait) },
-	}
-	c.Flags().StringArrayVar(&at, "at", nil, "a gateway's operators' address; may be given several times")
-	c.Flags().BoolVar(&asJSON, "json", false, "print what the gateways said, as JSON")
-	c.Flags().DurationVar(&wait, "timeout", 2*time.Second, "how long a gateway may take to answer")
-	_ = c.MarkFlagRequired("at")
-	return c
-}
-
+// versions tells which gateway acts on which versions, in one screen.
 func versions(w io.Writer, at []string, asJSON bool, wait time.Duration) error {
 	var silent, findings []string
 	said := map[string]*peer.VersionsReport{}
--- a/internal/fleet/membership/types.go
+++ b/internal/fleet/membership/types.go
@@ -114,6 +114,14 @@
 	Members []Member
 }
 
+// Names are those of the members.
+func (v View) Names() (names []string) {
+	for _, m := range v.Members {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
 // Config is what a machine is told at its start.
 type Config struct {
 	Name    string
--- a/internal/peer/budgets.go
+++ b/internal/peer/budgets.go
@@ -38,14 +38,13 @@
 	b.m = budget.New(budget.Config{
 		Name: name, Holders: f.Holders, Whole: f.Connections, Lease: f.Lease, Drift: clockDrift, Session: rand.Uint64() | 1, Seed: rand.Uint64(),
 	}, l.loop.Now())
-	l.loop.At(l.loop.Now()+budgetEvery, b.tick)
+	l.every(budgetEvery, b.tick)
 	return b, nil
 }
 
 func (b *Budgets) tick() {
 	b.m.Tick(b.l.loop.Now())
 	b.after()
-	b.l.loop.At(b.l.loop.Now()+budgetEvery, b.tick)
 }
 
 // Allowed is how many connections to a host may be open and used from now until a moment.
@@ -77,11 +76,7 @@
 
 // stand tells the machine what this process is to its gateway's name, and whom it can ask.
 func (b *Budgets) stand(v membership.View) {
-	var names []string
-	for _, m := range v.Members {
-		names = append(names, m.Name)
-	}
-	b.m.Live(names)
+	b.m.Live(v.Names())
 	superseded, now := b.l.m.Superseded(), b.l.loop.Now()
 	b.m.SetBeside(now, b.l.beside, superseded)
 	b.m.SetNone(now, superseded && !b.l.beside)
@@ -90,8 +85,8 @@
 // receive takes a message in; false: it is none.
 func (b *Budgets) receive(body []byte) error {
 	var msg budget.Message
-	if err := b.l.codec.dec.Unmarshal(body, &msg); err != nil {
-		return fmt.Errorf("%w: %v", errBad, err)
+	if err := b.l.codec.read(body, &msg); err != nil {
+		return err
 	}
 	if !msg.Sound() {
 		return errBad
--- a/internal/peer/envelope.go
+++ b/internal/peer/envelope.go
@@ -84,10 +84,18 @@
 	return b[3], b[headSize : len(b)-tailSize], nil
 }
 
+// read fills to from the body of an envelope.
+func (c *codec) read(body []byte, to any) error {
+	if err := c.dec.Unmarshal(body, to); err != nil {
+		return fmt.Errorf("%w: %v", errBad, err)
+	}
+	return nil
+}
+
 // membership reads a message of that channel.
 func (c *codec) membership(body []byte) (msg membership.Message, err error) {
-	if err := c.dec.Unmarshal(body, &msg); err != nil {
-		return msg, fmt.Errorf("%w: %v", errBad, err)
+	if err := c.read(body, &msg); err != nil {
+		return msg, err
 	}
 	if msg.Kind < membership.Ping || msg.Kind > membership.Reply || !sound(msg.From) || msg.Target != "" && !fleet.Name(msg.Target) {
 		return msg, errBad
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -276,6 +276,14 @@
 	l.counts.OutBytes += uint64(len(b))
 }
 
+// every has do called again and again.
+func (l *Links) every(d time.Duration, do func()) {
+	l.loop.At(l.loop.Now()+d, func() {
+		do()
+		l.every(d, do)
+	})
+}
+
 // post sends a message of another channel to a member, if it lives.
 func (l *Links) post(to string, channel byte, body any) {
 	addr, ok := l.m.Addr(to)
--- a/internal/peer/positions.go
+++ b/internal/peer/positions.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -26,7 +25,7 @@
 	s.p = state.New(own.Name, rand.Uint64(), func(h string) bool { return listed(policy.HostID(h)) })
 	l.positions = s
 	s.stand(l.m.View())
-	l.loop.At(l.loop.Now()+state.Tick, s.tick)
+	l.every(state.Tick, s.tick)
 	return s
 }
 
@@ -37,24 +36,19 @@
 func (s *Positions) Forget() { s.p.Forget() }
 
 func (s *Positions) stand(v membership.View) {
-	var names []string
-	for _, m := range v.Members {
-		names = append(names, m.Name)
-	}
-	s.p.Live(names)
+	s.p.Live(v.Names())
 }
 
 func (s *Positions) tick() {
 	for _, m := range s.p.Tick() {
 		s.l.post(m.To, channelState, m.Message)
 	}
-	s.l.loop.At(s.l.loop.Now()+state.Tick, s.tick)
 }
 
 func (s *Positions) receive(body []byte) error {
 	var msg state.Message
-	if err := s.l.codec.dec.Unmarshal(body, &msg); err != nil {
-		return fmt.Errorf("%w: %v", errBad, err)
+	if err := s.l.codec.read(body, &msg); err != nil {
+		return err
 	}
 	for _, x := range s.p.Receive(s.l.loop.Now(), msg) {
 		s.heard(policy.Heard{Host: policy.HostID(x.Host), Position: x.At})
--- a/internal/peer/versions.go
+++ b/internal/peer/versions.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"log"
 	"math/rand/v2"
 	"time"
@@ -38,17 +37,14 @@
 	s := &versions{l: l, facts: f, v: audit.New(audit.Config{Name: own.Name, Bound: behindBound, Pace: askPace, Seed: rand.Uint64()})}
 	l.versions = s
 	s.tick()
+	l.every(versionsEvery, s.tick)
 }
 
 func (s *versions) tick() {
 	l := s.l
 	own, member := l.m.Own()
-	var names []string
 	view := l.m.View()
-	for _, m := range view.Members {
-		names = append(names, m.Name)
-	}
-	s.v.Live(names)
+	s.v.Live(view.Names())
 	s.v.Set(audit.Version{
 		Session: own.Session, List: s.facts.List(), Words: l.words.w.Digest(), View: view.Digest, Config: s.facts.Config, File: s.facts.File, Build: s.facts.Build,
 	})
@@ -66,13 +62,12 @@
 	if ask {
 		s.facts.Ask()
 	}
-	l.loop.At(l.loop.Now()+versionsEvery, s.tick)
 }
 
 func (s *versions) receive(body []byte) error {
 	var msg audit.Message
-	if err := s.l.codec.dec.Unmarshal(body, &msg); err != nil {
-		return fmt.Errorf("%w: %v", errBad, err)
+	if err := s.l.codec.read(body, &msg); err != nil {
+		return err
 	}
 	s.v.Receive(s.l.loop.Now(), msg)
 	return nil
--- a/internal/peer/words.go
+++ b/internal/peer/words.go
@@ -31,7 +31,7 @@
 func (l *Links) newWords() *words {
 	own, _ := l.m.Own()
 	s := &words{l: l, begun: l.loop.Now(), w: state.NewWords(own.Name, fmt.Sprintf("%s@%x", own.Name, own.Session), rand.Uint64())}
-	l.loop.At(l.loop.Now()+wordsEvery, s.tick)
+	l.every(wordsEvery, s.tick)
 	return s
 }
 
@@ -44,7 +44,6 @@
 func (s *words) tick() {
 	s.w.Tick(s.l.loop.Now())
 	s.after()
-	s.l.loop.At(s.l.loop.Now()+wordsEvery, s.tick)
 }
 
 func (s *words) after() {
@@ -67,8 +66,8 @@
 
 func (s *words) receive(body []byte) error {
 	var msg wordsMessage
-	if err := s.l.codec.dec.Unmarshal(body, &msg); err != nil {
-		return fmt.Errorf("%w: %v", errBad, err)
+	if err := s.l.codec.read(body, &msg); err != nil {
+		return err
 	}
 	if !fleet.Name(msg.From) {
 		return errBad
