Drop a parameter, a field and sums that the fleet's parts had twice; guard the rig's nodes

Found in reading the whole change: learn had a parameter nobody reads, Bounded a field that was always true, a budget's Extend kept its round in a field for units and summed its parts in two places, the digest of operators' words was made anew four times a second, and the rig read what a process says of itself in one goroutine while another wrote it. No change of behaviour.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -122,7 +122,7 @@
 	}
 	if !h.told || n != h.most {
 		h.told, h.most = true, n
-		p.core.Fleet(policy.Bounded{Host: h.id, Bounded: true, Most: n})
+		p.core.Fleet(policy.Bounded{Host: h.id, Most: n})
 	}
 }
 
--- a/internal/fleet/budget/budget.go
+++ b/internal/fleet/budget/budget.go
@@ -88,6 +88,7 @@
 	who    string
 	serial uint64
 	units  int
+	round  uint64 // of an Extend
 	at     time.Duration
 }
 
@@ -98,7 +99,7 @@
 	lent           []loan // given away, and not back
 	borrowed       []loan
 	asks           []ask
-	extends        []ask // units: none; serial: of the loan; round in rounds
+	extends        []ask // serial: of the loan
 	inUse, waiting int
 	busyAt         time.Duration // when what is borrowed was last needed in full
 	nextAsk        time.Duration
@@ -307,12 +308,18 @@
 	m.out = append(m.out, Send{To: to, Message: msg})
 }
 
-// want asks others for what is missing, not the same ones again that had nothing.
-func (m *Machine) want(a *account) {
-	have := m.own(a)
+// have is what may be used at the moment, with all that is borrowed.
+func (m *Machine) have(a *account) int {
+	n := m.own(a)
 	for _, l := range a.borrowed {
-		have += l.units
+		n += l.units
 	}
+	return n
+}
+
+// want asks others for what is missing, not the same ones again that had nothing.
+func (m *Machine) want(a *account) {
+	have := m.have(a)
 	missing := a.inUse + a.waiting - have
 	if a.inUse+a.waiting >= have || len(a.borrowed) == 0 {
 		a.busyAt = m.now
@@ -445,7 +452,7 @@
 }
 
 func (m *Machine) extended(a *account, msg Message) {
-	i := slices.IndexFunc(a.extends, func(q ask) bool { return q.who == msg.From && q.serial == msg.Serial && uint64(q.units) == msg.Round })
+	i := slices.IndexFunc(a.extends, func(q ask) bool { return q.who == msg.From && q.serial == msg.Serial && q.round == msg.Round })
 	if i < 0 || msg.Session != m.cfg.Session {
 		return
 	}
@@ -477,10 +484,7 @@
 
 func (m *Machine) tidy(a *account) {
 	a.extends = slices.DeleteFunc(a.extends, func(q ask) bool { return q.at+m.cfg.Lease <= m.now })
-	have := m.own(a)
-	for _, l := range a.borrowed {
-		have += l.units
-	}
+	have := m.have(a)
 	// The loan that ends last is asked for longest: the others go first.
 	slices.SortStableFunc(a.borrowed, func(x, y loan) int { return cmp.Compare(x.until, y.until) })
 	a.borrowed = slices.DeleteFunc(a.borrowed, func(l loan) bool {
@@ -498,7 +502,7 @@
 			continue
 		}
 		m.serial++
-		a.extends = append(a.extends, ask{who: l.who, serial: l.serial, units: int(m.serial), at: m.now})
+		a.extends = append(a.extends, ask{who: l.who, serial: l.serial, round: m.serial, at: m.now})
 		m.send(l.who, Message{Kind: Extend, Session: l.session, Key: a.key, Serial: l.serial, Round: m.serial})
 	}
 }
--- a/internal/fleet/membership/machine.go
+++ b/internal/fleet/membership/machine.go
@@ -84,7 +84,7 @@
 // relay is a probe that this gateway makes for another.
 type relay struct {
 	seq, origin uint64
-	for_        Entry
+	asker       Entry
 	nack, last  time.Duration
 }
 
@@ -347,7 +347,7 @@
 	for i := range m.relays {
 		if r := &m.relays[i]; r.nack > 0 && r.nack <= m.now {
 			r.nack = 0
-			m.answer(r.for_, 0, Message{Kind: Nack, Seq: r.origin})
+			m.answer(r.asker, 0, Message{Kind: Nack, Seq: r.origin})
 		}
 	}
 	if m.standing == active {
--- a/internal/fleet/membership/machine_test.go
+++ b/internal/fleet/membership/machine_test.go
@@ -219,7 +219,7 @@
 			e.State = Dead
 		}
 		w.now += 300 * time.Millisecond
-		m.learn(e, "")
+		m.learn(e)
 		m.now = w.now
 		m.show()
 	}
--- a/internal/fleet/membership/news.go
+++ b/internal/fleet/membership/news.go
@@ -22,9 +22,9 @@
 	if from.Name == m.own.Name && msg.Observer {
 		m.claim(from)
 	} else if !msg.Observer {
-		m.learn(from, "")
+		m.learn(from)
 	} else if o := m.members[from.Name]; o != nil && o.Session == from.Session {
-		m.learn(from, "") // it has left
+		m.learn(from) // it has left
 	}
 	whole := msg.Kind == Exchange || msg.Kind == Reply
 	told := 0
@@ -33,7 +33,7 @@
 			told += m.disputed(e, from.Name, told < tellMost)
 			continue
 		}
-		m.learn(e, from.Name)
+		m.learn(e)
 	}
 	switch msg.Kind {
 	case Ping:
@@ -87,7 +87,7 @@
 	}
 	m.seq++
 	m.relays = append(m.relays, relay{
-		seq: m.seq, origin: msg.Seq, for_: msg.From, nack: m.now + m.cfg.Timeout/2, last: m.now + 2*m.cfg.Period,
+		seq: m.seq, origin: msg.Seq, asker: msg.From, nack: m.now + m.cfg.Timeout/2, last: m.now + 2*m.cfg.Period,
 	})
 	to := Entry{Name: msg.Target, Addr: msg.Addr}
 	m.answer(to, 0, Message{Kind: Ping, Seq: m.seq, Target: msg.Target, Session: msg.Session})
@@ -103,7 +103,7 @@
 	for i, r := range m.relays {
 		if r.seq == msg.Seq {
 			m.relays = slices.Delete(m.relays, i, i+1)
-			m.answer(r.for_, 0, Message{Kind: Ack, Seq: r.origin})
+			m.answer(r.asker, 0, Message{Kind: Ack, Seq: r.origin})
 			return
 		}
 	}
@@ -147,8 +147,8 @@
 	return e.State > over.State
 }
 
-// learn takes in what is said of a member; by is who says so.
-func (m *Machine) learn(e Entry, by string) {
+// learn takes in what is said of a member.
+func (m *Machine) learn(e Entry) {
 	if e.Name == m.own.Name {
 		m.heardOfSelf(e)
 		return
@@ -255,7 +255,7 @@
 func (m *Machine) disputed(e Entry, by string, tell bool) int {
 	o := m.members[e.Name]
 	if o == nil || o.place < 0 {
-		m.learn(e, by)
+		m.learn(e)
 		return 0
 	}
 	if newer(o.Entry, e) {
--- a/internal/fleet/state/words.go
+++ b/internal/fleet/state/words.go
@@ -70,6 +70,7 @@
 	next   time.Duration
 	out    []WordsSend
 	synced bool
+	digest uint64 // of all words; 0: to be made anew
 }
 
 // NewWords makes an empty copy. The writer must differ from that of every other process, those before this one included.
@@ -101,7 +102,7 @@
 		}
 	}
 	w.Vector[s.writer]++
-	s.words[host] = []Word{w}
+	s.words[host], s.digest = []Word{w}, 0
 	for _, to := range s.live {
 		s.send(to, WordsMessage{Words: []Word{w}})
 	}
@@ -117,6 +118,7 @@
 		}
 	}
 	delete(s.words, oldest)
+	s.digest = 0
 	return oldest != ""
 }
 
@@ -154,7 +156,7 @@
 	}
 	kept = append(kept, w)
 	slices.SortFunc(kept, func(a, b Word) int { return strings.Compare(print(a), print(b)) })
-	s.words[w.Host] = kept
+	s.words[w.Host], s.digest = kept, 0
 	return true
 }
 
@@ -175,11 +177,14 @@
 
 // Digest is of all words: equal for equal copies.
 func (s *Words) Digest() uint64 {
-	h := xxhash.New()
-	for _, w := range s.All() {
-		_, _ = h.WriteString(print(w))
+	if s.digest == 0 {
+		h := xxhash.New()
+		for _, w := range s.All() {
+			_, _ = h.WriteString(print(w))
+		}
+		s.digest = max(1, h.Sum64())
 	}
-	return max(1, h.Sum64())
+	return s.digest
 }
 
 func (s *Words) send(to string, m WordsMessage) {
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -133,9 +133,13 @@
 		}
 		switch kind, _, _ := strings.Cut(event, " "); {
 		case kind == "fleet_started":
+			n.mu.Lock()
 			n.Peers, _ = netip.ParseAddrPort(field(event, "listen"))
+			n.mu.Unlock()
 		case kind == "started":
+			n.mu.Lock()
 			n.Clients, n.Manage = field(event, "listen"), field(event, "management")
+			n.mu.Unlock()
 			started <- nil
 		}
 		if strings.HasPrefix(event, "fleet_") {
@@ -168,9 +172,11 @@
 	}
 	to := netip.AddrPort{}
 	for _, n := range l.processes() {
+		n.mu.Lock()
 		if n.Name == name && n.alive() && n.Clients != "" {
 			to = n.Peers
 		}
+		n.mu.Unlock()
 	}
 	l.mesh.Lead(name, to)
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -388,7 +388,7 @@
 	switch e := e.(type) {
 	case Bounded:
 		if h := r.hosts[e.Host]; h != nil {
-			h.bounded, h.most = e.Bounded, e.Most
+			h.bounded, h.most = true, e.Most
 			r.stir(h.group)
 		}
 	case Preferred:
--- a/policy/types.go
+++ b/policy/types.go
@@ -227,9 +227,8 @@
 type (
 	// Bounded tells how many attempts may be out to a host at once, as far as the fleet's budget goes.
 	Bounded struct {
-		Host    HostID
-		Bounded bool // false: no bound any more
-		Most    int
+		Host HostID
+		Most int
 	}
 	// Preferred are the hosts that this router uses first among equals; those not named are not preferred.
 	Preferred struct{ Hosts []HostID }
