Blame no database for own want of descriptors; let clients in steady use keep theirs

Cause: at three times its capacity the gateway still failed a tenth of what it was sent. Counts in the front and the pool showed two loops that kept each other going: from half of the clients' share on the oldest idle connection went for each newcomer, also one that had asked a millisecond ago, and its client came back as the next newcomer; and when no descriptor was left a connection to a database failed as if the database had (a breaker opened on a healthy primary), while idle connections to databases kept clients out.

Now idle clients go after 250 ms only while there is room (makeRoom), an idle connection to a database is closed before a client that is about to ask (Pool.DropIdle), and an attempt without a descriptor waits for one or for a connection that comes free, and is given back unsent if none does (Pool.later, expect).

Ruled out: shedding by worth at the gateway. Connections bound what waits here to some 30 ms, so nothing was won by it.

TestOwnWantOfDescriptorsBlamesNobody and TestNewcomersAreLetBeWhileThereIsRoom fail without the changes.

--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -123,7 +123,7 @@
 	core.Connect(pool, watch)
 	// Clients get half of the descriptors at most: idle ones must never keep the gateway
 	// from the databases, which get all but what discovery and turning clients away take.
-	clients := front.New(loop, core, front.Options{Classes: set.Classes, Most: sockets / 2, Reserve: sockets / 8, Large: memory / 6})
+	clients := front.New(loop, core, front.Options{Classes: set.Classes, Most: sockets / 2, Reserve: sockets / 8, Large: memory / 6, Free: pool.DropIdle})
 	if err := watch.Known(cfg.Known); err != nil {
 		log.Printf("event=bad_known err=%q", err) // discovery has a newer one
 	}
--- a/cmd/lilaccove/main_test.go
+++ b/cmd/lilaccove/main_test.go
@@ -461,6 +461,7 @@
 		c.ask("")
 		idle = append(idle, c)
 	}
+	time.Sleep(300 * time.Millisecond) // until then they might be in steady use
 	for range 20 {
 		crowd = append(crowd, s.client())
 	}
@@ -471,13 +472,18 @@
 	assert.Less(t, time.Since(begun), 4*time.Second, "it goes for the newcomers' sake, not for its age of 5 s")
 }
 
-// A crowd beyond half of the clients' share has only idle ones go: newcomers that are about to ask are let be while there
-// is room for them. Closed, they would have to take it for a failure.
+// A crowd beyond half of the clients' share has only idle ones go: newcomers that are about to ask, and those that asked
+// just now, are let be while there is room for them. Closed, they would have to take it for a failure.
 func TestNewcomersAreLetBeWhileThereIsRoom(t *testing.T) {
 	t.Parallel()
 	s := newSite(t, func(s *site) { s.sockets = 128 })
 	var crowd []*client
 	for range 50 { // of 64
+		c := s.client()
+		c.ask("")
+		crowd = append(crowd, c)
+	}
+	for range 10 {
 		crowd = append(crowd, s.client())
 	}
 	for _, c := range crowd {
@@ -486,6 +492,34 @@
 	}
 }
 
+// A gateway that has no descriptor left for connections to a database does not take that for the database's failure: no
+// breaker opens, and what waits is served on a connection that comes free.
+func TestOwnWantOfDescriptorsBlamesNobody(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, func(s *site) { s.sockets = 39 })
+	s.p.will(func(d *database, c net.Conn, _ string) {
+		time.Sleep(50 * time.Millisecond) // the database's work
+		d.Answer(c, "done")
+	})
+	var all []*client
+	for range 8 {
+		c := s.client()
+		c.ask("")
+		all = append(all, c)
+	}
+	for range 3 {
+		for _, c := range all {
+			c.write(query(stmt("write", 2500, "")))
+		}
+		for _, c := range all {
+			got := c.read()
+			assert.Equal(t, "done", got.value, "%+v", got)
+		}
+	}
+	assert.Contains(t, s.logged(), "event=no_descriptor")
+	assert.NotContains(t, s.logged(), "breaker opens")
+}
+
 // An error reaches a client that goes on sending what nobody will read.
 func TestErrorOutlivesUnreadInput(t *testing.T) {
 	t.Parallel()
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -68,7 +68,9 @@
 	resting []*conn // they have just answered
 	waiting []*job  // for a connection, oldest first
 	dialing int
-	open    int // connections, those on their way included
+	open    int           // connections, those on their way included
+	shortAt time.Duration // when there was no descriptor for a connection to it
+	again   time.Duration // when that is tried again
 	told    bool
 	most    int // attempts, as told
 }
@@ -278,9 +280,9 @@
 }
 
 // expect gives up on j where no connection is there for it within d. Time that this process has lost does not count, and
-// where there is no more of it the host is not to be blamed.
+// where there is no more of it, or of descriptors, the host is not to be blamed.
 func (p *Pool) expect(j *job, d time.Duration) {
-	lost := p.loop.Lost()
+	lost, begun := p.loop.Lost(), p.loop.Now()
 	j.timer = p.loop.At(min(j.until, p.loop.Now()+d), func() {
 		o, more := policy.ConnectFailed, p.loop.Lost()-lost
 		switch {
@@ -289,7 +291,7 @@
 		case more > 0 && p.loop.Now() < j.until:
 			p.expect(j, more)
 			return
-		case more > 0:
+		case more > 0 || j.host.shortAt >= begun:
 			o = policy.Moot
 		}
 		p.abandon(j, o)
@@ -308,9 +310,9 @@
 		p.need(h)
 		return
 	}
-	if p.loop.Spare() <= p.opt.Reserve && !p.dropIdle() {
+	if p.loop.Spare() <= p.opt.Reserve && !p.DropIdle() {
 		p.short.Printf(p.loop.Now(), "event=no_descriptor host=%s spare=%d", h.id, p.loop.Spare())
-		p.dialFailed(h, policy.ConnectFailed)
+		p.later(h)
 		return
 	}
 	c := &conn{pool: p, host: h}
@@ -325,8 +327,17 @@
 	c.timer = p.loop.Within(p.opt.DialTimeout, c.lateUp)
 }
 
-// dropIdle closes the connection that has been idle longest.
-func (p *Pool) dropIdle() bool {
+// later has another look for a descriptor, or a connection that comes free, soon: the want is this process's own.
+func (p *Pool) later(h *host) {
+	if now := p.loop.Now(); now >= h.again {
+		h.again = now + restTime
+		p.loop.At(h.again, func() { p.fill(h) })
+	}
+	h.shortAt = p.loop.Now()
+}
+
+// DropIdle closes the connection that has been idle longest; false: there is none.
+func (p *Pool) DropIdle() bool {
 	var oldest *host
 	for _, h := range p.hosts {
 		if len(h.idle) > 0 && (oldest == nil || h.idle[0].idleAt < oldest.idle[0].idleAt) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -36,6 +36,7 @@
 	goesOn     = 1 << 10                // bytes of a large statement that must come for its time to begin anew
 	pieceMost  = 64 << 10               // of a large statement read at once
 	freshGrace = 500 * time.Millisecond // for a hello and the query that follows its answer
+	idleGrace  = 250 * time.Millisecond // in steady use a connection is not idle for longer
 	keepSmall  = 4 << 10                // a connection that holds no more is no use against a want of memory
 )
 
@@ -65,10 +66,11 @@
 
 // Options are what the front is told once.
 type Options struct {
-	Classes []string // their names, by number
-	Most    int      // clients at once
-	Reserve int      // descriptors left for databases and discovery
-	Large   int      // bytes of statements over pgwire.MostMessage at once
+	Classes []string    // their names, by number
+	Most    int         // clients at once
+	Reserve int         // descriptors left for databases and discovery
+	Large   int         // bytes of statements over pgwire.MostMessage at once
+	Free    func() bool // frees a descriptor that nobody needs just now, elsewhere; false: there is none
 }
 
 // Front is all connections of clients.
@@ -304,8 +306,8 @@
 // however many, must not keep out those that ask, nor may a crowd that arrives at once
 // each other's connections between hello and query while idle ones are kept, or while there is room.
 func (f *Front) makeRoom() bool {
-	return f.closeOldest(leaving, 0) || f.closeOldest(fresh, freshGrace) || f.closeOldest(idle, 0) ||
-		!f.roomy(f.opt.Most) && f.closeOldest(fresh, 0)
+	return f.closeOldest(leaving, 0) || f.closeOldest(fresh, freshGrace) || f.closeOldest(idle, idleGrace) ||
+		!f.roomy(f.opt.Most) && (f.Clients() < f.opt.Most && f.opt.Free() || f.closeOldest(idle, 0) || f.closeOldest(fresh, 0))
 }
 
 // closeOldest closes the one that came to p first, if that is so long ago, and tells
