--- /dev/null
+++ b/internal/fleet/audit/recorder.go
@@ -0,0 +1,176 @@
+package audit
+
+import (
+	"slices"
+	"strconv"
+	"time"
+)
+
+const (
+	spanMost  = 5 * time.Second        // a span is closed then, whether or not the versions have changed
+	spanLeast = 200 * time.Millisecond // and not sooner for the sake of who reads
+	hostsMost = 1024                   // databases with acts in one span
+	keptMost  = 256                    // records in memory
+)
+
+// Recorder keeps the spans of this process. It has no input or output: closed records are taken with Take.
+type Recorder struct {
+	clock   Clock
+	name    string
+	session string
+	on      Version
+	begun   bool
+	from    Stamp
+	acts    map[string]*Acts
+	order   []*Acts
+	drained map[string]Stamp
+	out     map[string]Stamp
+	groups  map[string]int
+	dropped uint64
+	seq     uint64
+	prev    string
+	lost    uint64
+	ready   [][]byte
+	kept    [][]byte
+}
+
+// NewRecorder is one of a process.
+func NewRecorder(name string, session uint64) *Recorder {
+	return &Recorder{
+		name: name, session: strconv.FormatUint(session, 16), acts: map[string]*Acts{}, drained: map[string]Stamp{}, out: map[string]Stamp{},
+		groups: map[string]int{},
+	}
+}
+
+// Clock gives the stamps of this process.
+func (r *Recorder) Clock() *Clock { return &r.clock }
+
+// Set tells what this process acts on from now on. A span ends where that changes.
+func (r *Recorder) Set(now time.Duration, v Version) {
+	v.Name, v.Session, v.Count = "", 0, 0
+	if r.begun && v != r.on {
+		r.close(now)
+	}
+	if r.on = v; !r.begun {
+		r.begun, r.from = true, r.clock.Now(now)
+	}
+}
+
+// at finds the acts at a database; nil: there is no room.
+func (r *Recorder) at(database string, group int) *Acts {
+	a := r.acts[database]
+	if a == nil {
+		if len(r.order) >= hostsMost {
+			r.dropped++
+			return nil
+		}
+		a = &Acts{Database: database, Group: group}
+		r.acts[database] = a
+		r.order = append(r.order, a)
+	}
+	return a
+}
+
+// Sent notes an attempt that was begun.
+func (r *Recorder) Sent(now time.Duration, database string, group int) {
+	if a := r.at(database, group); a != nil {
+		if a.Last = r.clock.Read(now); a.Sent == 0 {
+			a.First = a.Last
+		}
+		a.Sent++
+	}
+}
+
+// Accepted notes a write that a database has taken as primary.
+func (r *Recorder) Accepted(now time.Duration, database string, group int) {
+	if a := r.at(database, group); a != nil {
+		if a.Until = r.clock.Read(now); a.Accepted == 0 {
+			a.Since = a.Until
+		}
+		a.Accepted++
+	}
+}
+
+// Opened notes a breaker that opened on a database.
+func (r *Recorder) Opened(database string, group int) {
+	if a := r.at(database, group); a != nil {
+		a.Opened++
+	}
+}
+
+// Drained notes whether the list says that a database drains. Out does so for operators' words.
+func (r *Recorder) Drained(now time.Duration, database string, group int, on bool) {
+	r.mark(r.drained, now, database, group, on)
+}
+
+// Out notes whether operators leave a database out.
+func (r *Recorder) Out(now time.Duration, database string, group int, on bool) {
+	r.mark(r.out, now, database, group, on)
+}
+
+// mark begins or ends something that holds for a database. It ends the span: a record tells what held all along.
+func (r *Recorder) mark(marks map[string]Stamp, now time.Duration, database string, group int, on bool) {
+	if _, was := marks[database]; was == on {
+		return
+	}
+	r.close(now)
+	if r.groups[database] = group; !on {
+		delete(marks, database)
+	} else if len(marks) < hostsMost {
+		marks[database] = r.clock.Now(now)
+	}
+}
+
+// Tick closes a span that has lasted long enough.
+func (r *Recorder) Tick(now time.Duration) { r.cut(now, spanMost) }
+
+// Cut closes the span for somebody who reads, unless it has just begun.
+func (r *Recorder) Cut(now time.Duration) { r.cut(now, spanLeast) }
+
+func (r *Recorder) cut(now, least time.Duration) {
+	if r.begun && r.clock.Read(now) >= r.from+StampOf(least) {
+		r.close(now)
+	}
+}
+
+// Lost tells that so many closed records could not be written. The next one says so.
+func (r *Recorder) Lost(records uint64) { r.lost = records }
+
+func (r *Recorder) close(now time.Duration) {
+	if !r.begun {
+		return
+	}
+	for _, marks := range []map[string]Stamp{r.drained, r.out} {
+		for h := range marks {
+			r.at(h, r.groups[h])
+		}
+	}
+	r.seq++
+	rec := Record{
+		Seq: r.seq, Prev: r.prev, Gateway: r.name, Session: r.session, From: r.from, To: r.clock.Now(now), List: r.on.List,
+		Words: strconv.FormatUint(r.on.Words, 16), View: strconv.FormatUint(r.on.View, 16), Config: r.on.Config, File: r.on.File, Build: r.on.Build,
+		Dropped: r.dropped, Lost: r.lost,
+	}
+	for _, a := range r.order {
+		a.Drained, a.Out = r.drained[a.Database], r.out[a.Database]
+		rec.Acts = append(rec.Acts, *a)
+	}
+	var line []byte
+	line, r.prev = seal(rec)
+	r.ready = append(r.ready, line)
+	if r.kept = append(r.kept, line); len(r.kept) > keptMost {
+		r.kept = slices.Clone(r.kept[1:])
+	}
+	clear(r.acts)
+	r.order, r.dropped, r.from = nil, 0, rec.To
+}
+
+// Take gives out the lines of the records closed since the last call.
+func (r *Recorder) Take() [][]byte {
+	list := r.ready
+	r.ready = nil
+	return list
+}
+
+// Kept are the lines of the newest records, oldest first.
+func (r *Recorder) Kept() [][]byte { return r.kept }
--- /dev/null
+++ b/internal/fleet/audit/records_test.go
@@ -0,0 +1,240 @@
+package audit
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const day = 1_800_000_000 * time.Second
+
+// process is one gateway whose records are judged.
+type process struct {
+	*Recorder
+	lines [][]byte
+}
+
+func newProcess(name string, session uint64) *process {
+	p := &process{Recorder: NewRecorder(name, session)}
+	p.Set(day, Version{List: 1})
+	return p
+}
+
+// until has a process go on to a moment, with a span every five seconds.
+func (p *process) until(from, to time.Duration) *process {
+	for ; from <= to; from += time.Second {
+		p.Tick(day + from)
+	}
+	p.Cut(day + to)
+	return p
+}
+
+func opened(t require.TestingT, all ...*process) (list []Sealed) {
+	for _, p := range all {
+		p.lines = append(p.lines, p.Take()...)
+		for _, l := range p.lines {
+			s, err := Open(l)
+			require.NoError(t, err)
+			list = append(list, s)
+		}
+	}
+	rand.New(rand.NewPCG(1, 2)).Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
+
+func kinds(list []Finding) (out []string) {
+	for _, f := range list {
+		out = append(out, f.Kind)
+	}
+	return out
+}
+
+// What a process does is told by span, and a quiet fleet has no findings.
+func TestRecords(t *testing.T) {
+	p := newProcess("n0", 7)
+	p.Sent(day+time.Second, "a", 2)
+	p.Sent(day+2*time.Second, "a", 2)
+	p.Accepted(day+2*time.Second, "a", 2)
+	p.Set(day+3*time.Second, Version{List: 1, Count: 9}) // only its count: the span goes on
+	p.Set(day+3*time.Second, Version{List: 2, Words: 255})
+	p.Opened("a", 2)
+	p.Drained(day+4*time.Second, "b", 2, true)
+	p.Drained(day+4*time.Second, "b", 2, true)
+	p.until(4*time.Second, 12*time.Second)
+	list := opened(t, p)
+	require.Empty(t, Judge(list, DefaultBounds()))
+	byNumber := map[uint64]Sealed{}
+	for _, r := range list {
+		byNumber[r.Seq] = r
+	}
+	require.Len(t, byNumber, 4)
+	assert.Equal(t, []Acts{{Database: "a", Group: 2, Sent: 2, First: StampOf(day + time.Second), Last: StampOf(day + 2*time.Second), Accepted: 1,
+		Since: StampOf(day + 2*time.Second), Until: StampOf(day + 2*time.Second)}}, byNumber[1].Acts)
+	assert.Equal(t, []any{int64(2), "ff", "7"}, []any{byNumber[2].List, byNumber[2].Words, byNumber[2].Session})
+	assert.Equal(t, uint64(1), byNumber[2].Acts[0].Opened)
+	assert.Equal(t, StampOf(day+4*time.Second), byNumber[3].Acts[0].Drained&^0xffff)
+	assert.Equal(t, byNumber[3].Acts[0].Drained, byNumber[4].Acts[0].Drained, "it holds until it is taken back")
+	assert.Equal(t, byNumber[3].Hash, byNumber[4].Prev)
+	assert.Len(t, p.Kept(), 4)
+}
+
+// Whatever byte of a line is changed, and whichever line is left out, it shows.
+func TestChainsShowWhatIsChanged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newProcess("n0", 7)
+		n := rapid.IntRange(3, 12).Draw(t, "records")
+		for i := range n {
+			p.Sent(day+time.Duration(i)*6*time.Second, fmt.Sprint("d", i%3), 1)
+			p.Tick(day + time.Duration(i+1)*6*time.Second)
+		}
+		lines := p.Take()
+		require.Len(t, lines, n)
+		which := rapid.IntRange(0, n-1).Draw(t, "which")
+		if rapid.Bool().Draw(t, "leave one out") {
+			which = rapid.IntRange(1, n-2).Draw(t, "inner")
+			p.lines = append(append(p.lines, lines[:which]...), lines[which+1:]...)
+			assert.Equal(t, []string{Broken}, kinds(Judge(opened(t, p), DefaultBounds())))
+			return
+		}
+		line := bytes.Clone(lines[which])
+		at := rapid.IntRange(0, len(line)-1).Draw(t, "at")
+		line[at] ^= byte(1 << rapid.IntRange(0, 6).Draw(t, "bit"))
+		if s, err := Open(line); err == nil { // the names of the two fields may change their case
+			assert.True(t, bytes.EqualFold(line, lines[which]), "%s", line)
+			old, _ := Open(lines[which])
+			assert.Equal(t, old, s)
+		}
+	})
+	// A record that was changed and sealed anew does not fit the one behind it.
+	p := newProcess("n0", 7)
+	p.until(0, 20*time.Second)
+	lines := p.Take()
+	r, err := Open(lines[1])
+	require.NoError(t, err)
+	r.List = 99
+	lines[1], _ = seal(r.Record)
+	p.lines = lines
+	assert.Contains(t, kinds(Judge(opened(t, p), DefaultBounds())), Broken)
+}
+
+func TestFindings(t *testing.T) {
+	sec := func(n float64) time.Duration { return day + time.Duration(n*float64(time.Second)) }
+	cases := map[string]struct {
+		play func(a, b *process)
+		want []string
+	}{
+		"a hand-over": {func(a, b *process) {
+			a.Accepted(sec(1), "x", 1)
+			b.Accepted(sec(2), "x", 1)
+			a.Accepted(sec(3), "y", 1)
+			b.Accepted(sec(4), "y", 1)
+		}, nil},
+		"two primaries": {func(a, b *process) {
+			a.Accepted(sec(1), "x", 1)
+			b.Accepted(sec(2), "y", 1)
+			a.Accepted(sec(3), "x", 1)
+			b.Accepted(sec(4), "y", 1)
+		}, []string{TwoPrimaries}},
+		"two primaries of one gateway": {func(a, _ *process) {
+			a.Accepted(sec(1), "x", 1)
+			a.Accepted(sec(2), "y", 1)
+			a.Accepted(sec(3), "x", 1)
+		}, []string{TwoPrimaries}},
+		"primaries of two groups": {func(a, b *process) {
+			a.Accepted(sec(1), "x", 1)
+			b.Accepted(sec(2), "y", 2)
+			a.Accepted(sec(3), "x", 1)
+		}, nil},
+		"closer than the clocks": {func(a, b *process) {
+			a.Accepted(sec(1), "x", 1)
+			a.Accepted(sec(2.1), "x", 1)
+			b.Accepted(sec(2), "y", 1)
+			b.Accepted(sec(4), "y", 1)
+		}, []string{Unordered}},
+		"work behind a drain": {func(a, b *process) {
+			a.Drained(sec(1), "x", 1, true)
+			b.Sent(sec(2.5), "x", 1)
+			b.Cut(sec(2.6))
+			b.Sent(sec(4), "x", 1)
+		}, []string{AfterDrain}},
+		"work within the grace": {func(a, b *process) {
+			a.Drained(sec(1), "x", 1, true)
+			b.Sent(sec(2.9), "x", 1)
+		}, nil},
+		"work when it is back": {func(a, b *process) {
+			a.Drained(sec(1), "x", 1, true)
+			a.Drained(sec(3), "x", 1, false)
+			b.Sent(sec(4), "x", 1)
+		}, nil},
+		"work against a word": {func(a, b *process) {
+			a.Out(sec(1), "x", 1, true)
+			b.Sent(sec(5), "x", 1)
+		}, []string{AfterWord}},
+		"an old list": {func(a, b *process) {
+			a.Set(sec(1), Version{List: 2})
+			b.Sent(sec(7), "x", 1)
+		}, []string{Behind}},
+		"an old list with nothing sent": {func(a, _ *process) { a.Set(sec(1), Version{List: 2}) }, nil},
+	}
+	for name, c := range cases {
+		a, b := newProcess("n0", 1), newProcess("n1", 2)
+		c.play(a, b)
+		a.until(8*time.Second, 9*time.Second)
+		b.until(8*time.Second, 9*time.Second)
+		assert.Equal(t, c.want, kinds(Judge(opened(t, a, b), DefaultBounds())), name)
+	}
+}
+
+// Two processes of one name are a finding only for longer than an upgrade; a process that kept no record for a while is one.
+func TestFindingsOfProcesses(t *testing.T) {
+	old, next := newProcess("n0", 1), newProcess("n0", 2)
+	old.until(0, 10*time.Second)
+	next.until(0, 60*time.Second)
+	assert.Empty(t, Judge(opened(t, old, next), DefaultBounds()))
+	old.until(11*time.Second, 30*time.Second)
+	assert.Equal(t, []string{TwoProcesses}, kinds(Judge(opened(t, old, next), DefaultBounds())))
+
+	p := newProcess("n1", 3)
+	p.until(0, 6*time.Second)
+	lines := p.Take()
+	p.from = p.clock.Now(day + 30*time.Second)
+	p.until(30*time.Second, 40*time.Second)
+	p.lines = lines
+	assert.Equal(t, []string{Gap}, kinds(Judge(opened(t, p), DefaultBounds())))
+}
+
+// A message that carries a stamp orders what follows behind what came before, though the receiver's clock is late; a clock
+// that is far ahead is not followed.
+func TestClock(t *testing.T) {
+	a, b := Clock{}, Clock{}
+	sent := a.Now(day + 300*time.Millisecond)
+	b.Heard(day, sent)
+	assert.Greater(t, b.Now(day), sent)
+	far := StampOf(day + time.Hour)
+	b.Heard(day, far)
+	assert.Less(t, b.Now(day), far)
+	assert.Equal(t, uint64(1), b.Refused)
+	var back Stamp
+	require.NoError(t, back.UnmarshalText([]byte(sent.String())))
+	assert.Equal(t, sent, back)
+	for _, bad := range []string{"", "1", "1.", "a.1", "1.70000", "-1.0"} {
+		assert.Error(t, back.UnmarshalText([]byte(bad)), bad)
+	}
+}
+
+// Memory is bounded, and what found no room is told.
+func TestRecorderIsBounded(t *testing.T) {
+	p := newProcess("n0", 7)
+	for i := range hostsMost + 10 {
+		p.Sent(day, fmt.Sprint(i), 1)
+	}
+	p.until(0, 10*time.Minute*3)
+	assert.LessOrEqual(t, len(p.Kept()), keptMost)
+	assert.Contains(t, kinds(Judge(opened(t, p), DefaultBounds())), Incomplete)
+}
