Audit of the fleet: spans on file and by call, lilacctl audit, findings shown by processes

Each process with a fleet file keeps spans of acts by the versions it acts on, sealed and chained, in memory and where the file says so on disk (audit: file), written by a goroutine of its own that never holds up a request. GET /v1/fleet/audit tells the newest; lilacctl audit collects from gateways and files, checks chains, tells findings and draws lists over time. Hybrid stamps go with the tellings of versions. Without a fleet file nothing runs: a nil check for each attempt.

Shown by processes: two primaries of a group (the stand-in lets a replica claim), work of a cut-off gateway behind a drain and against a word, records after a kill, a record changed or taken out.

--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -131,14 +131,23 @@
 		loop: loop, front: clients, core: core, watch: watch, pool: pool, counts: counts,
 		memory: memory, sockets: sockets, begunAt: loop.Now(), links: links, out: map[string]bool{},
 	}
+	var changed []func() // what follows from a new list
 	if links != nil {
+		spans, err := links.Record(func(class int) bool { return set.Policy.Classes[class].Level == policy.Write })
+		if err != nil {
+			return fmt.Errorf("audit file: %w", err)
+		}
+		defer spans.Close()
+		ops.spans = spans
+		core.OnActs(spans)
+		spans.Listed(core.Hosts())
+		changed = append(changed, func() { spans.Listed(core.Hosts()) })
 		links.OnWord(ops.word)
-		links.Audit(peer.Facts{
+		links.Tell(peer.Facts{
 			List: watch.Seq, Ask: watch.Renew, Config: sameSettings(cfg.Settings), File: digest(party.Common()), Build: build(),
 		})
 		clients.Hold(true) // until what operators told the fleet is known
 	}
-	var changed []func() // what follows from a new list
 	if links != nil && party.Subsets {
 		s := &subsets{loop: loop, core: core, links: links, zones: set.Zones}
 		changed = append(changed, s.stir)
--- a/cmd/lilaccove/operations.go
+++ b/cmd/lilaccove/operations.go
@@ -46,6 +46,7 @@
 	pool   *backend.Pool
 	counts *stats.Counters
 	links  *peer.Links     // to the fleet; nil: without a fleet file
+	spans  *peer.Spans     // what was done; only with links
 	out    map[string]bool // databases left out by a word to this gateway alone; only with links
 
 	memory, sockets int
@@ -226,6 +227,7 @@
 
 // word does what operators told the whole fleet. It binds at once, also of a database that the list does not name yet.
 func (o *operations) word(id string, out bool) {
+	o.spans.Word(id, out)
 	o.core.SetSuspended(policy.HostID(id), out || o.out[id])
 }
 
@@ -245,6 +247,14 @@
 	return o.links.Versions(), true
 }
 
+// FleetAudit tells what this gateway did, by what it acted on; false: it is in no fleet.
+func (o *operations) FleetAudit() ([]byte, bool) {
+	if o.links == nil {
+		return nil, false
+	}
+	return o.links.Audit()
+}
+
 // FleetSuspend has the whole fleet leave a database out, or use it again.
 func (o *operations) FleetSuspend(id string, out bool, then func()) bool {
 	if o.links == nil || !o.core.InList(policy.HostID(id)) && !o.links.Out(id) {
--- a/cmd/lilacctl/main.go
+++ b/cmd/lilacctl/main.go
@@ -87,6 +87,7 @@
 		asking("versions", "Which gateway acts on which versions, and who is behind",
 			"Each gateway knows the versions of the others; the first that answers is enough. With several the newest telling of\n"+
 				"each gateway counts.", versions),
+		auditCommand(),
 		wordCommand("suspend", "Leave a database out"), wordCommand("resume", "Have a database serve again"))
 	return root
 }
--- /dev/null
+++ b/cmd/lilacctl/plot.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"lilaccove/internal/fleet/audit"
+)
+
+func byTime(a, b audit.Sealed) int { return cmp.Compare(a.From, b.From) }
+
+// drawLists draws the list that each process acted on over time, a step for each record.
+func drawLists(path string, records []audit.Sealed) error {
+	if len(records) == 0 {
+		return fmt.Errorf("--plot: there is no record to draw")
+	}
+	begun := slices.MinFunc(records, byTime).From
+	seconds := func(s audit.Stamp) float64 { return (s.Moment() - begun.Moment()).Seconds() }
+	lines := map[string]plotter.XYs{}
+	var names []string
+	slices.SortFunc(records, byTime)
+	for _, r := range records {
+		name := r.Gateway + " " + r.Session
+		if lines[name] == nil {
+			names = append(names, name)
+		}
+		lines[name] = append(lines[name], plotter.XY{X: seconds(r.From), Y: float64(r.List)}, plotter.XY{X: seconds(r.To), Y: float64(r.List)})
+	}
+	slices.Sort(names)
+	p := plot.New()
+	p.Title.Text = "the list that each gateway acted on"
+	p.X.Label.Text, p.Y.Label.Text = "seconds", "version of the list"
+	for i, n := range names {
+		l, err := plotter.NewLine(lines[n])
+		if err != nil {
+			return fmt.Errorf("--plot: %w", err)
+		}
+		l.Color, l.Dashes = plotutil.Color(i), plotutil.Dashes(i/7)
+		p.Add(l)
+		if len(names) <= 16 {
+			p.Legend.Add(n, l)
+		}
+	}
+	if err := p.Save(24*vg.Centimeter, 12*vg.Centimeter, path); err != nil {
+		return fmt.Errorf("--plot: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/auditfile/auditfile.go
@@ -0,0 +1,208 @@
+// Package auditfile appends lines to a file that is rotated by size, on a goroutine of its own: a slow, full or failing disk
+// costs lines, which are counted, and never holds up who writes them.
+package auditfile
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"log"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	waiting  = 256              // lines on their way to the disk
+	logEvery = 10 * time.Second // a disk that goes on failing is told so often
+)
+
+// Options are a file's.
+type Options struct {
+	Path string
+	Most int64 // bytes of one file, over which it is renamed to PATH.1, that to PATH.2 and so on
+	Keep int   // files of old lines
+}
+
+// State is how it went so far.
+type State struct {
+	Written, Lost uint64
+	Err           string // the last failure, empty once a line was written again
+}
+
+// Writer writes the lines. Use Open.
+type Writer struct {
+	opt   Options
+	lines chan []byte
+	done  chan struct{}
+	file  *os.File
+	size  int64
+	told  time.Time
+
+	mu    sync.Mutex // between the writer and who asks for the state
+	state State
+}
+
+// Open begins to write. A file that cannot be opened is an error; what fails later is told by State and the log.
+func Open(opt Options) (*Writer, error) {
+	w := &Writer{opt: opt, lines: make(chan []byte, waiting), done: make(chan struct{})}
+	if err := w.open(); err != nil {
+		return nil, err
+	}
+	go w.run()
+	return w, nil
+}
+
+// open opens the file. A last line without its end is what a process that was killed had not finished: the next begins on
+// a line of its own.
+func (w *Writer) open() error {
+	f, err := os.OpenFile(w.opt.Path, os.O_CREATE|os.O_RDWR|os.O_APPEND, 0o640)
+	if err != nil {
+		return err
+	}
+	size, err := f.Seek(0, io.SeekEnd)
+	var last [1]byte
+	if err == nil && size > 0 {
+		if _, err = f.ReadAt(last[:], size-1); err == nil && last[0] != '\n' {
+			_, err = f.Write([]byte{'\n'})
+			size++
+		}
+	}
+	if err != nil {
+		f.Close()
+		return err
+	}
+	w.file, w.size = f, size
+	return nil
+}
+
+// Write hands a line over, without its end. It does not wait; false: the line is lost.
+func (w *Writer) Write(line []byte) bool {
+	select {
+	case w.lines <- line:
+		return true
+	default:
+		w.note(nil, false)
+		return false
+	}
+}
+
+// State is how it went so far.
+func (w *Writer) State() State {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.state
+}
+
+// Close writes what was handed over and ends, or gives up after a while: a disk may hang for ever.
+func (w *Writer) Close(patience time.Duration) {
+	close(w.lines)
+	select {
+	case <-w.done:
+	case <-time.After(patience):
+	}
+}
+
+func (w *Writer) run() {
+	defer close(w.done)
+	for line := range w.lines {
+		err := w.write(append(bytes.Clone(line), '\n'))
+		w.note(err, err == nil)
+		if err != nil && time.Since(w.told) >= logEvery {
+			w.told = time.Now()
+			log.Printf("event=audit_file_failed lost=%d err=%q", w.State().Lost, err)
+		}
+	}
+	if w.file != nil {
+		w.file.Close()
+	}
+}
+
+func (w *Writer) note(err error, written bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if written {
+		w.state.Written++
+		w.state.Err = ""
+		return
+	}
+	if w.state.Lost++; err != nil {
+		w.state.Err = err.Error()
+	}
+}
+
+// write appends a line, whole or not at all as far as that can be had.
+func (w *Writer) write(line []byte) error {
+	if w.file != nil && w.size > 0 && w.size+int64(len(line)) > w.opt.Most {
+		if err := w.rotate(); err != nil {
+			return err
+		}
+	}
+	if w.file == nil {
+		if err := w.open(); err != nil {
+			return err
+		}
+	}
+	n, err := w.file.Write(line)
+	if err == nil {
+		w.size += int64(n)
+		return nil
+	}
+	if n > 0 && w.file.Truncate(w.size) != nil {
+		w.size += int64(n) // the half of a line stays: the next goes to a new end of line
+	}
+	w.file.Close() // it is opened anew for the next line
+	w.file = nil
+	return err
+}
+
+func (w *Writer) rotate() error {
+	w.file.Close()
+	w.file = nil
+	for i := w.opt.Keep; i >= 0; i-- {
+		from := w.name(i)
+		var err error
+		if i == w.opt.Keep {
+			err = os.Remove(from)
+		} else {
+			err = os.Rename(from, w.name(i+1))
+		}
+		if err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return fmt.Errorf("rotate: %w", err)
+		}
+	}
+	return nil
+}
+
+func (w *Writer) name(i int) string {
+	if i == 0 {
+		return w.opt.Path
+	}
+	return fmt.Sprintf("%s.%d", w.opt.Path, i)
+}
+
+// Lines reads a file and its older ones, oldest first: whole lines only.
+func Lines(path string) (lines [][]byte, err error) {
+	w := Writer{opt: Options{Path: path}}
+	last := 0
+	for {
+		if _, err := os.Stat(w.name(last + 1)); err != nil {
+			break
+		}
+		last++
+	}
+	for i := last; i >= 0; i-- {
+		text, err := os.ReadFile(w.name(i))
+		if err != nil {
+			return nil, err
+		}
+		for line := range bytes.Lines(text) {
+			if whole, ok := bytes.CutSuffix(line, []byte{'\n'}); ok && len(whole) > 0 {
+				lines = append(lines, whole)
+			}
+		}
+	}
+	return lines, nil
+}
--- a/internal/fleet/audit/findings.go
+++ b/internal/fleet/audit/findings.go
@@ -40,13 +40,14 @@
 	Behind time.Duration // for a new list to reach all
 	Beside time.Duration // for which two processes of one name may run: an upgrade
 	Pause  time.Duration // between two records of a process
+	Turns  time.Duration // in which the writes of a group come back to a primary that was followed by another, and leave again
 }
 
 // DefaultBounds are those of the platform's rules, with room for news to spread.
 func DefaultBounds() Bounds {
 	return Bounds{
 		Slack: 200 * time.Millisecond, Grace: 2 * time.Second, Word: 3 * time.Second, Behind: 5 * time.Second, Beside: 15 * time.Second,
-		Pause: time.Second,
+		Pause: time.Second, Turns: 20 * time.Second,
 	}
 }
 
@@ -156,6 +157,11 @@
 			}
 		}
 	}
+	for group, list := range groups {
+		if f := turns(group, list, b); f != nil {
+			out = append(out, *f)
+		}
+	}
 	for _, k := range order {
 		f := found[k]
 		slices.Sort(f.Gateways)
@@ -169,6 +175,33 @@
 	return out
 }
 
+// turns looks for writes that change between databases to and fro: each change may be a hand-over, three within a short
+// time are two primaries. Changes that are closer than the clocks may differ do not count. The uses are in the order of time.
+func turns(group int, list []use, b Bounds) *Finding {
+	var changes []use
+	for i := 1; i < len(list); i++ {
+		if x, y := list[i-1], list[i]; x.database != y.database && y.from > x.to+StampOf(b.Slack) {
+			changes = append(changes, use{x.gateway + " " + y.gateway, x.database + " " + y.database, x.to, y.from})
+		}
+	}
+	for i := 2; i < len(changes); i++ {
+		first, last := changes[i-2], changes[i]
+		if took := last.to.Moment() - first.from.Moment(); took <= b.Turns {
+			sorted := func(text func(use) string) []string {
+				all := strings.Fields(text(first) + " " + text(changes[i-1]) + " " + text(last))
+				slices.Sort(all)
+				return slices.Compact(all)
+			}
+			databases := sorted(func(u use) string { return u.database })
+			return &Finding{
+				Kind: TwoPrimaries, Gateways: sorted(func(u use) string { return u.gateway }), Database: strings.Join(databases, " "), Group: group,
+				From: first.from, To: last.to, Text: fmt.Sprintf("writes went to %s in turn, three changes in %v", strings.Join(databases, " and "), took),
+			}
+		}
+	}
+	return nil
+}
+
 // mark is a time in which a gateway knew that a database was to get nothing.
 type mark struct {
 	gateway  string
--- a/internal/fleet/audit/records_test.go
+++ b/internal/fleet/audit/records_test.go
@@ -146,6 +146,23 @@
 			a.Accepted(sec(2), "y", 1)
 			a.Accepted(sec(3), "x", 1)
 		}, []string{TwoPrimaries}},
+		"to and fro": {func(a, b *process) {
+			for i := range 4 {
+				p, db := a, "x"
+				if i%2 == 1 {
+					p, db = b, "y"
+				}
+				p.Accepted(sec(float64(i+1)), db, 1)
+				p.Cut(sec(float64(i) + 1.3))
+			}
+		}, []string{TwoPrimaries}},
+		"there and back": {func(a, b *process) {
+			a.Accepted(sec(1), "x", 1)
+			a.Cut(sec(1.5))
+			b.Accepted(sec(2), "y", 1)
+			b.Cut(sec(2.5))
+			a.Accepted(sec(3), "x", 1)
+		}, nil},
 		"primaries of two groups": {func(a, b *process) {
 			a.Accepted(sec(1), "x", 1)
 			b.Accepted(sec(2), "y", 2)
--- a/internal/fleet/audit/versions.go
+++ b/internal/fleet/audit/versions.go
@@ -1,5 +1,5 @@
-// Package audit tells which gateway acts on which versions, and who is behind. It is a state machine without input or
-// output. So far it has versions; spans of acts are to follow.
+// Package audit tells which gateway acts on which versions, who is behind, and what each did: spans of acts, chained by
+// hash, and the findings that follow from those of all gateways. It is made of state machines without input or output.
 package audit
 
 import (
@@ -39,6 +39,7 @@
 // Message is what one gateway tells another: its own version and some that it heard of.
 type Message struct {
 	Versions []Version `cbor:"1,keyasint"`
+	Stamp    Stamp     `cbor:"2,keyasint,omitempty"` // of the sender's clock
 }
 
 // Send is a message to a member.
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -25,6 +25,7 @@
 	Budgets   *Budgets                  // nil: none is divided
 	Positions bool                      // gateways tell each other how far databases have come
 	Subsets   bool                      // each gateway uses some replicas of a group first
+	Audit     *Audit                    // nil: records stay in memory
 }
 
 // Budgets are what the whole fleet may spend at once.
@@ -34,6 +35,13 @@
 	Lease       time.Duration // of what one holder lends another
 }
 
+// Audit is where records of what this gateway did are kept.
+type Audit struct {
+	File      string
+	Megabytes int // of one file, over which a new one is begun
+	Keep      int // old ones
+}
+
 // Common is the part that is to be equal in all files of a fleet, as text.
 func (f *File) Common() []byte {
 	return fmt.Appendf(nil, "%s %v %v %d %s %t %t", f.Fleet, f.Period, f.Still, f.Most, f.Budgets.text(), f.Positions, f.Subsets)
@@ -49,7 +57,7 @@
 		return nil, err
 	}
 	f := &File{Dial: map[string]netip.AddrPort{}}
-	got := r.Fields(top, "", "fleet", "listen", "advertise", "seeds", "dial", "period", "still", "most", "budgets", "subsets", "positions")
+	got := r.Fields(top, "", "fleet", "listen", "advertise", "seeds", "dial", "period", "still", "most", "budgets", "subsets", "positions", "audit")
 	need := func(key string) *yaml.Node {
 		if got[key] == nil && top.Kind == yaml.MappingNode {
 			r.Fail(top, key, "missing")
@@ -98,6 +106,21 @@
 	}
 	f.Positions = r.Bool(got["positions"], "positions")
 	f.Subsets = r.Bool(got["subsets"], "subsets")
+	if n := got["audit"]; n != nil {
+		f.Audit = &Audit{Megabytes: 8, Keep: 4}
+		a := r.Fields(n, "audit", "file", "megabytes", "keep")
+		if v := a["file"]; v == nil {
+			r.Fail(n, "file", "missing: the path of the file that records are written to")
+		} else {
+			f.Audit.File, _ = r.Text(v, "file")
+		}
+		if v := a["megabytes"]; v != nil {
+			f.Audit.Megabytes = r.Count(v, "megabytes", 1, 1024)
+		}
+		if v := a["keep"]; v != nil {
+			f.Audit.Keep = r.Count(v, "keep", 0, 100)
+		}
+	}
 	if n := got["budgets"]; n != nil {
 		f.Budgets = budgets(r, n)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,13 @@
 	Subscribe()
 }
 
+// Acts hears what is done to databases.
+type Acts interface {
+	Sent(host policy.HostID, group policy.GroupID)                // an attempt was begun
+	Accepted(host policy.HostID, group policy.GroupID, class int) // a request was served
+	Said(text string)                                             // the decisions have logged something
+}
+
 // Router decides.
 type Router interface {
 	Step(now time.Duration, events []policy.Event) []policy.Action
@@ -126,6 +133,7 @@
 	listed    map[policy.HostID]policy.Member
 	changed   func() // the list has
 	position  func(host policy.HostID, at time.Duration)
+	acts      Acts // nil: nobody listens
 	suspended map[policy.HostID]bool
 	lost      time.Duration // as the module was told
 	sending   time.Duration // when what the last Step decided began to be carried out
@@ -279,6 +287,9 @@
 	}
 	g.told(a.Host, r.HasPosition, r.Position)
 	g.told(a.Host, r.Report.HasPosition, r.Report.Position)
+	if o == policy.OK {
+		g.accepted(a)
+	}
 	if o == policy.OK && g.end(q) {
 		g.counts.Of(q.Class).Passed++
 		q.Client.Served(r.Value)
@@ -331,6 +342,7 @@
 	switch {
 	case q.stream != a: // the client left before
 	case o == policy.OK:
+		g.accepted(a)
 		g.endStream(q, &count.Passed)
 		q.Client.Complete()
 	default:
@@ -380,6 +392,16 @@
 	}
 }
 
+// OnActs has a hear what is done to databases.
+func (g *Gateway) OnActs(a Acts) { g.acts = a }
+
+// accepted tells of a request that a database has served.
+func (g *Gateway) accepted(a *Attempt) {
+	if g.acts != nil {
+		g.acts.Accepted(a.Host, a.q.Group, a.q.Class)
+	}
+}
+
 // OnList has do called whenever the list has changed.
 func (g *Gateway) OnList(do func()) { g.changed = do }
 
@@ -466,6 +488,9 @@
 		g.discovery.Subscribe()
 	case policy.Log:
 		log.Printf("event=policy text=%q", a.Text)
+		if g.acts != nil {
+			g.acts.Said(a.Text)
+		}
 	}
 }
 
@@ -494,5 +519,8 @@
 	}
 	q.attempts = append(q.attempts, a)
 	q.out++
+	if g.acts != nil {
+		g.acts.Sent(s.Host, q.Group)
+	}
 	g.backends.Send(a)
 }
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -102,6 +102,9 @@
 	return n, nil
 }
 
+// AuditFile is where a gateway keeps its records, whichever process it is.
+func (l *Lab) AuditFile(i int) string { return filepath.Join(l.dir, l.name(i)+"-audit.jsonl") }
+
 // heard takes a line of a gateway's log.
 func (l *Lab) heard(n *Node, line string) {
 	if l.Log != nil {
@@ -166,6 +169,9 @@
 	if l.Plan.Lab.Positions {
 		b = append(b, "positions: true\n"...)
 	}
+	if l.Plan.Lab.Audit {
+		b = fmt.Appendf(b, "audit: {file: %q}\n", l.AuditFile(i))
+	}
 	if p := l.Plan.Lab; p.Budget > 0 {
 		b = fmt.Appendf(b, "budgets:\n  connections: %d\n  lease: %d ms\n  holders:\n", p.Budget, max(1000, p.Lease.Milliseconds()))
 		for j := range p.Gateways {
--- a/internal/load/plan/plan.go
+++ b/internal/load/plan/plan.go
@@ -117,6 +117,7 @@
 	Lease     time.Duration `json:"lease_ns,omitempty"`
 	Subsets   bool          `json:"subsets,omitempty"`
 	Positions bool          `json:"positions,omitempty"` // gateways tell each other of them
+	Audit     bool          `json:"audit,omitempty"`     // gateways keep files of records
 }
 
 // Length is how long the stages take.
@@ -420,7 +421,7 @@
 }
 
 func (r *reader) lab(p *Plan, n *yaml.Node) {
-	f := r.Fields(n, "lab", "gateways", "members", "cores", "queue", "service", "delay", "lag", "cold", "fleet", "budget", "lease", "subsets", "positions")
+	f := r.Fields(n, "lab", "gateways", "members", "cores", "queue", "service", "delay", "lag", "cold", "fleet", "budget", "lease", "subsets", "positions", "audit")
 	for key, to := range map[string]*int{"gateways": &p.Lab.Gateways, "members": &p.Lab.Members, "cores": &p.Lab.Cores, "queue": &p.Lab.Queue, "budget": &p.Lab.Budget} {
 		if f[key] != nil {
 			*to = r.Count(f[key], key, 1, 1000)
@@ -434,6 +435,7 @@
 	p.Lab.Fleet = r.Bool(f["fleet"], "fleet")
 	p.Lab.Subsets = r.Bool(f["subsets"], "subsets")
 	p.Lab.Positions = r.Bool(f["positions"], "positions")
+	p.Lab.Audit = r.Bool(f["audit"], "audit")
 	for i, e := range p.Events {
 		for _, g := range slices.Concat(e.Gateways, e.From, e.To, slices.Concat(e.Sides...)) {
 			if g >= p.Lab.Gateways {
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -42,6 +42,8 @@
 	FleetState() ([]byte, bool)
 	// FleetVersions tells in JSON who acts on which versions; false: this gateway is in no fleet.
 	FleetVersions() ([]byte, bool)
+	// FleetAudit tells in JSON what this gateway did, by what it acted on; false: it is in no fleet.
+	FleetAudit() ([]byte, bool)
 	// FleetSuspend is Suspend for the whole fleet.
 	FleetSuspend(id string, out bool, then func()) bool
 	// Drain empties the gateway, or has it work again.
@@ -164,6 +166,8 @@
 		c.fleet(q, c.s.ops.Fleet)
 	case "/v1/fleet/versions":
 		c.fleet(q, c.s.ops.FleetVersions)
+	case "/v1/fleet/audit":
+		c.fleet(q, c.s.ops.FleetAudit)
 	case "/v1/fleet/state":
 		c.fleet(q, c.s.ops.FleetState)
 	case "/v1/gateway/drain", "/v1/gateway/activate":
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -61,6 +61,7 @@
 	words     *words
 	seen      func()     // the view has changed
 	positions *Positions // nil: they are not shared
+	spans     *Spans     // nil: they are not kept
 }
 
 // rate bounds what one sender may have read.
--- a/internal/peer/versions.go
+++ b/internal/peer/versions.go
@@ -31,8 +31,8 @@
 	told  bool // that this process is behind
 }
 
-// Audit begins to tell others what this process acts on, and to bring its list up when others have a newer one.
-func (l *Links) Audit(f Facts) {
+// Tell begins to tell others what this process acts on, and to bring its list up when others have a newer one.
+func (l *Links) Tell(f Facts) {
 	own, _ := l.m.Own()
 	s := &versions{l: l, facts: f, v: audit.New(audit.Config{Name: own.Name, Bound: behindBound, Pace: askPace, Seed: rand.Uint64()})}
 	l.versions = s
@@ -45,12 +45,19 @@
 	own, member := l.m.Own()
 	view := l.m.View()
 	s.v.Live(view.Names())
-	s.v.Set(audit.Version{
+	acts := audit.Version{
 		Session: own.Session, List: s.facts.List(), Words: l.words.w.Digest(), View: view.Digest, Config: s.facts.Config, File: s.facts.File, Build: s.facts.Build,
-	})
+	}
+	s.v.Set(acts)
+	if l.spans != nil {
+		l.spans.tick(acts)
+	}
 	out, ask := s.v.Tick(l.loop.Now())
 	if member { // one that is drained, or whose name is another's, only listens
 		for _, m := range out {
+			if l.spans != nil {
+				m.Message.Stamp = l.spans.r.Clock().Now(l.loop.Now())
+			}
 			l.post(m.To, channelVersions, m.Message)
 		}
 	}
@@ -69,6 +76,9 @@
 	if err := s.l.codec.read(body, &msg); err != nil {
 		return err
 	}
+	if s.l.spans != nil {
+		s.l.spans.r.Clock().Heard(s.l.loop.Now(), msg.Stamp)
+	}
 	s.v.Receive(s.l.loop.Now(), msg)
 	return nil
 }
--- a/internal/standin/script.go
+++ b/internal/standin/script.go
@@ -87,6 +87,13 @@
 	h.lag = lag
 }
 
+// Claim has this replica take writes as well, as after a split: there are two primaries, and discovery does not know.
+func (h *Host) Claim() {
+	h.w.mu.Lock()
+	defer h.w.mu.Unlock()
+	h.primary = true
+}
+
 // Tell has discovery say this of the database: its health, and when it started (zero: long ago).
 func (h *Host) Tell(health string, born time.Time) {
 	h.w.mu.Lock()
