Try hosts that have not answered yet rather than take them for slow

Cause: a host begins at 1 times the mean answer time of its class, and that mean at a fifth of the aim. Lines at fault: anew and cost.

Now a host without an answer costs nothing, is tried in its turn, and its first answer replaces the guess; one that fails counts as 1. Ruled out: replacing the guess of the means by their first answers (classes not heard of yet then count as fifty times as much work, and the throttle shed them wholly in a test).

TestFastDatabasesAreAllUsed fails without it.

--- a/policy/herd_test.go
+++ b/policy/herd_test.go
@@ -431,3 +431,27 @@
 	require.Len(t, g.sends(), 1)
 	assert.NotEqual(t, HostID("p"), g.sends()[0])
 }
+
+// Where databases answer far sooner than the aims let guess, those that were used first must not pass for faster than those
+// that nobody has asked yet: each replica is used, other than one that fails.
+func TestFastDatabasesAreAllUsed(t *testing.T) {
+	g := newRig(t, base(), Member{Host: "p", Primary: true}, Member{Host: "a"}, Member{Host: "b"}, Member{Host: "c"})
+	g.report(0, "a", Replica, 0)
+	used := map[HostID]int{}
+	for i := range 100 {
+		id, class := RequestID(fmt.Sprint("r", i)), own
+		if i < 20 { // for these a alone is known to be fresh
+			class = recent
+		}
+		g.report(20*ms, "a", Replica, 0).ask(id, class)
+		h := g.sends()[0]
+		used[h]++
+		o := OK
+		if h == "c" {
+			o = Error
+		}
+		g.at(2*ms, Result{Request: id, Host: h, Outcome: o, Finished: true, Latency: 2 * ms, Role: Replica})
+	}
+	assert.Greater(t, used["b"], 20)
+	assert.Less(t, used["c"], 10)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,7 +48,7 @@
 	pos       time.Duration // all commits up to here are applied; only rises; 0: unknown
 	lag       time.Duration // how far behind it was when pos was last heard of, as told
 	out       []*attempt    // oldest first
-	slow      float64       // its answer times against all hosts' for the same classes
+	slow      float64       // its answer times against all hosts' for the same classes; 0: none yet
 	limit     float64       // attempts it is given at once
 	strain    float64       // its answer times as a share of the aims
 	fails     int           // in a row
@@ -75,12 +75,11 @@
 }
 
 type attempt struct {
-	q        *request
-	h        *host
-	sentAt   time.Duration
-	away     time.Duration // of the router by then
-	overdue  bool          // counted as a failure already
-	resolved bool
+	q                 *request
+	h                 *host
+	sentAt            time.Duration
+	away              time.Duration // of the router by then
+	overdue, resolved bool          // overdue: counted as a failure already
 }
 
 type request struct {
@@ -120,8 +119,7 @@
 	seq           uint64
 	timerAt       time.Duration    // earliest timer asked for; long if none
 	bound         time.Duration    // the tightest of a Recent class
-	probes        float64          // probes in hand
-	lost          float64          // share of the probes lost, of hosts without a failed request
+	probes, lost  float64          // probes in hand; share of them lost, of hosts without a failed request
 	turn          int              // of the probes in turn
 	latency       []float64        // by class, of answers, in seconds
 	admit         map[bool]float64 // share of requests sent at all; true: to primaries
@@ -293,7 +291,7 @@
 
 // anew begins to learn of a process of h: only its log position stands.
 func (r *Router) anew(h *host, startedAt time.Duration) {
-	h.startedAt, h.slow, h.strain, h.fails, h.budget, h.budgetAt = startedAt, 1, 0, 0, 0, r.now
+	h.startedAt, h.slow, h.strain, h.fails, h.budget, h.budgetAt = startedAt, 0, 0, 0, 0, r.now
 	h.limit = 1 + 8/float64(max(r.set.Routers, 1))
 }
 
@@ -870,7 +868,9 @@
 			}
 		}
 		r.served += r.work(c) / max(1, warm) / float64(max(1, len(r.used)))
-		h.slow += smooth * (min(latency.Seconds()/r.latency[c], 20) - h.slow)
+		slow := min(latency.Seconds()/r.latency[c], 20)
+		h.slow = cmp.Or(h.slow, slow)
+		h.slow += smooth * (slow - h.slow)
 		r.latency[c] += smooth / 5 * (latency.Seconds() - r.latency[c])
 		h.fails = 0
 		if h.group.primary == h {
@@ -905,6 +905,7 @@
 }
 
 func (r *Router) failed(h *host, late bool) {
+	h.slow = cmp.Or(h.slow, 1)
 	if h.fails++; late && h.fails < 3 { // a host that only fails is not short of room
 		r.throttle(h, admitLate)
 	}
