Shut out a gateway that cannot be brought up, or has stood still and not heard since

With fence in the fleet file a gateway that two thirds of the fleet have been ahead of for that long, and whose discovery does not tell the newer list, takes no writes and no new clients; reads go on. The module refuses (policy.Fenced), before all that the same round brought. Never more than a third, never by a fleet of two; operators' word goes before (PUT /v1/gateway/fence, unfence), to go on only for the list that there is. Absent, nothing changes.

The lab can give gateways a discovery of their own and have it stick.

--- /dev/null
+++ b/cmd/lilaccove/fence_test.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lilaccove/internal/lab"
+	"lilaccove/internal/pgwire"
+)
+
+// fencePlan has gateways shut themselves out; bounded reads find replicas by what others tell.
+func fencePlan(n int) string {
+	return strings.Replace(fmt.Sprintf(sharedPlan, n), "fleet: true", "fleet: true, fence: 2 s", 1)
+}
+
+func (p *party) fenced(list ...int) (out []int) {
+	for _, i := range list {
+		if p.figure(i, "fleet_fenced") == 1 {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// everFenced tells whether a gateway has ever shut itself out.
+func (p *party) everFenced(i int) bool {
+	for _, e := range p.Node(i).Events() {
+		if strings.HasPrefix(e, "fleet_fenced on=true") {
+			return true
+		}
+	}
+	return false
+}
+
+// direct is a client of one gateway, past the front.
+func (p *party) direct(i int) *client {
+	return (&site{t: p.t, addr: p.Node(i).Clients}).client()
+}
+
+func inGroup(text string, group int) string {
+	return strings.Replace(text, "cluster=2", fmt.Sprintf("cluster=%d", group), 1)
+}
+
+// A gateway whose discovery tells an old list, whatever it asks, shuts itself out and nobody else does: the front leaves it,
+// it refuses writes at once and serves reads. It is back when its discovery tells the truth. An operator may say otherwise.
+func TestFleetAuditFence(t *testing.T) {
+	p := newPartyWith(t, 4, fencePlan(4), func(l *lab.Lab) { l.Apart = []int{0} })
+	p.Discovery(0).Stick(true)
+	require.NoError(t, p.World().Grow(0))
+	p.eventually("it shuts itself out", func() bool { return len(p.fenced(0)) == 1 })
+	p.eventually("the front leaves it", func() bool { return p.Front().Admitted() == 3 })
+	c := p.direct(0)
+	begun := time.Now()
+	got := c.ask(inGroup(stmt("write", 3000, ""), 0))
+	assert.Equal(t, pgwire.CodeTooManyConnections, got.code)
+	assert.NotEmpty(t, got.detail, "with a retry-after")
+	assert.Less(t, time.Since(begun), time.Second, "at once")
+	assert.Empty(t, c.ask(inGroup(stmt("browse", 1000, ""), 0)).code, "reads go on")
+	_, err := p.Node(0).Call("GET", "/v1/readyz")
+	assert.ErrorContains(t, err, "503")
+
+	_, err = p.Node(0).Call("PUT", "/v1/gateway/unfence")
+	require.NoError(t, err)
+	assert.Empty(t, p.fenced(0), "by hand")
+	_, err = p.Node(0).Call("PUT", "/v1/gateway/fence")
+	require.NoError(t, err)
+	assert.Len(t, p.fenced(0), 1)
+	_, err = p.Node(0).Call("PUT", "/v1/gateway/unfence")
+	require.NoError(t, err)
+
+	require.NoError(t, p.World().Grow(1)) // and the word was for the list that it had
+	p.Discovery(0).Stick(false)
+	p.eventually("it is back", func() bool { return p.figure(0, "known_databases") == 12 && len(p.fenced(0)) == 0 })
+	p.eventually("the front gives it clients", func() bool { return p.Front().Admitted() == 4 })
+	for _, i := range p.but(0) {
+		assert.False(t, p.everFenced(i), "n%d", i)
+	}
+	p.judge(0.7)
+}
+
+// Where discovery tells most an old list, nobody is shut out: who is right cannot be known.
+func TestFleetAuditFenceNeverTooMany(t *testing.T) {
+	p := newPartyWith(t, 4, fencePlan(4), func(l *lab.Lab) { l.Apart = []int{0, 1} })
+	p.Discovery(0).Stick(true)
+	p.Discovery(1).Stick(true)
+	require.NoError(t, p.World().Grow(0))
+	for _, i := range []int{0, 1} {
+		p.eventually("each old one has asked in vain and given up", func() bool { return p.figure(i, "fleet_behind_asked") == 3 })
+	}
+	reads := p.World().Counts().Reads
+	p.eventually("and served on", func() bool { return p.World().Counts().Reads > reads+200 })
+	for _, i := range p.all() {
+		assert.False(t, p.everFenced(i), "n%d", i)
+	}
+	p.judge(0.7)
+}
+
+// A gateway that stood still takes no write that came meanwhile before it has heard what the others know.
+func TestFleetAuditFenceOfOneThatStoodStill(t *testing.T) {
+	p := newPartyWith(t, 4, fencePlan(4), nil)
+	c := p.direct(1)
+	c.ask("")
+	require.NoError(t, p.Node(1).Stop())
+	for range 3 {
+		c.write(query(inGroup(stmt("write", 3000, ""), 0)))
+	}
+	time.Sleep(3 * time.Second) // the fault itself
+	require.NoError(t, p.Node(1).Continue())
+	for range 3 {
+		assert.Equal(t, pgwire.CodeTooManyConnections, c.read().code, "refused, not sent")
+	}
+	p.eventually("it has heard", func() bool { return len(p.fenced(1)) == 0 })
+	assert.Less(t, p.serves(1), 2*time.Second)
+	assert.True(t, p.everFenced(1))
+	for _, i := range p.but(1) {
+		assert.False(t, p.everFenced(i), "n%d", i)
+	}
+	p.judge(0.7)
+}
--- a/cmd/lilaccove/fleet_test.go
+++ b/cmd/lilaccove/fleet_test.go
@@ -55,6 +55,11 @@
 
 // newPartyOf is newParty with a plan of its own.
 func newPartyOf(t *testing.T, n int, text string, twins ...int) *party {
+	return newPartyWith(t, n, text, func(l *lab.Lab) { l.Twins = twins })
+}
+
+// newPartyWith is newPartyOf in a lab that is changed before it opens.
+func newPartyWith(t *testing.T, n int, text string, change func(*lab.Lab)) *party {
 	if testing.Short() {
 		t.Skip("several processes and real time")
 	}
@@ -63,8 +68,11 @@
 	arrivals, err := plan.Schedule(pl)
 	require.NoError(t, err)
 	p := &party{t: t, n: n, Lab: &lab.Lab{
-		Plan: pl, Arrivals: arrivals, Gateway: []string{os.Args[0]}, Env: []string{"LILACCOVE_RUN=1"}, Twins: twins,
+		Plan: pl, Arrivals: arrivals, Gateway: []string{os.Args[0]}, Env: []string{"LILACCOVE_RUN=1"},
 	}}
+	if change != nil {
+		change(p.Lab)
+	}
 	logs, err := os.Create(t.TempDir() + "/logs")
 	require.NoError(t, err)
 	p.Log = logs
--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -143,6 +143,7 @@
 		spans.Listed(core.Hosts())
 		changed = append(changed, func() { spans.Listed(core.Hosts()) })
 		links.OnWord(ops.word)
+		links.OnFence(core.Fence)
 		links.Tell(peer.Facts{
 			List: watch.Seq, Ask: watch.Renew, Config: sameSettings(cfg.Settings), File: digest(party.Common()), Build: build(),
 		})
@@ -203,6 +204,9 @@
 		}
 	}()
 	return loop.Run(func() bool {
+		if links != nil {
+			links.Guard()
+		}
 		again := core.Step()
 		ops.check()
 		return again
--- a/cmd/lilaccove/operations.go
+++ b/cmd/lilaccove/operations.go
@@ -174,6 +174,8 @@
 		return "starting", false
 	case o.links != nil && !o.links.CaughtUp():
 		return "catching up with the fleet", false
+	case o.links != nil && o.links.Fenced():
+		return "shut out: it cannot vouch for what it knows", false
 	}
 	return "", true
 }
@@ -247,6 +249,9 @@
 	return o.links.Versions(), true
 }
 
+// Fence takes an operator's word to shut this gateway out, or to go on with what it has; false: it has no fence.
+func (o *operations) Fence(out bool) bool { return o.links != nil && o.links.SayFence(out) }
+
 // FleetAudit tells what this gateway did, by what it acted on; false: it is in no fleet.
 func (o *operations) FleetAudit() ([]byte, bool) {
 	if o.links == nil {
@@ -325,7 +330,7 @@
 // check is called behind each round: it begins to serve, and exits once nothing is owed.
 func (o *operations) check() {
 	if !o.ending {
-		o.front.Hold(o.links != nil && !o.links.CaughtUp())
+		o.front.Hold(o.links != nil && (!o.links.CaughtUp() || o.links.Fenced()))
 		if err := o.open(); err != nil {
 			log.Printf("event=not_open err=%q", err)
 			o.loop.Stop()
--- a/internal/fleet/audit/versions.go
+++ b/internal/fleet/audit/versions.go
@@ -176,12 +176,17 @@
 // newest.
 func (v *Versions) Behind() (since time.Duration, asked uint64) { return v.behind, v.asked }
 
-// All are the versions of the fleet, this process's among them, sorted by name.
-func (v *Versions) All() []Known {
-	list := []Known{{Version: v.own, Behind: v.behind}}
+// Others are the versions of the other gateways.
+func (v *Versions) Others() (list []Known) {
 	for _, o := range v.others {
 		list = append(list, *o)
 	}
+	return list
+}
+
+// All are the versions of the fleet, this process's among them, sorted by name.
+func (v *Versions) All() []Known {
+	list := append(v.Others(), Known{Version: v.own, Behind: v.behind})
 	slices.SortFunc(list, func(a, b Known) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -26,6 +26,7 @@
 	Positions bool                      // gateways tell each other how far databases have come
 	Subsets   bool                      // each gateway uses some replicas of a group first
 	Audit     *Audit                    // nil: records stay in memory
+	Fence     time.Duration             // behind others for so long a gateway shuts itself out; 0: never
 }
 
 // Budgets are what the whole fleet may spend at once.
@@ -44,7 +45,7 @@
 
 // Common is the part that is to be equal in all files of a fleet, as text.
 func (f *File) Common() []byte {
-	return fmt.Appendf(nil, "%s %v %v %d %s %t %t", f.Fleet, f.Period, f.Still, f.Most, f.Budgets.text(), f.Positions, f.Subsets)
+	return fmt.Appendf(nil, "%s %v %v %d %s %t %t %v", f.Fleet, f.Period, f.Still, f.Most, f.Budgets.text(), f.Positions, f.Subsets, f.Fence)
 }
 
 // MostMembers bounds what a file may ask for.
@@ -57,7 +58,7 @@
 		return nil, err
 	}
 	f := &File{Dial: map[string]netip.AddrPort{}}
-	got := r.Fields(top, "", "fleet", "listen", "advertise", "seeds", "dial", "period", "still", "most", "budgets", "subsets", "positions", "audit")
+	got := r.Fields(top, "", "fleet", "listen", "advertise", "seeds", "dial", "period", "still", "most", "budgets", "subsets", "positions", "audit", "fence")
 	need := func(key string) *yaml.Node {
 		if got[key] == nil && top.Kind == yaml.MappingNode {
 			r.Fail(top, key, "missing")
@@ -101,6 +102,7 @@
 	}
 	span("period", &f.Period, 50*time.Millisecond, 10*time.Second)
 	span("still", &f.Still, 0, time.Minute)
+	span("fence", &f.Fence, time.Second, time.Hour)
 	if n := got["most"]; n != nil {
 		f.Most = r.Count(n, "most", 2, MostMembers)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -191,6 +191,11 @@
 // Fleet passes on what the fleet tells of hosts: policy.Bounded, Preferred or Heard.
 func (g *Gateway) Fleet(e policy.Event) { g.events = append(g.events, e) }
 
+// Fence has the decisions take no writes, or take them again. It goes before all that the round has brought.
+func (g *Gateway) Fence(out bool) {
+	g.events = slices.Insert(g.events, 0, policy.Event(policy.Fenced{Out: out}))
+}
+
 // Take accepts a request. Its answer may come before Take returns.
 func (g *Gateway) Take(q *Request) {
 	now := g.loop.Now()
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -27,9 +27,11 @@
 	Env      []string  // more of its environment
 	Log      io.Writer // what gateways say; nil: nowhere
 	History  *History  // nil: nowhere
+	Apart    []int     // gateways that ask at a discovery of their own, see Discovery
 	Twins    []int     // gateways of which a second process may be started, for Twin
 
 	world *standin.World
+	apart map[int]*standin.Discovery
 	mesh  *Mesh
 	front *Front
 	dir   string
@@ -68,6 +70,12 @@
 			l.Close()
 		}
 	}()
+	l.apart = map[int]*standin.Discovery{}
+	for _, i := range l.Apart {
+		if l.apart[i], err = l.world.Elsewhere(); err != nil {
+			return err
+		}
+	}
 	if l.dir, err = os.MkdirTemp("", "lilacload-"); err != nil {
 		return err
 	}
@@ -118,6 +126,14 @@
 	}
 }
 
+// Discovery is where a gateway asks for the list.
+func (l *Lab) Discovery(i int) *standin.Discovery {
+	if d := l.apart[i]; d != nil {
+		return d
+	}
+	return l.world.Discovery()
+}
+
 // World is the databases and their discovery, Mesh the links between gateways, Front what hands them out.
 func (l *Lab) World() *standin.World { return l.world }
 
@@ -289,7 +305,7 @@
 		})
 	}
 	return map[string]any{
-		"name": l.name(i), "listen": "127.0.0.1:0", "discovery": l.world.Discovery().Addr, "seed": fmt.Sprintf("%x", p.Seed+uint64(i)+1),
+		"name": l.name(i), "listen": "127.0.0.1:0", "discovery": l.Discovery(i).Addr, "seed": fmt.Sprintf("%x", p.Seed+uint64(i)+1),
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": json.RawMessage(l.world.List()),
 		"settings": map[string]any{
 			"Allowed": map[string]any{"Cancel": true, "Peers": p.Lab.Fleet, "ConnIdleUs": 15000000, "DialTimeoutUs": 250000, "MaxRetryAfterUs": 1000000,
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -169,6 +169,9 @@
 	if l.Plan.Lab.Positions {
 		b = append(b, "positions: true\n"...)
 	}
+	if d := l.Plan.Lab.Fence; d > 0 {
+		b = fmt.Appendf(b, "fence: %d ms\n", d.Milliseconds())
+	}
 	if l.Plan.Lab.Audit {
 		b = fmt.Appendf(b, "audit: {file: %q}\n", l.AuditFile(i))
 	}
--- a/internal/load/plan/plan.go
+++ b/internal/load/plan/plan.go
@@ -118,6 +118,7 @@
 	Subsets   bool          `json:"subsets,omitempty"`
 	Positions bool          `json:"positions,omitempty"` // gateways tell each other of them
 	Audit     bool          `json:"audit,omitempty"`     // gateways keep files of records
+	Fence     time.Duration `json:"fence,omitempty"`     // behind for so long a gateway shuts itself out; 0: never
 }
 
 // Length is how long the stages take.
@@ -421,7 +422,7 @@
 }
 
 func (r *reader) lab(p *Plan, n *yaml.Node) {
-	f := r.Fields(n, "lab", "gateways", "members", "cores", "queue", "service", "delay", "lag", "cold", "fleet", "budget", "lease", "subsets", "positions", "audit")
+	f := r.Fields(n, "lab", "gateways", "members", "cores", "queue", "service", "delay", "lag", "cold", "fleet", "budget", "lease", "subsets", "positions", "audit", "fence")
 	for key, to := range map[string]*int{"gateways": &p.Lab.Gateways, "members": &p.Lab.Members, "cores": &p.Lab.Cores, "queue": &p.Lab.Queue, "budget": &p.Lab.Budget} {
 		if f[key] != nil {
 			*to = r.Count(f[key], key, 1, 1000)
@@ -436,6 +437,9 @@
 	p.Lab.Subsets = r.Bool(f["subsets"], "subsets")
 	p.Lab.Positions = r.Bool(f["positions"], "positions")
 	p.Lab.Audit = r.Bool(f["audit"], "audit")
+	if n := f["fence"]; n != nil {
+		p.Lab.Fence = r.Time(n, "fence")
+	}
 	for i, e := range p.Events {
 		for _, g := range slices.Concat(e.Gateways, e.From, e.To, slices.Concat(e.Sides...)) {
 			if g >= p.Lab.Gateways {
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -46,6 +46,8 @@
 	FleetAudit() ([]byte, bool)
 	// FleetSuspend is Suspend for the whole fleet.
 	FleetSuspend(id string, out bool, then func()) bool
+	// Fence shuts the gateway out, or has it go on with what it has; false: there is no fence.
+	Fence(out bool) bool
 	// Drain empties the gateway, or has it work again.
 	Drain(on bool)
 }
@@ -170,6 +172,15 @@
 		c.fleet(q, c.s.ops.FleetAudit)
 	case "/v1/fleet/state":
 		c.fleet(q, c.s.ops.FleetState)
+	case "/v1/gateway/fence", "/v1/gateway/unfence":
+		if !c.method(q, "PUT") {
+			return
+		}
+		if c.s.ops.Fence(q.Path == "/v1/gateway/fence") {
+			c.answer(200, "ok\n")
+		} else {
+			c.answer(404, "the fleet file of this gateway sets no fence\n")
+		}
 	case "/v1/gateway/drain", "/v1/gateway/activate":
 		if c.method(q, "PUT") {
 			c.s.ops.Drain(strings.HasSuffix(q.Path, "drain"))
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -27,6 +27,7 @@
 func (s *staff) Ready() (string, bool)         { return s.ready, s.ready == "" }
 func (s *staff) Metrics(b []byte) []byte       { return append(b, "edge_gw.in_progress=0\n"...) }
 func (s *staff) FleetAudit() ([]byte, bool)    { return []byte("{}"), s.ready == "" }
+func (s *staff) Fence(bool) bool               { return s.ready == "" }
 func (s *staff) FleetVersions() ([]byte, bool) { return []byte("{}"), s.ready == "" }
 func (s *staff) FleetState() ([]byte, bool)    { return []byte("{}"), s.ready == "" }
 func (s *staff) FleetSuspend(id string, out bool, then func()) bool {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"lilaccove/internal/fleet"
+	"lilaccove/internal/fleet/audit"
 	"lilaccove/internal/fleet/membership"
 	"lilaccove/internal/netloop"
 )
@@ -59,9 +60,12 @@
 	budgets   *Budgets
 	versions  *versions // nil: they are not told
 	words     *words
-	seen      func()     // the view has changed
-	positions *Positions // nil: they are not shared
-	spans     *Spans     // nil: they are not kept
+	seen      func()       // the view has changed
+	positions *Positions   // nil: they are not shared
+	spans     *Spans       // nil: they are not kept
+	fence     *audit.Fence // nil: this process never shuts itself out
+	fenced    bool         // as was told
+	onFence   func(out bool)
 }
 
 // rate bounds what one sender may have read.
@@ -100,6 +104,9 @@
 		loop.At(loop.Now()+moveEvery, l.move)
 	}
 	l.words = l.newWords()
+	if file.Fence > 0 {
+		l.fence = audit.NewFence(file.Fence)
+	}
 	if l.budgets, err = l.divide(name); err != nil {
 		return nil, err
 	}
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -83,6 +83,13 @@
 		line("others."+membership.State(s).String(), n)
 	}
 	line("health", uint64(l.m.Health()))
+	if l.fence != nil {
+		fenced := uint64(0)
+		if l.fenced {
+			fenced = 1
+		}
+		line("fenced", fenced)
+	}
 	line("probes", c.Probes)
 	line("probes_failed", c.Failed)
 	line("suspicions", c.Suspicions)
--- a/internal/peer/versions.go
+++ b/internal/peer/versions.go
@@ -53,6 +53,10 @@
 		l.spans.tick(acts)
 	}
 	out, ask := s.v.Tick(l.loop.Now())
+	if l.fence != nil {
+		l.fence.Tick(l.loop.Now(), acts.List, s.v.Others(), view.Names())
+		l.guard()
+	}
 	if member { // one that is drained, or whose name is another's, only listens
 		for _, m := range out {
 			if l.spans != nil {
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -17,6 +18,8 @@
 	srv   *http.Server
 	stop  chan struct{}
 	calls Calls
+	stuck []byte // the list that it goes on telling; nil: it tells the truth
+	at    int    // its version
 }
 
 type listing struct {
@@ -48,6 +51,24 @@
 	return e
 }
 
+// Stick has this discovery go on telling the list as it is now, to all who ask or watch, or the truth again: those who
+// watch are let go, as they have missed something.
+func (d *Discovery) Stick(on bool) {
+	w := d.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if d.stuck, d.at = nil, w.seq; on {
+		d.stuck = w.list()
+		return
+	}
+	for ch, of := range w.watch {
+		if of == d {
+			delete(w.watch, ch)
+			close(ch)
+		}
+	}
+}
+
 // List is the whole list as discovery would tell it now.
 func (w *World) List() []byte {
 	w.mu.Lock()
@@ -73,7 +94,10 @@
 
 // pass sends a line to all that watch. One that does not read is let go: it asks again.
 func (w *World) pass(b []byte) {
-	for ch := range w.watch {
+	for ch, d := range w.watch {
+		if d.stuck != nil {
+			continue
+		}
 		select {
 		case ch <- b:
 		default:
@@ -124,11 +148,15 @@
 	}
 	d.calls.Watches++
 	// What changed is not kept: it is the whole list, or nothing, which is told as well.
-	first := fmt.Appendf(nil, "{\"seq\":%d,\"hosts\":[]}\n", d.w.seq)
-	if after != d.w.seq {
-		first = append(d.w.list(), '\n')
+	list, version := d.stuck, d.at
+	if d.stuck == nil {
+		list, version = d.w.list(), d.w.seq
+	}
+	first := fmt.Appendf(nil, "{\"seq\":%d,\"hosts\":[]}\n", version)
+	if after != version {
+		first = append(slices.Clone(list), '\n')
 	}
-	d.w.watch[ch] = true
+	d.w.watch[ch] = d
 	d.w.mu.Unlock()
 	defer func() {
 		d.w.mu.Lock()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -59,7 +59,7 @@
 	hosts  []*Host
 	seq    int
 	named  int
-	watch  map[chan []byte]bool
+	watch  map[chan []byte]*Discovery
 	ran    map[string]int
 	counts Counts
 	faults Faults
@@ -97,7 +97,7 @@
 
 // New starts a world.
 func New(opt Options) (*World, error) {
-	w := &World{opt: opt, rnd: rand.New(rand.NewPCG(opt.Seed, 0x73746e64)), watch: map[chan []byte]bool{}, ran: map[string]int{}, seq: 1, done: make(chan struct{})}
+	w := &World{opt: opt, rnd: rand.New(rand.NewPCG(opt.Seed, 0x73746e64)), watch: map[chan []byte]*Discovery{}, ran: map[string]int{}, seq: 1, done: make(chan struct{})}
 	for g := range opt.Groups {
 		for m := range opt.Members {
 			if _, err := w.add(opt.Group+g, m == 0, time.Time{}); err != nil {
--- a/policy/herd_test.go
+++ b/policy/herd_test.go
@@ -455,3 +455,16 @@
 	assert.Greater(t, used["b"], 20)
 	assert.Less(t, used["c"], 10)
 }
+
+// Shut out, a router refuses writes at once and unsent, those of the same step and those that wait with them; reads go on.
+func TestFencedTakesNoWrites(t *testing.T) {
+	g := newRig(t, base(), Member{Host: "a"}, Member{Host: "b"}).ask("waits", fragile) // no primary is known
+	g.wantSend()
+	g.at(ms, Fenced{Out: true}, Request{ID: "w", Class: fragile, Budget: time.Second}, Request{ID: "r", Class: own, Budget: time.Second})
+	assert.Len(t, g.sends(), 1, "the read")
+	g.wantFinal("w", 1, 0)
+	g.at(0, Probed{Host: "a", Report: Report{HasPosition: true, Position: g.now, Role: Primary}})
+	g.wantFinal("waits", 1, 0)
+	g.at(ms, Fenced{}).ask("x", fragile)
+	g.wantSend("a")
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -104,35 +104,35 @@
 
 // Router decides for one router process. It is not safe for concurrent use.
 type Router struct {
-	set           Settings
-	rnd           *rand.Rand
-	now           time.Duration
-	actions       []Action
-	hosts         map[HostID]*host
-	order         []*host // by first sight
-	groups        map[GroupID]*group
-	requests      map[RequestID]*request
-	marks         map[SessionID]time.Duration // newest commit acknowledged to a session here
-	base          time.Duration               // marks up to here were forgotten
-	wakes         []wake                      // sorted, latest first
-	stirred       []*group
-	seq           uint64
-	timerAt       time.Duration    // earliest timer asked for; long if none
-	bound         time.Duration    // the tightest of a Recent class
-	probes, lost  float64          // probes in hand; share of them lost, of hosts without a failed request
-	turn          int              // of the probes in turn
-	latency       []float64        // by class, of answers, in seconds
-	admit         map[bool]float64 // share of requests sent at all; true: to primaries
-	used          map[*group]bool  // those that requests asked for
-	out           map[HostID]bool  // left out by the operators
-	served        float64          // work answered since then: by a warm host, in the mean of those
-	asked         float64          // work asked for since then, in the mean for a member of a group
-	ease          float64          // 0 to 1: how far cold hosts, all together, answer in good time
-	easeAt, since time.Duration
-	subset        bool          // some hosts are preferred
-	refused       int           // calls to discovery that failed in a row
-	away          time.Duration // all in all this process was not there to see what came
-	mute          bool          // the last probe that came back told no role, only that a process runs
+	set            Settings
+	rnd            *rand.Rand
+	now            time.Duration
+	actions        []Action
+	hosts          map[HostID]*host
+	order          []*host // by first sight
+	groups         map[GroupID]*group
+	requests       map[RequestID]*request
+	marks          map[SessionID]time.Duration // newest commit acknowledged to a session here
+	base           time.Duration               // marks up to here were forgotten
+	wakes          []wake                      // sorted, latest first
+	stirred        []*group
+	seq            uint64
+	timerAt        time.Duration    // earliest timer asked for; long if none
+	bound          time.Duration    // the tightest of a Recent class
+	probes, lost   float64          // probes in hand; share of them lost, of hosts without a failed request
+	turn           int              // of the probes in turn
+	latency        []float64        // by class, of answers, in seconds
+	admit          map[bool]float64 // share of requests sent at all; true: to primaries
+	used           map[*group]bool  // those that requests asked for
+	out            map[HostID]bool  // left out by the operators
+	served         float64          // work answered since then: by a warm host, in the mean of those
+	asked          float64          // work asked for since then, in the mean for a member of a group
+	ease           float64          // 0 to 1: how far cold hosts, all together, answer in good time
+	easeAt, since  time.Duration
+	subset, fenced bool          // some hosts are preferred; no writes are taken
+	refused        int           // calls to discovery that failed in a row
+	away           time.Duration // all in all this process was not there to see what came
+	mute           bool          // the last probe that came back told no role, only that a process runs
 }
 
 // New makes the router of one process. The seed drives its random choices.
@@ -266,7 +266,6 @@
 			g = &group{lostAt: r.now}
 			r.groups[e.Group] = g
 		}
-		// A random turn: the first reads of all routers are not for the same member.
 		h = &host{id: e.Host, group: g, roleAt: -1, judgedAt: r.now, gap: 2 * seldom,
 			sentAt: -time.Duration(r.rnd.Int64N(1 << 20))}
 		r.anew(h, e.StartedAt)
@@ -382,6 +381,8 @@
 			h.bounded, h.most = true, e.Most
 			r.stir(h.group)
 		}
+	case Fenced:
+		r.fenced = e.Out
 	case Away:
 		r.away = e.Lost
 	case Preferred:
@@ -480,7 +481,7 @@
 	switch {
 	case q.done || q.out > 0:
 		return
-	case !r.mayResend(q) || r.now >= q.useful:
+	case !r.mayResend(q) || r.now >= q.useful || r.fenced && q.class.Level == Write:
 		r.giveUp(q)
 		return
 	case r.mayTry(q):
@@ -804,7 +805,6 @@
 	q.out--
 	h.out = slices.DeleteFunc(h.out, func(o *attempt) bool { return o == a })
 	if len(h.out) == 0 && h.gap > seldom {
-		// Idle connections of hundreds of quiet routers fill the hosts' tables, new ones cost work.
 		r.wakeAt(h.sentAt+seldom, func() {
 			if len(h.out) == 0 && r.now-h.sentAt >= seldom {
 				r.do(HangUp{Host: h.id})
--- a/policy/types.go
+++ b/policy/types.go
@@ -239,6 +239,8 @@
 	Preferred struct{ Hosts []HostID }
 	// Away tells for how long, all in all, the process has stood still or come late to what was ready for it.
 	Away struct{ Lost time.Duration }
+	// Fenced tells that this process acts on knowledge that it cannot vouch for: it takes no writes until told otherwise.
+	Fenced struct{ Out bool }
 	// Heard tells that another router knows a host to have applied all commits up to a position. It is a floor, as
 	// one heard from the host itself; no role follows from it.
 	Heard struct {
@@ -257,6 +259,7 @@
 func (Bounded) event()   {}
 func (Preferred) event() {}
 func (Away) event()      {}
+func (Fenced) event()    {}
 func (Heard) event()     {}
 
 // Action is something the router wants done: one of the types below.
