--- a/cmd/lilaccove/fleet_test.go
+++ b/cmd/lilaccove/fleet_test.go
@@ -34,6 +34,9 @@
 	finish func()
 }
 
+// parties bounds how many run at once: each is some processes, with little to do.
+var parties = make(chan struct{}, 2)
+
 const partyPlan = `seed: 5
 groups: 2
 sessions: {count: 200, follow: 30%%, after: 100 ms}
@@ -63,6 +66,9 @@
 	if testing.Short() {
 		t.Skip("several processes and real time")
 	}
+	t.Parallel()
+	parties <- struct{}{}
+	t.Cleanup(func() { <-parties })
 	pl, err := plan.Parse("party", []byte(text))
 	require.NoError(t, err)
 	arrivals, err := plan.Schedule(pl)
--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"log"
@@ -14,6 +15,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"runtime/pprof"
 	"strconv"
 	"time"
 
@@ -52,17 +54,36 @@
 func main() {
 	log.SetFlags(log.Lmicroseconds)
 	fleetFile := flag.String("fleet", "", "the fleet `file`, by which gateways know of each other; before $GW_FLEET")
+	profile := flag.String("profile", "", "write a profile of the processor's use, from start to end, to this `file` (go tool pprof reads it)")
 	flag.Parse()
 	if flag.NArg() > 0 {
 		log.Printf("event=stopped err=%q", "arguments are not read; the configuration is at $GW_CONFIG")
 		os.Exit(2)
 	}
-	if err := run(*fleetFile); err != nil {
+	err := profiled(*profile, func() error { return run(*fleetFile) })
+	if err != nil {
 		log.Printf("event=stopped err=%q", err)
 		os.Exit(1)
 	}
 }
 
+// profiled runs do and writes the profile of it to a file, if one is named.
+func profiled(path string, do func() error) error {
+	if path == "" {
+		return do()
+	}
+	f, err := os.Create(path)
+	if err == nil {
+		err = pprof.StartCPUProfile(f)
+	}
+	if err != nil {
+		return fmt.Errorf("--profile: %w", err)
+	}
+	err = do()
+	pprof.StopCPUProfile()
+	return errors.Join(err, f.Close())
+}
+
 func run(fleetFile string) error {
 	// From the first moment on: a signal that nobody has asked for would end the process.
 	signals := make(chan os.Signal, 16)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -27,6 +27,7 @@
 	moveEvery    = 500 * time.Millisecond // see Links.move
 	oldSocket    = 5 * time.Second        // how long the address before a move is still read
 	bindAttempts = 8
+	membersSaid  = 200 // changes of members logged in a second
 )
 
 // Counts are messages dropped, by cause, and what was sent and taken in.
@@ -56,7 +57,8 @@
 	senders   map[netip.AddrPort]*rate
 	bad       netloop.Sparse
 	news      netloop.Sparse
-	version   uint64 // of the view that was logged
+	members   netloop.Sparse // a fleet that starts is told whole, one that is told nonsense is not
+	version   uint64         // of the view that was logged
 	budgets   *Budgets
 	versions  *versions // nil: they are not told
 	words     *words
@@ -83,7 +85,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
-	l := &Links{loop: loop, file: file, codec: c, in: map[uint64]*stream{}, senders: map[netip.AddrPort]*rate{}}
+	l := &Links{loop: loop, file: file, codec: c, in: map[uint64]*stream{}, senders: map[netip.AddrPort]*rate{}, members: netloop.Sparse{Most: membersSaid}}
 	err = l.bind(file.Listen)
 	if errors.Is(err, unix.EADDRINUSE) {
 		// The process before this one, during an upgrade; or a fault, of which the fleet will tell.
@@ -245,7 +247,7 @@
 	case e.State == membership.Suspect:
 		l.news.Printf(l.loop.Now(), "event=fleet_suspect name=%s by=%s", e.Name, e.By)
 	case c.New || c.Was != e.State && c.Was != membership.Suspect || e.State != membership.Alive:
-		log.Printf("event=fleet_member name=%s state=%s addr=%s session=%x twice=%t", e.Name, e.State, e.Addr, e.Session, e.Twice)
+		l.members.Printf(l.loop.Now(), "event=fleet_member name=%s state=%s addr=%s session=%x twice=%t", e.Name, e.State, e.Addr, e.Session, e.Twice)
 	}
 }
 
--- a/internal/peer/words.go
+++ b/internal/peer/words.go
@@ -3,17 +3,18 @@
 import (
 	"encoding/json"
 	"fmt"
-	"log"
 	"math/rand/v2"
 	"time"
 
 	"lilaccove/internal/fleet"
 	"lilaccove/internal/fleet/state"
+	"lilaccove/internal/netloop"
 )
 
 const (
 	channelWords = 4
 	wordsEvery   = 100 * time.Millisecond
+	wordsSaid    = 50              // logged in a second
 	catchUpMost  = 2 * time.Second // a gateway that starts waits so long for another's words at most
 )
 
@@ -23,6 +24,7 @@
 	w     *state.Words
 	begun time.Duration
 	apply func(host string, out bool)
+	said  netloop.Sparse
 }
 
 // OnWord has do called whenever the fleet leaves a database out, or has it serve again.
@@ -30,7 +32,7 @@
 
 func (l *Links) newWords() *words {
 	own, _ := l.m.Own()
-	s := &words{l: l, begun: l.loop.Now(), w: state.NewWords(own.Name, fmt.Sprintf("%s@%x", own.Name, own.Session), rand.Uint64())}
+	s := &words{l: l, said: netloop.Sparse{Most: wordsSaid}, begun: l.loop.Now(), w: state.NewWords(own.Name, fmt.Sprintf("%s@%x", own.Name, own.Session), rand.Uint64())}
 	l.every(wordsEvery, s.tick)
 	return s
 }
@@ -82,7 +84,7 @@
 // tell does what the words about a database come to.
 func (s *words) tell(host, from string) {
 	out, conflict := s.w.Out(host)
-	log.Printf("event=fleet_word host=%q out=%t conflict=%t from=%s", host, out, conflict, from)
+	s.said.Printf(s.l.loop.Now(), "event=fleet_word host=%q out=%t conflict=%t from=%s", host, out, conflict, from)
 	if s.apply != nil {
 		s.apply(host, out)
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"lilaccove/internal/alarm"
 )
 
 const (
@@ -97,11 +99,6 @@
 	missed, waiting, done        bool
 }
 
-type wake struct {
-	at time.Duration
-	do func()
-}
-
 // Router decides for one router process. It is not safe for concurrent use.
 type Router struct {
 	set            Settings
@@ -114,7 +111,7 @@
 	requests       map[RequestID]*request
 	marks          map[SessionID]time.Duration // newest commit acknowledged to a session here
 	base           time.Duration               // marks up to here were forgotten
-	wakes          []wake                      // sorted, latest first
+	wakes          alarm.Queue
 	stirred        []*group
 	seq            uint64
 	timerAt        time.Duration    // earliest timer asked for; long if none
@@ -189,11 +186,7 @@
 			r.onFleet(e)
 		}
 	}
-	for n := len(r.wakes); n > 0 && r.wakes[n-1].at <= r.now; n = len(r.wakes) {
-		w := r.wakes[n-1]
-		r.wakes = r.wakes[:n-1]
-		w.do()
-	}
+	r.wakes.Run(r.now)
 	for ; len(r.stirred) > 0; r.stirred = r.stirred[1:] {
 		g := r.stirred[0]
 		list := g.waiting
@@ -204,8 +197,8 @@
 			}
 		}
 	}
-	if n := len(r.wakes); n > 0 && r.wakes[n-1].at < r.timerAt {
-		r.timerAt, r.seq = r.wakes[n-1].at, r.seq+1
+	if at := r.wakes.Next(); at < r.timerAt {
+		r.timerAt, r.seq = at, r.seq+1
 		r.do(Timer{After: max(0, r.timerAt-r.now), Timer: r.seq})
 	}
 	return r.actions
@@ -213,10 +206,7 @@
 
 func (r *Router) do(a Action) { r.actions = append(r.actions, a) }
 
-func (r *Router) wakeAt(at time.Duration, do func()) {
-	i, _ := slices.BinarySearchFunc(r.wakes, at, func(w wake, t time.Duration) int { return int(t - w.at) })
-	r.wakes = slices.Insert(r.wakes, i, wake{at: at, do: do})
-}
+func (r *Router) wakeAt(at time.Duration, do func()) { r.wakes.Add(at, do) }
 
 // stir has the waiting requests of g tried again at the end of the step.
 func (r *Router) stir(g *group) {
