--- a/internal/alarm/alarm_test.go
+++ b/internal/alarm/alarm_test.go
@@ -58,6 +58,13 @@
 	q.Run(4)
 	q.Run(9)
 	assert.Equal(t, []int{3, 1, 4, 0, 2, 5}, got)
+	got = nil
+	for i := range 50 {
+		q.Add(9, func() { got = append(got, i) })
+	}
+	q.Run(9)
+	assert.True(t, slices.IsSorted(got), "those of one moment in the order of asking: %v", got)
+	assert.Len(t, got, 50)
 }
 
 // BenchmarkQueue has as many wait as 15,000 requests a second leave behind, two each for up to three seconds.
