--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -182,6 +182,11 @@
 		core.OnPosition(func(host policy.HostID, at time.Duration) { s.Learned(host, at-grain) })
 		changed = append(changed, s.Forget)
 	}
+	if links != nil && party.Primaries {
+		s := links.SharePrimaries(core.InList, core.Fleet)
+		core.OnPrimary(s.Learned)
+		changed = append(changed, s.Forget)
+	}
 	if len(changed) > 0 {
 		core.OnList(func() {
 			for _, do := range changed {
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -24,6 +24,7 @@
 	Most      int                       // members kept at most; 0: the default
 	Budgets   *Budgets                  // nil: none is divided
 	Positions bool                      // gateways tell each other how far databases have come
+	Primaries bool                      // and which of them answered as primary
 	Subsets   bool                      // each gateway uses some replicas of a group first
 	Audit     *Audit                    // nil: records stay in memory
 	Fence     time.Duration             // behind others for so long a gateway shuts itself out; 0: never
@@ -45,7 +46,7 @@
 
 // Common is the part that is to be equal in all files of a fleet, as text.
 func (f *File) Common() []byte {
-	return fmt.Appendf(nil, "%s %v %v %d %s %t %t %v", f.Fleet, f.Period, f.Still, f.Most, f.Budgets.text(), f.Positions, f.Subsets, f.Fence)
+	return fmt.Appendf(nil, "%s %v %v %d %s %t %t %v %t", f.Fleet, f.Period, f.Still, f.Most, f.Budgets.text(), f.Positions, f.Subsets, f.Fence, f.Primaries)
 }
 
 // MostMembers bounds what a file may ask for.
@@ -58,7 +59,7 @@
 		return nil, err
 	}
 	f := &File{Dial: map[string]netip.AddrPort{}}
-	got := r.Fields(top, "", "fleet", "listen", "advertise", "seeds", "dial", "period", "still", "most", "budgets", "subsets", "positions", "audit", "fence")
+	got := r.Fields(top, "", "fleet", "listen", "advertise", "seeds", "dial", "period", "still", "most", "budgets", "subsets", "positions", "primaries", "audit", "fence")
 	need := func(key string) *yaml.Node {
 		if got[key] == nil && top.Kind == yaml.MappingNode {
 			r.Fail(top, key, "missing")
@@ -107,6 +108,7 @@
 		f.Most = r.Count(n, "most", 2, MostMembers)
 	}
 	f.Positions = r.Bool(got["positions"], "positions")
+	f.Primaries = r.Bool(got["primaries"], "primaries")
 	f.Subsets = r.Bool(got["subsets"], "subsets")
 	if n := got["audit"]; n != nil {
 		f.Audit = &Audit{Megabytes: 8, Keep: 4}
--- a/internal/fleet/state/positions.go
+++ b/internal/fleet/state/positions.go
@@ -15,10 +15,9 @@
 	// Tick is how often news go out.
 	Tick     = 100 * time.Millisecond
 	fanout   = 3
-	perSend  = 30                     // positions in one message
-	ahead    = time.Second            // a position so far past the own clock is not believed
-	step     = 200 * time.Millisecond // a position that has risen by less is no news
-	hostMost = 256                    // bytes of a name
+	perSend  = 30          // positions in one message
+	ahead    = time.Second // a position so far past the own clock is not believed
+	hostMost = 256         // bytes of a name
 )
 
 // Position is how far a database has come, as somebody heard from it.
@@ -49,6 +48,7 @@
 
 // Positions is one gateway's copy. Use New.
 type Positions struct {
+	step   time.Duration
 	rnd    *rand.Rand
 	own    string
 	live   []string
@@ -59,10 +59,10 @@
 	counts Counts
 }
 
-// New makes an empty copy. listed tells which databases the gateway's own list has: of no other anything is kept.
-func New(own string, seed uint64, listed func(host string) bool) *Positions {
+// New makes an empty copy. A position that has risen by less than step is no news. listed tells which databases the gateway's own list has: of no other anything is kept.
+func New(own string, seed uint64, step time.Duration, listed func(host string) bool) *Positions {
 	return &Positions{
-		rnd: rand.New(rand.NewPCG(seed, 0x706f73)), own: own, at: map[string]time.Duration{}, told: map[string]time.Duration{}, listed: listed,
+		step: step, rnd: rand.New(rand.NewPCG(seed, 0x706f73)), own: own, at: map[string]time.Duration{}, told: map[string]time.Duration{}, listed: listed,
 	}
 }
 
@@ -94,7 +94,7 @@
 		return false
 	}
 	p.at[host] = at
-	if at >= p.told[host]+step && !slices.Contains(p.queue, host) {
+	if at >= p.told[host]+p.step && !slices.Contains(p.queue, host) {
 		p.queue = append(p.queue, host)
 	}
 	return true
--- a/internal/fleet/state/positions_test.go
+++ b/internal/fleet/state/positions_test.go
@@ -13,6 +13,8 @@
 
 const now = 1_800_000_000 * time.Second
 
+const step = 200 * time.Millisecond
+
 func all(string) bool { return true }
 
 // Whatever order news come in, how often, and whatever is lost of them: copies never exceed what a database said,
@@ -28,7 +30,7 @@
 		}
 		var list []*Positions
 		for i := range n {
-			p := New(names[i], uint64(i), all)
+			p := New(names[i], uint64(i), step, all)
 			p.Live(names)
 			list = append(list, p)
 		}
@@ -84,7 +86,7 @@
 }
 
 func TestWhatIsNotBelieved(t *testing.T) {
-	p := New("a", 1, func(h string) bool { return h == "s1" })
+	p := New("a", 1, step, func(h string) bool { return h == "s1" })
 	news := p.Receive(now, Message{Positions: []Position{
 		{"s1", now - time.Second}, {"s1", now - 2*time.Second}, {"s1", now + time.Hour}, {"s9", now},
 	}})
@@ -94,7 +96,7 @@
 
 // A position that has hardly risen is no news, and messages are bounded.
 func TestLittleIsSent(t *testing.T) {
-	p := New("a", 1, all)
+	p := New("a", 1, step, all)
 	p.Live([]string{"a", "b", "c", "d", "e"})
 	sent := 0
 	for k := range 100 { // ten seconds of answers every 10 ms
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,6 +133,7 @@
 	listed    map[policy.HostID]policy.Member
 	changed   func() // the list has
 	position  func(host policy.HostID, at time.Duration)
+	primary   func(host policy.HostID, at time.Duration)
 	acts      Acts // nil: nobody listens
 	suspended map[policy.HostID]bool
 	lost      time.Duration // as the module was told
@@ -294,6 +295,9 @@
 	g.told(a.Host, r.Report.HasPosition, r.Report.Position)
 	if o == policy.OK {
 		g.accepted(a)
+		if r.Role == policy.Primary && g.primary != nil {
+			g.primary(a.Host, a.sentAt)
+		}
 	}
 	if o == policy.OK && g.end(q) {
 		g.counts.Of(q.Class).Passed++
@@ -397,6 +401,9 @@
 	}
 }
 
+// OnPrimary has do called with each answer of a database as primary, and when it was asked.
+func (g *Gateway) OnPrimary(do func(host policy.HostID, at time.Duration)) { g.primary = do }
+
 // OnActs has a hear what is done to databases.
 func (g *Gateway) OnActs(a Acts) { g.acts = a }
 
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -169,6 +169,9 @@
 	if l.Plan.Lab.Positions {
 		b = append(b, "positions: true\n"...)
 	}
+	if l.Plan.Lab.Primaries {
+		b = append(b, "primaries: true\n"...)
+	}
 	if d := l.Plan.Lab.Fence; d > 0 {
 		b = fmt.Appendf(b, "fence: %d ms\n", d.Milliseconds())
 	}
--- a/internal/load/plan/plan.go
+++ b/internal/load/plan/plan.go
@@ -117,6 +117,7 @@
 	Lease     time.Duration `json:"lease_ns,omitempty"`
 	Subsets   bool          `json:"subsets,omitempty"`
 	Positions bool          `json:"positions,omitempty"` // gateways tell each other of them
+	Primaries bool          `json:"primaries,omitempty"` // likewise, of who answers as primary
 	Audit     bool          `json:"audit,omitempty"`     // gateways keep files of records
 	Fence     time.Duration `json:"fence,omitempty"`     // behind for so long a gateway shuts itself out; 0: never
 }
@@ -422,7 +423,7 @@
 }
 
 func (r *reader) lab(p *Plan, n *yaml.Node) {
-	f := r.Fields(n, "lab", "gateways", "members", "cores", "queue", "service", "delay", "lag", "cold", "fleet", "budget", "lease", "subsets", "positions", "audit", "fence")
+	f := r.Fields(n, "lab", "gateways", "members", "cores", "queue", "service", "delay", "lag", "cold", "fleet", "budget", "lease", "subsets", "positions", "primaries", "audit", "fence")
 	for key, to := range map[string]*int{"gateways": &p.Lab.Gateways, "members": &p.Lab.Members, "cores": &p.Lab.Cores, "queue": &p.Lab.Queue, "budget": &p.Lab.Budget} {
 		if f[key] != nil {
 			*to = r.Count(f[key], key, 1, 1000)
@@ -436,6 +437,7 @@
 	p.Lab.Fleet = r.Bool(f["fleet"], "fleet")
 	p.Lab.Subsets = r.Bool(f["subsets"], "subsets")
 	p.Lab.Positions = r.Bool(f["positions"], "positions")
+	p.Lab.Primaries = r.Bool(f["primaries"], "primaries")
 	p.Lab.Audit = r.Bool(f["audit"], "audit")
 	if n := f["fence"]; n != nil {
 		p.Lab.Fence = r.Time(n, "fence")
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -64,6 +64,7 @@
 	words     *words
 	seen      func()       // the view has changed
 	positions *Positions   // nil: they are not shared
+	primaries *Positions   // likewise
 	spans     *Spans       // nil: they are not kept
 	fence     *audit.Fence // nil: this process never shuts itself out
 	fenced    bool         // as was told
@@ -221,8 +222,10 @@
 	}
 	if v := l.m.View(); v.Version != l.version {
 		l.version = v.Version
-		if l.positions != nil {
-			l.positions.stand(v)
+		for _, p := range []*Positions{l.positions, l.primaries} {
+			if p != nil {
+				p.stand(v)
+			}
 		}
 		if l.seen != nil {
 			l.seen()
@@ -351,6 +354,8 @@
 		err = l.words.receive(body)
 	case channel == channelState && l.positions != nil:
 		err = l.positions.receive(body)
+	case channel == channelPrimaries && l.primaries != nil:
+		err = l.primaries.receive(body)
 	default:
 		err = errVersion
 	}
--- a/internal/peer/positions.go
+++ b/internal/peer/positions.go
@@ -9,21 +9,42 @@
 	"lilaccove/policy"
 )
 
-const channelState = 3
+const (
+	channelState     = 3
+	channelPrimaries = 6
+	positionStep     = 200 * time.Millisecond // less is no news
+	primaryStep      = time.Second
+)
 
-// Positions are those of databases, as the fleet knows them.
+// Positions are moments of databases that only rise, as the fleet knows them: how far each has come, or when each last
+// answered as primary.
 type Positions struct {
-	l     *Links
-	p     *state.Positions
-	heard func(policy.Event)
+	l       *Links
+	p       *state.Positions
+	channel byte
+	heard   func(host policy.HostID, at time.Duration)
 }
 
 // SharePositions begins to tell others of positions, and to hear of theirs.
 func (l *Links) SharePositions(listed func(policy.HostID) bool, heard func(policy.Event)) *Positions {
+	l.positions = l.share(channelState, positionStep, listed, func(h policy.HostID, at time.Duration) {
+		heard(policy.Heard{Host: h, Position: at})
+	})
+	return l.positions
+}
+
+// SharePrimaries begins to tell others of answers as primary, and to hear of theirs.
+func (l *Links) SharePrimaries(listed func(policy.HostID) bool, heard func(policy.Event)) *Positions {
+	l.primaries = l.share(channelPrimaries, primaryStep, listed, func(h policy.HostID, at time.Duration) {
+		heard(policy.Told{Host: h, At: at})
+	})
+	return l.primaries
+}
+
+func (l *Links) share(channel byte, step time.Duration, listed func(policy.HostID) bool, heard func(policy.HostID, time.Duration)) *Positions {
 	own, _ := l.m.Own()
-	s := &Positions{l: l, heard: heard}
-	s.p = state.New(own.Name, rand.Uint64(), func(h string) bool { return listed(policy.HostID(h)) })
-	l.positions = s
+	s := &Positions{l: l, channel: channel, heard: heard}
+	s.p = state.New(own.Name, rand.Uint64(), step, func(h string) bool { return listed(policy.HostID(h)) })
 	s.stand(l.m.View())
 	l.every(state.Tick, s.tick)
 	return s
@@ -41,7 +62,7 @@
 
 func (s *Positions) tick() {
 	for _, m := range s.p.Tick() {
-		s.l.post(m.To, channelState, m.Message)
+		s.l.post(m.To, s.channel, m.Message)
 	}
 }
 
@@ -51,7 +72,7 @@
 		return err
 	}
 	for _, x := range s.p.Receive(s.l.loop.Now(), msg) {
-		s.heard(policy.Heard{Host: policy.HostID(x.Host), Position: x.At})
+		s.heard(policy.HostID(x.Host), x.At)
 	}
 	return nil
 }
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -119,6 +119,12 @@
 		line("behind", uint64(min(since, 1)))
 		line("behind_asked", asked)
 	}
+	if l.primaries != nil {
+		n := l.primaries.p.Counts()
+		line("primaries.learned", n.Learned)
+		line("primaries.heard", n.Heard)
+		line("primaries.ahead", n.Ahead)
+	}
 	if l.positions != nil {
 		n := l.positions.p.Counts()
 		line("positions.learned", n.Learned)
--- a/internal/standin/script.go
+++ b/internal/standin/script.go
@@ -94,6 +94,24 @@
 	h.primary = true
 }
 
+// Hang has the database stand still for good, its connections open and new ones taken: nothing is answered.
+func (h *Host) Hang() {
+	h.w.mu.Lock()
+	defer h.w.mu.Unlock()
+	h.paused = make(chan struct{})
+}
+
+// Promote makes this replica the primary of its group; discovery does not know.
+func (h *Host) Promote() {
+	h.w.mu.Lock()
+	defer h.w.mu.Unlock()
+	for _, o := range h.w.hosts {
+		if o.Group == h.Group {
+			o.primary = o == h
+		}
+	}
+}
+
 // Tell has discovery say this of the database: its health, and when it started (zero: long ago).
 func (h *Host) Tell(health string, born time.Time) {
 	h.w.mu.Lock()
--- a/policy/herd_test.go
+++ b/policy/herd_test.go
@@ -468,3 +468,31 @@
 	g.at(ms, Fenced{}).ask("x", fragile)
 	g.wantSend("a")
 }
+
+// What another router had answered points this one at a primary, as far as it is newer than what it knows. It closes no
+// breaker, and sends nothing to whom the list or the operators forbid.
+func TestToldOfAPrimary(t *testing.T) {
+	g := newRig(t, base())
+	g.at(ms, Told{Host: "a", At: g.now}).ask("w", fragile)
+	g.wantSend("a")
+	g.at(ms, Result{Request: "w", Host: "a", Outcome: OK, Finished: true, Role: Primary})
+	g.at(ms, Told{Host: "p", At: g.now - 100*ms}).ask("x", fragile)
+	g.wantSend("a") // older than its own answer
+	g.at(ms, Told{Host: "b", At: g.now + time.Hour}, Told{Host: "nobody", At: g.now}).ask("y", fragile)
+	g.wantSend("b") // as of now at most
+	g.at(ms, Result{Request: "y", Host: "b", Outcome: Miss, Role: Replica})
+	g.at(ms, Told{Host: "b", At: g.now - 2*ms}).ask("z", fragile)
+	assert.NotEqual(t, []HostID{"b"}, g.sends(), "it has said itself that it is none, later")
+
+	g = newRig(t, base()).at(0, Suspended{Host: "a", Out: true})
+	g.at(ms, Told{Host: "a", At: g.now}).ask("w", fragile)
+	g.wantSend("p")
+
+	g = newRig(t, base()).failWrites(breakerThreshold, Reset)
+	g.at(300*ms, Told{Host: "a", At: g.now + 200*ms})
+	assert.Contains(t, g.got, Action(Probe{Host: "a"}), "it is asked at once")
+	g.ask("w", fragile)
+	g.wantFinal("w", 1, 0)
+	g.report(10*ms, "a", Primary, 0).ask("x", fragile)
+	g.wantSend("a")
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -371,6 +371,16 @@
 			h.bounded, h.most = true, e.Most
 			r.stir(h.group)
 		}
+	case Told:
+		h := r.hosts[e.Host]
+		switch {
+		case h == nil || !r.mayTake(h, true) || e.At < h.roleAt:
+		case !h.group.open:
+			r.learnRole(h, Primary, min(e.At, r.now))
+		case h.group.primary == nil || e.At > h.group.primary.roleAt:
+			h.group.primary = h // only its own answer closes the breaker
+			r.probe(h)
+		}
 	case Fenced:
 		r.fenced = e.Out
 	case Away:
--- a/policy/types.go
+++ b/policy/types.go
@@ -239,6 +239,12 @@
 	Preferred struct{ Hosts []HostID }
 	// Away tells for how long, all in all, the process has stood still or come late to what was ready for it.
 	Away struct{ Lost time.Duration }
+	// Told tells that another router had an answer of a host as primary, which it had asked at a moment. It points this
+	// router there; whether the host is the primary shows when it is asked.
+	Told struct {
+		Host HostID
+		At   time.Duration
+	}
 	// Fenced tells that this process acts on knowledge that it cannot vouch for: it takes no writes until told otherwise.
 	Fenced struct{ Out bool }
 	// Heard tells that another router knows a host to have applied all commits up to a position. It is a floor, as
@@ -260,6 +266,7 @@
 func (Preferred) event() {}
 func (Away) event()      {}
 func (Fenced) event()    {}
+func (Told) event()      {}
 func (Heard) event()     {}
 
 // Action is something the router wants done: one of the types below.
