--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -259,6 +259,9 @@
 		standin.Sleep(e.For, stop)
 		l.world.Lag(1, 0)
 		return nil
+	case "fail-over":
+		l.world.FailOver(e.Part)
+		return nil
 	case "pause":
 		resume := l.world.Pause(e.Part)
 		standin.Sleep(e.For, stop)
--- a/internal/load/plan/plan.go
+++ b/internal/load/plan/plan.go
@@ -77,7 +77,7 @@
 }
 
 // Events are what may be asked of the stand-ins.
-var Events = []string{"roll", "lag", "pause", "reset-before", "reset-after", "silence", "spoil", "errors",
+var Events = []string{"roll", "lag", "pause", "reset-before", "reset-after", "silence", "spoil", "errors", "fail-over",
 	"kill-gateway", "stop-gateway", "roll-gateways", "links", "partition"}
 
 // Plan is a whole run.
--- a/internal/standin/database.go
+++ b/internal/standin/database.go
@@ -121,6 +121,9 @@
 // answer runs a statement; false: the connection is over.
 func (h *Host) answer(c net.Conn, text string) bool {
 	w, arrived := h.w, time.Now()
+	if h.hangs() {
+		return false
+	}
 	if !strings.HasPrefix(text, "/*") {
 		if pgwire.Blank([]byte(text)) {
 			return write(c, pgwire.AppendReady(pgwire.AppendEmpty(nil)))
--- a/internal/standin/script.go
+++ b/internal/standin/script.go
@@ -16,6 +16,17 @@
 	h.script = f
 }
 
+// hangs waits for the end of the world, if the database is to stand still.
+func (h *Host) hangs() bool {
+	h.w.mu.Lock()
+	hung := h.hung
+	h.w.mu.Unlock()
+	if hung {
+		<-h.w.done
+	}
+	return hung
+}
+
 // scripted answers a statement by the script; false: there is none.
 func (h *Host) scripted(c net.Conn, text string) bool {
 	h.w.mu.Lock()
@@ -98,7 +109,7 @@
 func (h *Host) Hang() {
 	h.w.mu.Lock()
 	defer h.w.mu.Unlock()
-	h.paused = make(chan struct{})
+	h.hung = true
 }
 
 // Promote makes this replica the primary of its group; discovery does not know.
@@ -112,6 +123,28 @@
 	}
 }
 
+// FailOver has the primaries of a share of the groups hang, and a replica of each take its place; discovery does not know.
+func (w *World) FailOver(part float64) {
+	next := map[int]*Host{}
+	var old []*Host
+	for _, h := range w.Members() {
+		w.mu.Lock()
+		primary := h.primary
+		w.mu.Unlock()
+		if primary && len(old) < int(part*float64(w.opt.Groups)+0.5) {
+			old = append(old, h)
+		} else if !primary && next[h.Group] == nil {
+			next[h.Group] = h
+		}
+	}
+	for _, h := range old {
+		if n := next[h.Group]; n != nil {
+			h.Hang()
+			n.Promote()
+		}
+	}
+}
+
 // Tell has discovery say this of the database: its health, and when it started (zero: long ago).
 func (h *Host) Tell(health string, born time.Time) {
 	h.w.mu.Lock()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -91,7 +91,7 @@
 
 	script         func(c net.Conn, text string)
 	statements     []string // that came while a script was set
-	shut           bool     // it turns all connections away
+	shut, hung     bool     // it turns all connections away; it answers nothing
 	dials, hangups int
 }
 
