--- a/policy/policy.go
+++ b/policy/policy.go
@@ -567,7 +567,7 @@
 	fresh, few := false, r.set.Routers <= fewRouters
 	for _, h := range q.g.hosts {
 		switch {
-		case few && (!q.g.dark || r.now-h.sentAt < seldom):
+		case few && (!q.g.dark || r.now-h.sentAt < 5*seldom):
 		case h == q.g.primary || !r.mayTake(h, false) || h.fails > 0 && r.now-h.judgedAt < 2*seldom:
 		case h.pos > r.now-r.bound/2:
 			fresh = true
