--- a/policy/policy.go
+++ b/policy/policy.go
@@ -278,10 +278,10 @@
 	r.stir(h.group)
 }
 
-// anew begins to learn of a process of h: only its log position stands.
+// anew begins to learn of a process of h: its log position stands; in a large fleet it begins as average.
 func (r *Router) anew(h *host, startedAt time.Duration) {
-	h.startedAt, h.slow, h.strain, h.fails, h.budget, h.budgetAt = startedAt, 0, 0, 0, 0, r.now
-	h.limit = 1 + 8/float64(max(r.set.Routers, 1))
+	h.startedAt, h.strain, h.fails, h.budget, h.budgetAt = startedAt, 0, 0, 0, r.now
+	h.limit, h.slow = 1+8/float64(max(r.set.Routers, 1)), float64(min(1, r.set.Routers/(fewRouters+1)))
 }
 
 // onSuspended keeps the operators' word, which the list does not change. Who is back is cold, in any role.
