Guard the correction of latencies with a test that fails without it

TestOwnDelayIsNotTheHosts: a process that stands still for 80 ms counts none of that as its host's delay; without Loop.Age in Gateway.took it counts all of it.

--- a/internal/gateway/balance_test.go
+++ b/internal/gateway/balance_test.go
@@ -156,3 +156,40 @@
 	assert.Equal(t, policy.Result{Host: "a", Report: policy.Report{Position: 7, HasPosition: true, Role: policy.Replica}}, r.heard[len(r.heard)-1])
 	assert.Zero(t, g.Owed())
 }
+
+// For how long an answer may have waited for this process to read it is not its host's delay, and the module hears how long
+// the process was away before it hears of anything else of that round's making.
+func TestOwnDelayIsNotTheHosts(t *testing.T) {
+	const away = 80 * time.Millisecond
+	loop, g, r, w := newWorld(t)
+	q := g.take(w, time.Second)
+	r.next = []policy.Action{policy.Send{Request: q.id, Host: "a"}}
+	g.events = append(g.events, policy.Elapsed{})
+	round := 0
+	require.NoError(t, loop.Run(func() bool {
+		switch round++; round {
+		case 1:
+			g.Step()
+			for begun := loop.Clock(); loop.Clock() < begun+away; {
+				time.Sleep(time.Millisecond) // it stands still
+			}
+		case 2:
+			g.Resolved(w.sent[0], policy.OK, Reply{})
+			g.Step()
+			loop.Stop()
+		}
+		return true
+	}))
+	var lost, latency time.Duration = 0, -1
+	for _, e := range r.heard {
+		switch e := e.(type) {
+		case policy.Away:
+			lost = e.Lost
+		case policy.Result:
+			latency = e.Latency
+		}
+	}
+	assert.Greater(t, lost, away/2)
+	assert.GreaterOrEqual(t, latency, time.Duration(0))
+	assert.Less(t, latency, away/2)
+}
