Forget drains of databases that left the list; sort findings wholly

A drain was kept for ever once its database had left the list, as only listed ones were looked at: in an installation that replaces databases each record would have told of all that ever drained, up to 1,024. It is forgotten a minute after it began (Recorder.Left). What holds for a database carries its group, so the second table of groups, which never shrank either, is gone.

Findings come out of maps and were kept in order by three lists beside them, which did not cover groups and equal moments; one whole order in Judge does. TestRecorderIsBounded fails without the forgetting.

--- a/internal/fleet/audit/findings.go
+++ b/internal/fleet/audit/findings.go
@@ -65,7 +65,10 @@
 	out = append(out, afterMark(records, b)...)
 	out = append(out, processes(records, b)...)
 	out = append(out, behind(records, b)...)
-	slices.SortStableFunc(out, func(x, y Finding) int { return cmp.Or(cmp.Compare(x.From, y.From), strings.Compare(x.Kind, y.Kind)) })
+	slices.SortFunc(out, func(x, y Finding) int { // wholly: some come out of maps
+		return cmp.Or(cmp.Compare(x.From, y.From), strings.Compare(x.Kind, y.Kind), cmp.Compare(x.Group, y.Group),
+			strings.Compare(x.Database, y.Database), slices.Compare(x.Gateways, y.Gateways), strings.Compare(x.Text, y.Text))
+	})
 	return out
 }
 
@@ -130,7 +133,6 @@
 		group      int
 	}
 	found := map[pair]*Finding{}
-	var order []pair
 	for group, list := range groups {
 		slices.SortFunc(list, func(x, y use) int { return cmp.Or(cmp.Compare(x.from, y.from), strings.Compare(x.gateway, y.gateway)) })
 		for i, x := range list {
@@ -150,7 +152,6 @@
 				if f == nil {
 					f = &Finding{Kind: k.kind, Group: group, Database: k.a + " " + k.b, From: max(x.from, y.from)}
 					found[k] = f
-					order = append(order, k)
 				}
 				f.From, f.To = min(f.From, max(x.from, y.from)), max(f.To, min(x.to, y.to), max(x.from, y.from))
 				f.Gateways = append(f.Gateways, x.gateway, y.gateway)
@@ -162,8 +163,7 @@
 			out = append(out, *f)
 		}
 	}
-	for _, k := range order {
-		f := found[k]
+	for k, f := range found {
 		slices.Sort(f.Gateways)
 		f.Gateways = slices.Compact(f.Gateways)
 		f.Text = fmt.Sprintf("%s and %s both took writes for %v", k.a, k.b, f.To.Moment()-f.From.Moment())
@@ -229,7 +229,6 @@
 		}
 		type key struct{ gateway, database string }
 		found := map[key]*Finding{}
-		var order []key
 		for _, r := range records {
 			for _, a := range r.Acts {
 				for _, m := range marks[a.Database] {
@@ -241,7 +240,6 @@
 					if f == nil {
 						f = &Finding{Kind: c.kind, Gateways: []string{r.Gateway}, Database: a.Database, Group: a.Group, From: m.from}
 						found[k] = f
-						order = append(order, k)
 					}
 					if f.From = min(f.From, m.from); a.Last > f.To {
 						f.To = a.Last
@@ -251,8 +249,8 @@
 				}
 			}
 		}
-		for _, k := range order {
-			out = append(out, *found[k])
+		for _, f := range found {
+			out = append(out, *f)
 		}
 	}
 	return out
@@ -299,7 +297,6 @@
 	}
 	slices.Sort(lists)
 	found := map[string]*Finding{}
-	var order []string
 	for _, r := range records {
 		i, _ := slices.BinarySearch(lists, r.List+1)
 		next := Stamp(0)
@@ -313,14 +310,13 @@
 			if f == nil {
 				f = &Finding{Kind: Behind, Gateways: []string{r.Gateway}, Group: -1, From: next}
 				found[r.Gateway] = f
-				order = append(order, r.Gateway)
 			}
 			f.To = max(f.To, sent)
 			f.Text = fmt.Sprintf("acted on list %d for up to %v after others had a newer one", r.List, sent.Moment()-next.Moment())
 		}
 	}
-	for _, g := range order {
-		out = append(out, *found[g])
+	for _, f := range found {
+		out = append(out, *f)
 	}
 	return out
 }
--- a/internal/fleet/audit/recorder.go
+++ b/internal/fleet/audit/recorder.go
@@ -11,6 +11,7 @@
 	spanLeast = 200 * time.Millisecond // and not sooner for the sake of who reads
 	hostsMost = 1024                   // databases with acts in one span
 	keptMost  = 256                    // records in memory
+	leftAfter = time.Minute            // see Left
 )
 
 // Recorder keeps the spans of this process. It has no input or output: closed records are taken with Take.
@@ -23,9 +24,8 @@
 	from    Stamp
 	acts    map[string]*Acts
 	order   []*Acts
-	drained map[string]Stamp
-	out     map[string]Stamp
-	groups  map[string]int
+	drained map[string]hold
+	out     map[string]hold
 	dropped uint64
 	seq     uint64
 	prev    string
@@ -34,11 +34,16 @@
 	kept    [][]byte
 }
 
+// hold is something that holds for a database.
+type hold struct {
+	since Stamp
+	group int
+}
+
 // NewRecorder is one of a process.
 func NewRecorder(name string, session uint64) *Recorder {
 	return &Recorder{
-		name: name, session: strconv.FormatUint(session, 16), acts: map[string]*Acts{}, drained: map[string]Stamp{}, out: map[string]Stamp{},
-		groups: map[string]int{},
+		name: name, session: strconv.FormatUint(session, 16), acts: map[string]*Acts{}, drained: map[string]hold{}, out: map[string]hold{},
 	}
 }
 
@@ -109,15 +114,24 @@
 }
 
 // mark begins or ends something that holds for a database. It ends the span: a record tells what held all along.
-func (r *Recorder) mark(marks map[string]Stamp, now time.Duration, database string, group int, on bool) {
-	if _, was := marks[database]; was == on {
+func (r *Recorder) mark(holds map[string]hold, now time.Duration, database string, group int, on bool) {
+	if _, was := holds[database]; was == on {
 		return
 	}
-	r.close(now)
-	if r.groups[database] = group; !on {
-		delete(marks, database)
-	} else if len(marks) < hostsMost {
-		marks[database] = r.clock.Now(now)
+	if r.close(now); !on {
+		delete(holds, database)
+	} else if len(holds) < hostsMost {
+		holds[database] = hold{r.clock.Now(now), group}
+	}
+}
+
+// Left forgets drains of databases that the list does not have any more, a while after they began: what is sent there still
+// is found by then.
+func (r *Recorder) Left(now time.Duration, listed func(database string) bool) {
+	for database, h := range r.drained {
+		if !listed(database) && r.clock.Read(now) > h.since+StampOf(leftAfter) {
+			r.mark(r.drained, now, database, h.group, false)
+		}
 	}
 }
 
@@ -140,9 +154,9 @@
 	if !r.begun {
 		return
 	}
-	for _, marks := range []map[string]Stamp{r.drained, r.out} {
-		for h := range marks {
-			r.at(h, r.groups[h])
+	for _, holds := range []map[string]hold{r.drained, r.out} {
+		for database, h := range holds {
+			r.at(database, h.group)
 		}
 	}
 	r.seq++
@@ -152,7 +166,7 @@
 		Dropped: r.dropped, Lost: r.lost,
 	}
 	for _, a := range r.order {
-		a.Drained, a.Out = r.drained[a.Database], r.out[a.Database]
+		a.Drained, a.Out = r.drained[a.Database].since, r.out[a.Database].since
 		rec.Acts = append(rec.Acts, *a)
 	}
 	var line []byte
--- a/internal/fleet/audit/records_test.go
+++ b/internal/fleet/audit/records_test.go
@@ -254,4 +254,19 @@
 	p.until(0, 10*time.Minute*3)
 	assert.LessOrEqual(t, len(p.Kept()), keptMost)
 	assert.Contains(t, kinds(Judge(opened(t, p), DefaultBounds())), Incomplete)
+
+	// What drained and left the list is not told of for ever.
+	p = newProcess("n0", 7)
+	p.Drained(day, "stays", 1, true)
+	p.Drained(day, "leaves", 1, true)
+	listed := func(database string) bool { return database == "stays" }
+	p.Left(day+time.Second, listed)
+	assert.Len(t, p.drained, 2, "not while work might still go there")
+	p.Left(day+2*leftAfter, listed)
+	assert.Len(t, p.drained, 1)
+	p.until(0, 2*leftAfter+10*time.Second)
+	last, err := Open(p.Kept()[len(p.Kept())-1])
+	require.NoError(t, err)
+	require.Len(t, last.Acts, 1)
+	assert.Equal(t, "stays", last.Acts[0].Database)
 }
--- a/internal/peer/spans.go
+++ b/internal/peer/spans.go
@@ -61,9 +61,14 @@
 	for _, m := range members {
 		s.groups[string(m.Host)] = int(m.Group)
 	}
+	now := s.l.loop.Now()
 	for _, m := range members {
-		s.r.Drained(s.l.loop.Now(), string(m.Host), int(m.Group), m.Status == policy.Draining)
+		s.r.Drained(now, string(m.Host), int(m.Group), m.Status == policy.Draining)
 	}
+	s.r.Left(now, func(database string) bool {
+		_, listed := s.groups[database]
+		return listed
+	})
 }
 
 // Word takes in operators' word on a database.
