Open a watch that fell silent anew within five seconds, however large the fleet

A quarter of the watches fall silent at the start; the gateways noticed after 3.5 s and then asked again within a span that grows with the fleet (10 s at 100 routers, 20 s at 300), while what a silent watch does not tell counts as told after 6 s. In the logs 11 of 100 gateways had the change 2.4 s to 6.5 s late.

Change: discovery.Client tells ListSilent rather than ListFailed until it has heard again, and takes a watch for silent after 3 s rather than 3.5; the module then asks within 2 s (silentMost). Other failures keep their pace.

TestFleetDiscoverySilent (five processes that are told of 100, all watches silent at once) fails on the old code with 12 late statements; TestSilenceIsAnsweredSoon fails with the old span.

--- a/cmd/lilaccove/cold_test.go
+++ b/cmd/lilaccove/cold_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"lilaccove/internal/standin"
 )
 
 // coldPlan has databases that need ten seconds for their full speed, and load that they would not bear all at once. The
@@ -122,3 +124,22 @@
 	assert.Zero(t, p.World().Counts().Drained)
 	p.judge(0.2)
 }
+
+// All watches on discovery fall silent at once, their connections open, in what the gateways take for a large fleet. What
+// discovery would have told binds six seconds later: by then each has to have a watch that tells.
+func TestFleetDiscoverySilent(t *testing.T) {
+	p := newPartyOf(t, 5, strings.NewReplacer("gateways: 7", "gateways: 5, told: 100", "600/s", "200/s").Replace(coldPlan))
+	calls := func() standin.Calls { return p.World().Discovery().Calls() }
+	p.eventually("each has a watch", func() bool { return calls().Watches == 5 })
+	begun := time.Now()
+	p.World().Mute()
+	time.Sleep(time.Until(begun.Add(6 * time.Second))) // the fault
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() { _ = p.World().Replace(p.World().Members()[0], 20*time.Second, stop) }()
+	before := p.World().Counts().Reads
+	p.eventually("reads go on", func() bool { return p.World().Counts().Reads > before+600 })
+	assert.Equal(t, 5, calls().Watches)
+	assert.Zero(t, p.World().Counts().Drained)
+	p.judge(0.3)
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -19,7 +19,7 @@
 
 const (
 	callTime  = 2500 * time.Millisecond // discovery gives up on a call well before
-	quietTime = 3500 * time.Millisecond // a watch says something every 2 s
+	quietTime = 3 * time.Second         // a watch says something every 2 s
 	inputMost = 64 << 10
 	mostLine  = 4 << 20
 )
@@ -50,6 +50,7 @@
 	heardAt time.Duration
 	told    bool // this watch has brought an object
 	heard   bool // some watch has
+	silent  bool // one that had fell silent since: what it did not tell may bind already
 }
 
 // New makes a client that asks at addr. Zones are the names in the order of the settings.
@@ -171,8 +172,13 @@
 // a while of its own choice.
 func (c *Client) fail(err error) {
 	log.Printf("event=discovery_failed err=%q told=%t seq=%d", err, c.told, c.seq)
+	c.silent = c.silent || errors.Is(err, errQuiet)
 	c.drop()
-	c.core.Listed(policy.ListFailed, nil)
+	kind := policy.ListFailed
+	if c.silent {
+		kind = policy.ListSilent
+	}
+	c.core.Listed(kind, nil)
 }
 
 // drop ends the watch, if there is one.
@@ -250,7 +256,7 @@
 	if l.Whole {
 		kind = policy.ListFull
 	}
-	c.seq, c.told, c.heard = l.Seq, true, true
+	c.seq, c.told, c.heard, c.silent = l.Seq, true, true, false
 	c.core.Listed(kind, c.entries(l.Hosts))
 	return nil
 }
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -3,6 +3,7 @@
 package lab
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -314,7 +315,7 @@
 				"Probes": true, "RetryAfter": true, "TryLimit": 6},
 			"Discovery": "ask", "Domain": map[string]any{"Behind": "none", "ClassBoundUs": bounds, "ReadLevel": levels, "ShowsRole": "delayed",
 				"SessionMarks": "client"},
-			"Instances": p.Lab.Gateways, "Lanes": lanes, "Localities": []string{"a"}, "ResolutionUs": 5000, "Zone": 0,
+			"Instances": cmp.Or(p.Lab.Told, p.Lab.Gateways), "Lanes": lanes, "Localities": []string{"a"}, "ResolutionUs": 5000, "Zone": 0,
 			"Rules": map[string]any{"AnswerSlackUs": 20000, "ColdUs": max(1, p.Lab.Cold.Microseconds()), "DrainGraceUs": 2000000, "FallMultiple": 2,
 				"FallUs": 1000000, "MustAskInUs": 10000000, "StartCapacity": standin.StartCapacity},
 		},
--- a/internal/load/plan/plan.go
+++ b/internal/load/plan/plan.go
@@ -105,6 +105,7 @@
 // Lab is the world of stand-ins.
 type Lab struct {
 	Gateways  int           `json:"gateways"`
+	Told      int           `json:"told,omitempty"` // how many gateways there are, as those are told; 0: the truth
 	Members   int           `json:"members"`
 	Cores     int           `json:"cores"`
 	Queue     int           `json:"queue"`
@@ -423,8 +424,8 @@
 }
 
 func (r *reader) lab(p *Plan, n *yaml.Node) {
-	f := r.Fields(n, "lab", "gateways", "members", "cores", "queue", "service", "delay", "lag", "cold", "fleet", "budget", "lease", "subsets", "positions", "primaries", "audit", "fence")
-	for key, to := range map[string]*int{"gateways": &p.Lab.Gateways, "members": &p.Lab.Members, "cores": &p.Lab.Cores, "queue": &p.Lab.Queue, "budget": &p.Lab.Budget} {
+	f := r.Fields(n, "lab", "gateways", "told", "members", "cores", "queue", "service", "delay", "lag", "cold", "fleet", "budget", "lease", "subsets", "positions", "primaries", "audit", "fence")
+	for key, to := range map[string]*int{"gateways": &p.Lab.Gateways, "told": &p.Lab.Told, "members": &p.Lab.Members, "cores": &p.Lab.Cores, "queue": &p.Lab.Queue, "budget": &p.Lab.Budget} {
 		if f[key] != nil {
 			*to = r.Count(f[key], key, 1, 1000)
 		}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -92,6 +92,22 @@
 	w.pass(b)
 }
 
+// Mute has the watches that are on now say nothing any more, though their connections stay open.
+func (w *World) Mute() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for ch := range w.watch {
+		w.muted[ch] = true
+	}
+	clear(w.watch)
+}
+
+func (w *World) mutes(ch chan []byte) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.muted[ch]
+}
+
 // pass sends a line to all that watch. One that does not read is let go: it asks again.
 func (w *World) pass(b []byte) {
 	for ch, d := range w.watch {
@@ -161,6 +177,7 @@
 	defer func() {
 		d.w.mu.Lock()
 		delete(d.w.watch, ch)
+		delete(d.w.muted, ch)
 		d.calls.Watches--
 		d.w.mu.Unlock()
 	}()
@@ -177,6 +194,9 @@
 			_, _ = out.Write(b) // shared with all who watch
 			_, _ = out.Write([]byte{'\n'})
 		case <-tick.C:
+			if d.w.mutes(ch) {
+				continue
+			}
 			_, _ = out.Write([]byte{'\n'})
 		case <-q.Context().Done():
 			return
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -70,6 +70,7 @@
 	seq    int
 	named  int
 	watch  map[chan []byte]*Discovery
+	muted  map[chan []byte]bool
 	ran    map[string]int
 	counts Counts
 	faults Faults
@@ -109,7 +110,7 @@
 
 // New starts a world.
 func New(opt Options) (*World, error) {
-	w := &World{opt: opt, rnd: rand.New(rand.NewPCG(opt.Seed, 0x73746e64)), watch: map[chan []byte]*Discovery{}, ran: map[string]int{}, seq: 1, done: make(chan struct{})}
+	w := &World{opt: opt, rnd: rand.New(rand.NewPCG(opt.Seed, 0x73746e64)), watch: map[chan []byte]*Discovery{}, muted: map[chan []byte]bool{}, ran: map[string]int{}, seq: 1, done: make(chan struct{})}
 	for g := range opt.Groups {
 		for m := range opt.Members {
 			if _, err := w.add(opt.Group+g, m == 0, time.Time{}); err != nil {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,6 +15,7 @@
 	probeShare       = 0.05                   // probes of members in turn, as a share of requests
 	probeSoon        = 200 * time.Millisecond // between probes of a member that is in doubt
 	askPace          = 100 * time.Millisecond // between two calls to discovery, of all routers together
+	silentMost       = 2 * time.Second        // until a watch that fell silent is opened anew, see ListSilent
 	probePace        = 25 * time.Millisecond  // between probes of a mute primary, of all routers together
 	fewRouters       = 8                      // so few hear of each host often, and may start at once
 	markAge          = time.Minute
@@ -58,8 +59,8 @@
 	gap       time.Duration // mean time between its outcomes
 
 	probedAt, judgedAt, sentAt time.Duration
-	probing, bounded, first    bool
-	most                       int // attempts that may be out to it at once, where bounded
+	probing, bounded, first    bool // first: used first among equals
+	most                       int  // attempts that may be out to it at once, where bounded
 }
 
 // group is one primary with its replicas, and the breaker on that primary.
@@ -101,35 +102,35 @@
 
 // Router decides for one router process. It is not safe for concurrent use.
 type Router struct {
-	set            Settings
-	rnd            *rand.Rand
-	now            time.Duration
-	actions        []Action
-	hosts          map[HostID]*host
-	order          []*host // by first sight
-	groups         map[GroupID]*group
-	requests       map[RequestID]*request
-	marks          map[SessionID]time.Duration // newest commit acknowledged to a session here
-	base           time.Duration               // marks up to here were forgotten
-	wakes          alarm.Queue
-	stirred        []*group
-	seq            uint64
-	timerAt        time.Duration    // earliest timer asked for; long if none
-	bound          time.Duration    // the tightest of a Recent class
-	probes, lost   float64          // probes in hand; share of them lost, of hosts without a failed request
-	turn           int              // of the probes in turn
-	latency        []float64        // by class, of answers, in seconds
-	admit          map[bool]float64 // share of requests sent at all; true: to primaries
-	used           map[*group]bool  // those that requests asked for
-	out            map[HostID]bool  // left out by the operators
-	served         float64          // work answered since then: by a warm host, in the mean of those
-	asked          float64          // work asked for since then, in the mean for a member of a group
-	ease           float64          // 0 to 1: how far cold hosts, all together, answer in good time
-	easeAt, since  time.Duration
-	subset, fenced bool          // some hosts are preferred; no writes are taken
-	refused        int           // calls to discovery that failed in a row
-	away, missed   time.Duration // in which this process was not there to see what came: all in all, and now
-	mute           bool          // the last probe that came back told no role, only that a process runs
+	set           Settings
+	rnd           *rand.Rand
+	now           time.Duration
+	actions       []Action
+	hosts         map[HostID]*host
+	order         []*host // by first sight
+	groups        map[GroupID]*group
+	requests      map[RequestID]*request
+	marks         map[SessionID]time.Duration // newest commit acknowledged to a session here
+	base          time.Duration               // marks up to here were forgotten
+	wakes         alarm.Queue
+	stirred       []*group
+	seq           uint64
+	timerAt       time.Duration    // earliest timer asked for; long if none
+	bound         time.Duration    // the tightest of a Recent class
+	probes, lost  float64          // probes in hand; share of them lost, of hosts without a failed request
+	turn          int              // of the probes in turn
+	latency       []float64        // by class, of answers, in seconds
+	admit         map[bool]float64 // share of requests sent at all; true: to primaries
+	used          map[*group]bool  // those that requests asked for
+	out           map[HostID]bool  // left out by the operators
+	served        float64          // work answered since then: by a warm host, in the mean of those
+	asked         float64          // work asked for since then, in the mean for a member of a group
+	ease          float64          // 0 to 1: how far cold hosts, all together, answer in good time
+	easeAt, since time.Duration
+	fenced        bool          // no writes are taken
+	refused       int           // calls to discovery that failed in a row
+	away, missed  time.Duration // in which this process was not there to see what came: all in all, and now
+	mute          bool          // the last probe that came back told no role, only that a process runs
 }
 
 // New makes the router of one process. The seed drives its random choices.
@@ -147,7 +148,7 @@
 		r.since = r.now
 		r.forget()
 		if set.AskForList {
-			r.askForList(askPace / 2)
+			r.askForList(askPace/2, long)
 		}
 	})
 	for _, c := range set.Classes {
@@ -192,9 +193,7 @@
 		list := g.waiting
 		g.stirred, g.waiting = false, nil
 		for _, q := range list {
-			if q.waiting {
-				r.onWake(q)
-			}
+			r.onWake(q)
 		}
 	}
 	if at := r.wakes.Next(); at < r.timerAt {
@@ -218,9 +217,10 @@
 
 func (r *Router) onMembers(m Members) {
 	switch m.Kind {
-	case ListFailed:
+	case ListFailed, ListSilent:
+		most := map[ListKind]time.Duration{ListFailed: 2 * r.set.MustAskIn, ListSilent: silentMost}[m.Kind]
 		if r.refused++; r.set.AskForList {
-			r.askForList(askPace << min(r.refused-1, 1))
+			r.askForList(askPace<<min(r.refused-1, 1), most)
 		}
 		return
 	case ListDelta, ListFull:
@@ -240,8 +240,8 @@
 
 // askForList asks at a random moment of a time that grows with the number of routers: after a common loss a
 // little more slowly than discovery can answer, or its queue stays as long as callers wait.
-func (r *Router) askForList(pace time.Duration) {
-	span := min(max(pace*time.Duration(r.set.Routers), r.set.MustAskIn/10), 2*r.set.MustAskIn)
+func (r *Router) askForList(pace, most time.Duration) {
+	span := min(max(pace*time.Duration(r.set.Routers), r.set.MustAskIn/10), most)
 	if r.refused == 0 {
 		span = pace * time.Duration(max(0, r.set.Routers-fewRouters))
 	}
@@ -257,7 +257,7 @@
 			r.groups[e.Group] = g
 		}
 		h = &host{id: e.Host, group: g, roleAt: -1, judgedAt: r.now, gap: 2 * seldom, status: e.Status,
-			toldAt: -r.set.DrainGrace, sentAt: -time.Duration(r.rnd.Int64N(1 << 20))} // drains for who knows how long
+			first: e.Zone == r.set.Zone, toldAt: -r.set.DrainGrace, sentAt: -time.Duration(r.rnd.Int64N(1 << 20))} // drains since whenever
 		r.anew(h, e.StartedAt)
 		r.hosts[e.Host] = h
 		r.order = append(r.order, h)
@@ -386,9 +386,8 @@
 	case Away:
 		r.away, r.missed = e.Lost, e.Lost-r.away
 	case Preferred:
-		r.subset = len(e.Hosts) > 0
 		for _, h := range r.order {
-			h.first = slices.Contains(e.Hosts, h.id)
+			h.first = slices.Contains(e.Hosts, h.id) || len(e.Hosts) == 0 && h.zone == r.set.Zone
 		}
 	case Heard:
 		if h := r.hosts[e.Host]; h != nil && e.Position > h.pos {
@@ -707,12 +706,11 @@
 			return h
 		}
 	}
-	near := func(h *host) bool { return h.first || !r.subset && h.zone == r.set.Zone }
 	var best *host
 	for _, h := range fit {
 		switch {
 		case r.heavy(q) && best != nil && h.id > best.id, !r.heavy(q) && r.cost(h) > least*equalCost:
-		case best == nil, r.heavy(q), near(h) && !near(best), near(h) == near(best) && h.sentAt < best.sentAt:
+		case best == nil, r.heavy(q), h.first && !best.first, h.first == best.first && h.sentAt < best.sentAt:
 			best = h
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -6,6 +6,9 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 const ms = time.Millisecond
@@ -426,6 +429,32 @@
 	g.wantSend("a")
 }
 
+// A large fleet asks again slowly after a failure, but not where a watch fell silent: what that does not tell may bind
+// already, however many routers there are.
+func TestSilenceIsAnsweredSoon(t *testing.T) {
+	set := base()
+	set.AskForList, set.Routers = true, 1000
+	asks := func(seed int64, kind ListKind) (n int) {
+		r, err := New(set, seed)
+		require.NoError(t, err)
+		r.Step(0, nil)
+		r.Step(100*time.Second, nil) // the first call of all
+		r.Step(100*time.Second, []Event{Members{Kind: kind}})
+		for _, a := range r.Step(100*time.Second+silentMost, nil) {
+			if _, ok := a.(Subscribe); ok {
+				n++
+			}
+		}
+		return n
+	}
+	soon := 0
+	for seed := range int64(40) {
+		soon += asks(seed, ListFailed)
+		require.Equal(t, 1, asks(seed, ListSilent), "seed %d", seed)
+	}
+	assert.Less(t, soon, 20)
+}
+
 func TestSubscribesAgainAfterFailure(t *testing.T) {
 	set := base()
 	set.AskForList = true
--- a/policy/types.go
+++ b/policy/types.go
@@ -102,6 +102,7 @@
 	ListFull                   // the complete list
 	ListCached                 // the complete list as last seen, perhaps stale
 	ListFailed                 // a call failed or the subscription dropped
+	ListSilent                 // the subscription says nothing any more: what it does not tell may bind already
 )
 
 // Class is one kind of request.
