--- a/policy/policy.go
+++ b/policy/policy.go
@@ -257,7 +257,8 @@
 			r.groups[e.Group] = g
 		}
 		h = &host{id: e.Host, group: g, roleAt: -1, judgedAt: r.now, gap: 2 * seldom, status: e.Status,
-			first: e.Zone == r.set.Zone, toldAt: -r.set.DrainGrace, sentAt: -time.Duration(r.rnd.Int64N(1 << 20))} // drains since whenever
+			first: e.Zone == r.set.Zone, sentAt: -time.Duration(r.rnd.Int64N(1 << 20)),
+			toldAt: -r.set.DrainGrace} // one that drains may have done so for long
 		r.anew(h, e.StartedAt)
 		r.hosts[e.Host] = h
 		r.order = append(r.order, h)
