Keep operators' words to the fleet on disks; each yes tells who has the word

Need: if all gateways ended at once the fleet's suspensions were gone, and an operator could not tell whether a word said to a gateway that was cut off would outlive it.

internal/wordstore (off without words: in the fleet file) replaces one file whole, with a sum, from a goroutine of its own, and merges by the rule of all copies before each write. Words.Say counts who holds a word and tells the others again until they have answered; PUT /v1/fleet/databases/ID/suspend answers "ok: held by 3 of 3 others, on disk". A copy that was away for longer than words are kept is put aside, and nothing younger is forgotten. A single pushed word no longer counts as a whole comparison with another gateway (Words.Receive): one that started could take clients before it knew the rest.

Shown with four processes each: all killed right behind the yes, the only holder killed while cut off, an old copy, a damaged and a foreign one, one too old, a fifth of the datagrams lost.

--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -128,6 +128,7 @@
 		if links, err = peer.New(loop, cfg.Name, zone(set), party, loop.Now()); err != nil {
 			return err
 		}
+		defer links.Close()
 		budgets = links.Budgets()
 	}
 	options := backend.Options{
--- a/cmd/lilaccove/operations.go
+++ b/cmd/lilaccove/operations.go
@@ -261,15 +261,21 @@
 }
 
 // FleetSuspend has the whole fleet leave a database out, or use it again.
-func (o *operations) FleetSuspend(id string, out bool, then func()) bool {
+func (o *operations) FleetSuspend(id string, out bool, then func(said string)) bool {
 	if o.links == nil || !o.core.InList(policy.HostID(id)) && !o.links.Out(id) {
 		return false
 	}
-	if !o.links.Say(id, out) {
+	waits, said := 2, ""
+	done := func() {
+		if waits--; waits == 0 {
+			then(said)
+		}
+	}
+	if !o.links.Say(id, out, func(text string) { said = text; done() }) {
 		return false
 	}
-	if !o.core.Suspend(policy.HostID(id), out || o.out[id], then) {
-		then() // not listed any more: nothing is sent there anyway
+	if !o.core.Suspend(policy.HostID(id), out || o.out[id], done) {
+		done() // not listed any more: nothing is sent there anyway
 	}
 	return true
 }
--- /dev/null
+++ b/cmd/lilaccove/store_test.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lilaccove/internal/load/plan"
+)
+
+// storePlan has four gateways that keep operators' words on a disk.
+var storePlan = strings.NewReplacer("%%", "%", "%d", "4", "fleet: true", "fleet: true, words: 1 min").Replace(partyPlan)
+
+// says takes a word to the fleet at one gateway; it returns the answer.
+func (p *party) says(i int, host, verb string) string {
+	p.t.Helper()
+	text, err := p.Node(i).Call("PUT", "/v1/fleet/databases/"+host+"/"+verb)
+	require.NoError(p.t, err)
+	return strings.TrimSpace(string(text))
+}
+
+// restart kills some gateways at once, has something done meanwhile, and starts them.
+func (p *party) restart(meanwhile func(), list ...int) {
+	p.t.Helper()
+	for _, i := range list {
+		p.Node(i).Kill()
+	}
+	if meanwhile != nil {
+		meanwhile()
+	}
+	for _, i := range list {
+		_, err := p.Start(i)
+		require.NoError(p.t, err)
+	}
+}
+
+// told tells whether the newest process of a gateway has logged something.
+func (p *party) told(i int, what string) bool {
+	for _, e := range p.Node(i).Events() {
+		if strings.Contains(e, what) {
+			return true
+		}
+	}
+	return false
+}
+
+// equal waits until all copies are equal.
+func (p *party) equal() {
+	p.t.Helper()
+	p.eventually("all copies are equal", func() bool {
+		for i := range p.n {
+			if s := p.state(i); !s.CaughtUp || s.Digest != p.state(0).Digest {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// All gateways are killed right behind the yes. The word is on their disks: nobody uses the database when they are back.
+func TestFleetStateDiskAllKilled(t *testing.T) {
+	p := newPartyOf(t, 4, storePlan)
+	host := p.World().Members()[0]
+	p.eventually("it is in use", func() bool { return host.Begun() > 20 })
+	assert.Equal(t, "ok: held by 3 of 3 others, on disk", p.says(2, host.ID, "suspend"))
+	var begun int
+	p.restart(func() { begun = host.Begun() }, p.all()...)
+	p.left(1, p.all()...)
+	before := p.World().Counts().Reads
+	p.eventually("reads go on", func() bool { return p.World().Counts().Reads > before+200 })
+	assert.Equal(t, begun, host.Begun(), "it was used in spite of the word")
+	p.equal()
+	p.says(0, host.ID, "resume")
+	p.left(0, p.all()...)
+	p.judge(0.3)
+}
+
+// The gateway that took the word is killed right behind its yes, cut off from all others: its disk alone has the word, and
+// its yes says so. It is back before the others can be reached, and then all have it.
+func TestFleetStateDiskOnlyCopy(t *testing.T) {
+	p := newPartyOf(t, 4, storePlan)
+	host := p.World().Members()[2].ID
+	sides := [][]int{{3}, {0, 1, 2}}
+	p.Mesh().Partition(sides, true)
+	assert.Equal(t, "ok: held by 0 of 3 others, on disk", p.says(3, host, "suspend"))
+	p.restart(nil, 3)
+	p.left(1, 3)
+	p.left(0, 0, 1, 2)
+	p.Mesh().Partition(sides, false)
+	p.left(1, p.all()...)
+	p.equal()
+	p.judge(0.5)
+}
+
+// A gateway returns with a copy from before the last word: what all others know to be over does not come back. The copy is
+// theirs by then.
+func TestFleetStateDiskOldCopy(t *testing.T) {
+	p := newPartyOf(t, 4, storePlan)
+	host := p.World().Members()[1].ID
+	dir := p.WordsDir(1)
+	p.says(0, host, "suspend")
+	p.eventually("its disk has it", func() bool { return p.figure(1, "fleet_words.saved") > 0 })
+	old, err := os.ReadFile(filepath.Join(dir, "words"))
+	require.NoError(t, err)
+	p.says(3, host, "resume")
+	p.left(0, p.all()...)
+	p.restart(func() { require.NoError(t, os.WriteFile(filepath.Join(dir, "words"), old, 0o600)) }, 1)
+	p.equal()
+	p.left(0, p.all()...)
+	assert.Empty(t, p.state(1).Conflicts)
+	p.judge(0.5)
+}
+
+// A copy that is damaged, and one of another gateway, are told and not used. The first is replaced, the second is left alone
+// and the operator is told that nothing is kept.
+func TestFleetStateDiskDamaged(t *testing.T) {
+	p := newPartyOf(t, 4, storePlan)
+	host := p.World().Members()[1].ID
+	p.says(0, host, "suspend")
+	file := func(i int) string { return filepath.Join(p.WordsDir(i), "words") }
+	for i := range 4 {
+		p.eventually("each disk has it", func() bool { return p.figure(i, "fleet_words.saved") > 0 })
+	}
+	p.restart(func() {
+		text, err := os.ReadFile(file(1))
+		require.NoError(t, err)
+		text[len(text)-3] ^= 0x40
+		require.NoError(t, os.WriteFile(file(1), text, 0o600))
+		other, err := os.ReadFile(file(0))
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(file(2), other, 0o600))
+	}, 1, 2)
+	assert.True(t, p.told(1, "damaged"))
+	assert.True(t, p.told(2, "another gateway's"))
+	p.equal()
+	p.left(1, p.all()...)
+	assert.Contains(t, p.says(2, host, "resume"), "not on disk")
+	p.left(0, p.all()...)
+	assert.Contains(t, p.says(1, host, "suspend"), "on disk")
+	p.left(1, p.all()...)
+	p.judge(0.5)
+}
+
+// One whose copy lies for longer than words are kept does not use it: it catches up.
+func TestFleetStateDiskTooOld(t *testing.T) {
+	p := newPartyOf(t, 4, strings.Replace(storePlan, "words: 1 min", "words: 1 s", 1))
+	host := p.World().Members()[1].ID
+	p.says(0, host, "suspend")
+	p.left(1, p.all()...)
+	p.restart(func() { time.Sleep(1300 * time.Millisecond) }, 2) // the fault
+	assert.True(t, p.told(2, "longer than words are kept"))
+	p.equal()
+	p.left(1, p.all()...)
+	p.judge(0.5)
+}
+
+// Links that lose a fifth, double and reorder: the yes still tells truly who has the word, for it is told again.
+func TestFleetStateHeldUnderLoss(t *testing.T) {
+	p := newPartyOf(t, 4, storePlan)
+	for i := range 4 {
+		for j := range 4 {
+			if i != j {
+				p.Mesh().Set(i, j, plan.Link{Loss: 0.2, Duplicate: 0.2, Reorder: 0.2})
+			}
+		}
+	}
+	held := 0
+	for k := range 10 {
+		if p.says(k%4, p.World().Members()[1].ID, []string{"suspend", "resume"}[k%2]) == "ok: held by 3 of 3 others, on disk" {
+			held++
+		}
+	}
+	assert.GreaterOrEqual(t, held, 7)
+	p.equal()
+	p.left(0, p.all()...)
+	p.judge(0.5)
+}
--- a/cmd/lilacctl/state.go
+++ b/cmd/lilacctl/state.go
@@ -67,13 +67,17 @@
 			if fleet {
 				path = "/v1/fleet/databases/"
 			}
-			if _, err := call(at, http.MethodPut, path+url.PathEscape(args[0])+"/"+verb, wait); err != nil {
+			said, err := call(at, http.MethodPut, path+url.PathEscape(args[0])+"/"+verb, wait)
+			if err != nil {
 				if strings.Contains(err.Error(), " 404 ") || strings.HasPrefix(err.Error(), "404") {
 					return status{exitFinding, fmt.Sprintf("%s: the gateway does not know it, or has no fleet file: %v", args[0], err)}
 				}
 				return status{exitUnreachable, err.Error()}
 			}
-			fmt.Fprintf(c.OutOrStdout(), "%s: %s\n", args[0], verb)
+			fmt.Fprintf(c.OutOrStdout(), "%s: %s, %s\n", args[0], verb, strings.TrimSpace(string(said)))
+			if strings.Contains(string(said), peer.NotOnDisk) {
+				return status{exitFinding, args[0] + ": the word holds, but is " + peer.NotOnDisk + ": an end of all gateways at once would lose it"}
+			}
 			return nil
 		},
 	}
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -27,6 +27,7 @@
 	Primaries bool                      // and which of them answered as primary
 	Subsets   bool                      // each gateway uses some replicas of a group first
 	Audit     *Audit                    // nil: records stay in memory
+	Words     *Words                    // nil: operators' words are not kept on a disk
 	Fence     time.Duration             // behind others for so long a gateway shuts itself out; 0: never
 }
 
@@ -37,6 +38,12 @@
 	Lease       time.Duration // of what one holder lends another
 }
 
+// Words is where operators' words to the fleet are kept over restarts.
+type Words struct {
+	Dir  string        // a directory of this gateway's own
+	Keep time.Duration // a copy that was away for longer is not used; nothing younger is forgotten
+}
+
 // Audit is where records of what this gateway did are kept.
 type Audit struct {
 	File      string
@@ -46,7 +53,7 @@
 
 // Common is the part that is to be equal in all files of a fleet, as text.
 func (f *File) Common() []byte {
-	return fmt.Appendf(nil, "%s %v %v %d %s %t %t %v %t", f.Fleet, f.Period, f.Still, f.Most, f.Budgets.text(), f.Positions, f.Subsets, f.Fence, f.Primaries)
+	return fmt.Appendf(nil, "%s %v %v %d %s %t %t %v %t %v", f.Fleet, f.Period, f.Still, f.Most, f.Budgets.text(), f.Positions, f.Subsets, f.Fence, f.Primaries, f.Words.keep())
 }
 
 // MostMembers bounds what a file may ask for.
@@ -59,7 +66,7 @@
 		return nil, err
 	}
 	f := &File{Dial: map[string]netip.AddrPort{}}
-	got := r.Fields(top, "", "fleet", "listen", "advertise", "seeds", "dial", "period", "still", "most", "budgets", "subsets", "positions", "primaries", "audit", "fence")
+	got := r.Fields(top, "", "fleet", "listen", "advertise", "seeds", "dial", "period", "still", "most", "budgets", "subsets", "positions", "primaries", "audit", "fence", "words")
 	need := func(key string) *yaml.Node {
 		if got[key] == nil && top.Kind == yaml.MappingNode {
 			r.Fail(top, key, "missing")
@@ -125,6 +132,9 @@
 			f.Audit.Keep = r.Count(v, "keep", 0, 100)
 		}
 	}
+	if n := got["words"]; n != nil {
+		f.Words = words(r, n)
+	}
 	if n := got["budgets"]; n != nil {
 		f.Budgets = budgets(r, n)
 	}
@@ -164,6 +174,32 @@
 	return b
 }
 
+func words(r *yamlfile.Reader, n *yaml.Node) *Words {
+	w := &Words{Keep: 7 * 24 * time.Hour}
+	f := r.Fields(n, "words", "dir", "keep")
+	if v := f["dir"]; v == nil {
+		r.Fail(n, "dir", "missing: a directory of this gateway's own, in which operators' words are kept over restarts")
+	} else {
+		w.Dir, _ = r.Text(v, "dir")
+	}
+	if v := f["keep"]; v != nil {
+		x, ok := r.Number(v, "keep", "7 days", map[string]float64{"s": 1, "min": 60, "h": 3600, "days": 24 * 3600})
+		if ok && (x < 1 || x > 366*24*3600) {
+			r.Fail(v, "keep", "from 1 s to 366 days would do; the same in every file")
+		} else {
+			w.Keep = time.Duration(x * float64(time.Second))
+		}
+	}
+	return w
+}
+
+func (w *Words) keep() time.Duration {
+	if w == nil {
+		return 0
+	}
+	return w.Keep
+}
+
 // Name tells whether a text can name a gateway or a fleet.
 func Name(s string) bool {
 	if s == "" || len(s) > 64 {
--- a/internal/fleet/state/words.go
+++ b/internal/fleet/state/words.go
@@ -16,6 +16,7 @@
 	compareEvery = time.Second
 	wordsMost    = 1024
 	writersMost  = 64 // of one vector
+	askedMost    = 64 // words whose holders are counted at once
 )
 
 // Word is what an operator said of a database to the whole fleet.
@@ -50,6 +51,8 @@
 	Same   bool   `cbor:"2,keyasint,omitempty"` // the answer: so is mine
 	Words  []Word `cbor:"3,keyasint,omitempty"`
 	Want   bool   `cbor:"4,keyasint,omitempty"` // send me yours
+	Asked  uint64 `cbor:"5,keyasint,omitempty"` // of words just said: tell me that you hold them
+	Held   uint64 `cbor:"6,keyasint,omitempty"` // the answer
 }
 
 // WordsSend is such a message to a member.
@@ -71,8 +74,24 @@
 	out    []WordsSend
 	synced bool
 	digest uint64 // of all words; 0: to be made anew
+
+	now     time.Duration
+	horizon time.Duration // a word that leaves nothing out is not forgotten earlier: an old copy may return with one that does
+	serial  uint64
+	asked   []asked // oldest first
+}
+
+// asked is a word that was said here, and who has told that he holds it.
+type asked struct {
+	id   uint64
+	word Word
+	of   []string
+	held map[string]bool
 }
 
+// Keep sets for how long words are remembered at least.
+func (s *Words) Keep(horizon time.Duration) { s.horizon = horizon }
+
 // NewWords makes an empty copy. The writer must differ from that of every other process, those before this one included.
 func NewWords(name, writer string, seed uint64) *Words {
 	return &Words{rnd: rand.New(rand.NewPCG(seed, 0x776f7264)), name: name, writer: writer, words: map[string][]Word{}}
@@ -90,10 +109,11 @@
 // Synced tells whether this copy has been compared with another's since the start.
 func (s *Words) Synced() bool { return s.synced }
 
-// Say takes an operator's word; false: there is no room for one more.
-func (s *Words) Say(now time.Duration, host string, out bool) bool {
+// Say takes an operator's word. It returns a number by which Holders tells who has it; 0: there is no room for one more.
+func (s *Words) Say(now time.Duration, host string, out bool) uint64 {
+	s.now = max(s.now, now)
 	if len(s.words[host]) == 0 && len(s.words) >= wordsMost && !s.makeRoom() {
-		return false
+		return 0
 	}
 	w := Word{Host: host, Out: out, Vector: map[string]uint64{}, AtMS: now.Milliseconds(), By: s.name}
 	for _, o := range s.words[host] {
@@ -103,17 +123,49 @@
 	}
 	w.Vector[s.writer]++
 	s.words[host], s.digest = []Word{w}, 0
-	for _, to := range s.live {
-		s.send(to, WordsMessage{Words: []Word{w}})
+	s.serial++
+	a := asked{id: s.serial, word: w, of: slices.Clone(s.live), held: map[string]bool{}}
+	s.asked = append(s.asked[max(0, len(s.asked)-askedMost+1):], a)
+	s.ask(a)
+	return a.id
+}
+
+// ask tells a word to those who have not said that they hold it.
+func (s *Words) ask(a asked) {
+	for _, to := range a.of {
+		if !a.held[to] {
+			s.send(to, WordsMessage{Words: []Word{a.word}, Asked: a.id})
+		}
+	}
+}
+
+// Holders is how many other gateways have said that they hold a word, and how many lived when it was said.
+func (s *Words) Holders(id uint64) (held, of int) {
+	for _, a := range s.asked {
+		if a.id == id {
+			return len(a.held), len(a.of)
+		}
+	}
+	return 0, 0
+}
+
+// Again tells a word once more to those who have not said that they hold it, and forgets whom it was told to.
+func (s *Words) Again(id uint64, last bool) {
+	for i, a := range s.asked {
+		if a.id == id {
+			if s.ask(a); last {
+				s.asked = slices.Delete(s.asked, i, i+1)
+			}
+			return
+		}
 	}
-	return true
 }
 
-// makeRoom forgets the word said longest ago that leaves nothing out.
+// makeRoom forgets the word said longest ago that leaves nothing out, if that is longer ago than an old copy may be.
 func (s *Words) makeRoom() bool {
 	oldest := ""
 	for h, list := range s.words {
-		if out, _ := s.Out(h); !out && (oldest == "" || list[0].AtMS < s.words[oldest][0].AtMS) {
+		if out, _ := s.Out(h); !out && list[0].AtMS <= (s.now-s.horizon).Milliseconds() && (oldest == "" || list[0].AtMS < s.words[oldest][0].AtMS) {
 			oldest = h
 		}
 	}
@@ -144,11 +196,19 @@
 	if !w.Sound() || len(s.words[w.Host]) == 0 && len(s.words) >= wordsMost && !s.makeRoom() {
 		return false
 	}
-	var kept []Word
-	for _, o := range s.words[w.Host] {
+	kept, news := join(s.words[w.Host], w)
+	if news {
+		s.words[w.Host], s.digest = kept, 0
+	}
+	return news
+}
+
+// join adds a word to those on one database: it takes the place of those that it knows of, and is none if one knows of it.
+func join(list []Word, w Word) (kept []Word, news bool) {
+	for _, o := range list {
 		knows, known := order(o.Vector, w.Vector)
 		if knows {
-			return false
+			return list, false
 		}
 		if !known {
 			kept = append(kept, o)
@@ -156,8 +216,35 @@
 	}
 	kept = append(kept, w)
 	slices.SortFunc(kept, func(a, b Word) int { return strings.Compare(print(a), print(b)) })
-	s.words[w.Host], s.digest = kept, 0
-	return true
+	return kept, true
+}
+
+// Merge is what two copies come to, and the words of other that the first one lacked.
+func Merge(words, other []Word) (all, more []Word) {
+	by := map[string][]Word{}
+	for _, w := range words {
+		by[w.Host], _ = join(by[w.Host], w)
+	}
+	for _, w := range other {
+		var news bool
+		if by[w.Host], news = join(by[w.Host], w); news {
+			more = append(more, w)
+		}
+	}
+	for _, h := range slices.Sorted(maps.Keys(by)) {
+		all = append(all, by[h]...)
+	}
+	return all, more
+}
+
+// Load takes in words that were kept over a restart; it returns the databases about which something has changed.
+func (s *Words) Load(words []Word) (changed []string) {
+	for _, w := range words {
+		if s.merge(w) {
+			changed = append(changed, w.Host)
+		}
+	}
+	return changed
 }
 
 // print is a word as text, equal in every process.
@@ -206,16 +293,19 @@
 
 // Receive takes a message in; it returns the hosts about which something has changed.
 func (s *Words) Receive(from string, m WordsMessage) (changed []string) {
-	for _, w := range m.Words {
-		if s.merge(w) {
-			changed = append(changed, w.Host)
-		}
-	}
-	switch {
-	case m.Same || len(m.Words) > 0 || m.Want:
+	changed = s.Load(m.Words)
+	if m.Same || len(m.Words) > 0 && m.Asked == 0 || m.Want {
 		s.synced = true
 	}
 	switch {
+	case m.Asked != 0 && len(m.Words) > 0:
+		s.send(from, WordsMessage{Held: m.Asked})
+	case m.Held != 0:
+		for _, a := range s.asked {
+			if a.id == m.Held && slices.Contains(a.of, from) {
+				a.held[from] = true
+			}
+		}
 	case m.Want:
 		s.pages(from, false)
 	case m.Digest != 0 && m.Digest == s.Digest():
@@ -228,6 +318,7 @@
 
 // Tick compares copies with another gateway's now and then: what a push missed is repaired, and who returns catches up.
 func (s *Words) Tick(now time.Duration) {
+	s.now = max(s.now, now)
 	if now < s.next || len(s.live) == 0 {
 		return
 	}
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -102,6 +102,9 @@
 	return n, nil
 }
 
+// WordsDir is where a gateway keeps operators' words, whichever process it is.
+func (l *Lab) WordsDir(i int) string { return filepath.Join(l.dir, l.name(i)+"-words") }
+
 // AuditFile is where a gateway keeps its records, whichever process it is.
 func (l *Lab) AuditFile(i int) string { return filepath.Join(l.dir, l.name(i)+"-audit.jsonl") }
 
@@ -175,6 +178,9 @@
 	if d := l.Plan.Lab.Fence; d > 0 {
 		b = fmt.Appendf(b, "fence: %d ms\n", d.Milliseconds())
 	}
+	if d := l.Plan.Lab.Words; d > 0 {
+		b = fmt.Appendf(b, "words: {dir: %q, keep: %d s}\n", l.WordsDir(i), int(d.Seconds()))
+	}
 	if l.Plan.Lab.Audit {
 		b = fmt.Appendf(b, "audit: {file: %q}\n", l.AuditFile(i))
 	}
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -44,8 +44,8 @@
 	FleetVersions() ([]byte, bool)
 	// FleetAudit tells in JSON what this gateway did, by what it acted on; false: it is in no fleet.
 	FleetAudit() ([]byte, bool)
-	// FleetSuspend is Suspend for the whole fleet.
-	FleetSuspend(id string, out bool, then func()) bool
+	// FleetSuspend is Suspend for the whole fleet; then tells who has the word.
+	FleetSuspend(id string, out bool, then func(said string)) bool
 	// Fence shuts the gateway out, or has it go on with what it has; false: there is no fence.
 	Fence(out bool) bool
 	// Drain empties the gateway, or has it work again.
@@ -205,7 +205,9 @@
 
 // database handles /v1/databases/ID/suspend and its like, and the same below /v1/fleet.
 func (c *call) database(q http1.Request) {
-	suspend := c.s.ops.Suspend
+	suspend := func(id string, out bool, then func(said string)) bool {
+		return c.s.ops.Suspend(id, out, func() { then("") })
+	}
 	rest, ok := strings.CutPrefix(q.Path, "/v1/databases/")
 	if !ok {
 		suspend = c.s.ops.FleetSuspend
@@ -224,7 +226,9 @@
 	if !c.method(q, "PUT") {
 		return
 	}
-	if !suspend(id, verb == "suspend", func() { c.answer(200, "ok\n") }) {
+	if !suspend(id, verb == "suspend", func(said string) {
+		c.answer(200, strings.TrimSuffix("ok: "+said, ": ")+"\n")
+	}) {
 		c.answer(404, fmt.Sprintf("no database %q\n", id))
 	}
 }
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -47,7 +47,7 @@
 	buffers   pool
 	stopped   bool
 	lingering int
-	onWake    func()
+	onWake    []func()
 	late      lateness
 	events    [perRound]unix.EpollEvent
 }
@@ -109,8 +109,8 @@
 // Stop ends Run after the round.
 func (l *Loop) Stop() { l.stopped = true }
 
-// OnWake sets what Wake leads to, on the loop's goroutine.
-func (l *Loop) OnWake(do func()) { l.onWake = do }
+// OnWake adds to what Wake leads to, on the loop's goroutine.
+func (l *Loop) OnWake(do func()) { l.onWake = append(l.onWake, do) }
 
 // Wake may be called from any goroutine: it is how a signal gets into the loop.
 func (l *Loop) Wake() {
@@ -199,8 +199,8 @@
 	if int(e.Fd) == l.wake {
 		var b [8]byte
 		_, _ = unix.Read(l.wake, b[:])
-		if l.onWake != nil {
-			l.onWake()
+		for _, do := range l.onWake {
+			do()
 		}
 		return
 	}
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -90,6 +90,12 @@
 		}
 		line("fenced", fenced)
 	}
+	if s := l.words.store; s != nil {
+		k := s.State()
+		line("words.saved", k.Saved)
+		line("words.not_saved", k.Failed)
+		line("words.others", k.Others)
+	}
 	line("probes", c.Probes)
 	line("probes_failed", c.Failed)
 	line("suspicions", c.Suspicions)
--- a/internal/peer/words.go
+++ b/internal/peer/words.go
@@ -1,21 +1,29 @@
 package peer
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"log"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lilaccove/internal/fleet"
+	"lilaccove/internal/fleet/membership"
 	"lilaccove/internal/fleet/state"
 	"lilaccove/internal/netloop"
+	"lilaccove/internal/wordstore"
 )
 
 const (
 	channelWords = 4
 	wordsEvery   = 100 * time.Millisecond
-	wordsSaid    = 50              // logged in a second
-	catchUpMost  = 2 * time.Second // a gateway that starts waits so long for another's words at most
+	wordsSaid    = 50                     // logged in a second
+	catchUpMost  = 2 * time.Second        // a gateway that starts waits so long for another's words at most
+	heldTime     = 300 * time.Millisecond // the others have so long to say that they hold a word
+	diskTime     = 700 * time.Millisecond // and a disk, before the operator is told that it does not answer
+	closeTime    = time.Second
 )
 
 // words are those of operators to the whole fleet.
@@ -25,18 +33,84 @@
 	begun time.Duration
 	apply func(host string, out bool)
 	said  netloop.Sparse
+	store *wordstore.Store // nil: none is kept
+	done  chan func()      // what the store's goroutine has for the loop
+	owed  []*saying
 }
 
-// OnWord has do called whenever the fleet leaves a database out, or has it serve again.
-func (l *Links) OnWord(do func(host string, out bool)) { l.words.apply = do }
+// saying is a word whose operator waits to hear who has it.
+type saying struct {
+	id     uint64
+	begun  time.Duration
+	onDisk bool
+	disk   string // how that went, once it did
+	then   func(said string)
+}
+
+// OnWord has do called whenever the fleet leaves a database out, or has it serve again, and for all words that were kept
+// over a restart.
+func (l *Links) OnWord(do func(host string, out bool)) {
+	l.words.apply = do
+	for _, w := range l.words.w.All() {
+		do(w.Host, l.Out(w.Host))
+	}
+}
 
 func (l *Links) newWords() *words {
 	own, _ := l.m.Own()
 	s := &words{l: l, said: netloop.Sparse{Most: wordsSaid}, begun: l.loop.Now(), w: state.NewWords(own.Name, fmt.Sprintf("%s@%x", own.Name, own.Session), rand.Uint64())}
 	l.every(wordsEvery, s.tick)
+	if f := l.file.Words; f != nil {
+		s.w.Keep(f.Keep)
+		s.open(f, own)
+	}
 	return s
 }
 
+// open takes in what was kept. Whatever is wrong with it is told and costs a catch-up from the others, never the start.
+func (s *words) open(f *fleet.Words, own membership.Entry) {
+	store, kept, err := wordstore.Open(wordstore.Options{Dir: f.Dir, Fleet: s.l.file.Fleet, Gateway: own.Name, Session: own.Session, Horizon: f.Keep}, time.Now())
+	if err != nil {
+		log.Printf("event=fleet_words_file kept=%t err=%q", store != nil, err)
+	}
+	if store == nil {
+		return
+	}
+	s.store, s.done = store, make(chan func(), 256)
+	s.w.Load(kept)
+	log.Printf("event=fleet_words_loaded words=%d", len(kept))
+	s.l.loop.OnWake(func() {
+		for len(s.done) > 0 {
+			(<-s.done)()
+		}
+	})
+}
+
+// keep has all words written to the disk, if there is one, and then tells how that went.
+func (s *words) keep(then func(err error)) {
+	if s.store == nil {
+		return
+	}
+	s.store.Save(s.w.All(), func(more []state.Word, err error) {
+		s.done <- func() {
+			for _, host := range s.w.Load(more) { // another process of this gateway had been told
+				s.tell(host, "disk")
+			}
+			if then != nil {
+				then(err)
+			}
+		}
+		s.l.loop.Wake()
+	})
+}
+
+// Close writes what is not on the disk yet.
+func (l *Links) Close() {
+	if l.words.store != nil {
+		l.words.store.Close(closeTime)
+	}
+}
+
 // wordsMessage is a message with its sender.
 type wordsMessage struct {
 	From string             `cbor:"1,keyasint"`
@@ -45,7 +119,29 @@
 
 func (s *words) tick() {
 	s.w.Tick(s.l.loop.Now())
+	for _, o := range s.owed {
+		s.w.Again(o.id, false)
+	}
 	s.after()
+	s.answer()
+}
+
+// answer tells operators who has their words, once all others have said so and the disk has, or it has taken too long.
+func (s *words) answer() {
+	now := s.l.loop.Now()
+	s.owed = slices.DeleteFunc(s.owed, func(o *saying) bool {
+		held, of := s.w.Holders(o.id)
+		if held < of && now-o.begun < heldTime || o.disk == "" && o.onDisk && now-o.begun < diskTime {
+			return false
+		}
+		text := fmt.Sprintf("held by %d of %d others", held, of)
+		if o.onDisk {
+			text += ", " + cmp.Or(o.disk, NotOnDisk+": it does not answer")
+		}
+		s.w.Again(o.id, true)
+		o.then(text)
+		return true
+	})
 }
 
 func (s *words) after() {
@@ -74,10 +170,17 @@
 	if !fleet.Name(msg.From) {
 		return errBad
 	}
-	for _, host := range s.w.Receive(msg.From, msg.Body) {
+	changed := s.w.Receive(msg.From, msg.Body)
+	for _, host := range changed {
 		s.tell(host, msg.From)
 	}
+	if len(changed) > 0 {
+		s.keep(nil)
+	}
 	s.after()
+	if msg.Body.Held != 0 {
+		s.answer()
+	}
 	return nil
 }
 
@@ -90,14 +193,32 @@
 	}
 }
 
-// Say takes an operator's word on a database to the whole fleet; false: there is no room for one more.
-func (l *Links) Say(host string, out bool) bool {
-	if !l.words.w.Say(l.loop.Now(), host, out) {
+// NotOnDisk is said of a word that a restart of all gateways at once would lose.
+const NotOnDisk = "not on disk"
+
+// Say takes an operator's word on a database to the whole fleet; false: there is no room for one more. It binds here at once;
+// then tells, within a second, how many other gateways hold it, and whether it is on the disk where words are kept.
+func (l *Links) Say(host string, out bool, then func(said string)) bool {
+	s := l.words
+	id := s.w.Say(l.loop.Now(), host, out)
+	if id == 0 {
 		return false
 	}
 	own, _ := l.m.Own()
-	l.words.tell(host, own.Name)
-	l.words.after()
+	s.tell(host, own.Name)
+	o := &saying{id: id, begun: l.loop.Now(), onDisk: l.file.Words != nil, then: then}
+	if s.store == nil && o.onDisk {
+		o.disk = NotOnDisk + ": the file is not this gateway's, see its log"
+	}
+	s.owed = append(s.owed, o)
+	s.keep(func(err error) {
+		if o.disk = "on disk"; err != nil {
+			o.disk = fmt.Sprintf("%s: %v", NotOnDisk, err)
+		}
+		s.answer()
+	})
+	s.after()
+	s.answer()
 	return true
 }
 
--- /dev/null
+++ b/internal/wordstore/wordstore_test.go
@@ -0,0 +1,194 @@
+package wordstore
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lilaccove/internal/fleet/state"
+)
+
+var now = time.Now()
+
+func word(host string, out bool, vector map[string]uint64) state.Word {
+	return state.Word{Host: host, Out: out, Vector: vector, By: "n1"}
+}
+
+var (
+	out  = word("s1", true, map[string]uint64{"a": 1})
+	back = word("s1", false, map[string]uint64{"a": 2})
+)
+
+func options(dir string) Options {
+	return Options{Dir: dir, Fleet: "f", Gateway: "n1", Session: 7, Horizon: time.Hour}
+}
+
+// keep writes words to a directory and waits until they are there.
+func keep(t *testing.T, s *Store, words ...state.Word) (more []state.Word, err error) {
+	t.Helper()
+	done := make(chan struct{})
+	s.Save(words, func(m []state.Word, e error) {
+		more, err = m, e
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the disk does not answer")
+	}
+	return more, err
+}
+
+func open(t *testing.T, opt Options) (*Store, []state.Word) {
+	t.Helper()
+	s, words, err := Open(opt, now)
+	require.NoError(t, err)
+	t.Cleanup(func() { s.Close(time.Second) })
+	return s, words
+}
+
+func TestWordsOutliveTheProcess(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "new")
+	s, words := open(t, options(dir))
+	assert.Empty(t, words)
+	_, err := keep(t, s, out)
+	require.NoError(t, err)
+	s.Close(time.Second)
+	_, words = open(t, options(dir))
+	assert.Equal(t, []state.Word{out}, words)
+}
+
+// What is handed over before the end is written, though nobody waits for it.
+func TestCloseWrites(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, options(dir))
+	s.Save([]state.Word{out}, nil)
+	s.Close(10 * time.Second)
+	_, words := open(t, options(dir))
+	assert.Equal(t, []state.Word{out}, words)
+}
+
+// Two processes of a gateway save to one directory during an upgrade: neither undoes what the other was told.
+func TestTwoProcesses(t *testing.T) {
+	dir := t.TempDir()
+	a, _ := open(t, options(dir))
+	opt := options(dir)
+	opt.Session = 8
+	b, _ := open(t, opt)
+	_, err := keep(t, a, out)
+	require.NoError(t, err)
+	more, err := keep(t, b, word("s2", true, map[string]uint64{"b": 1}))
+	require.NoError(t, err)
+	assert.Equal(t, []state.Word{out}, more, "it hears of what the other was told")
+	more, err = keep(t, a, back)
+	require.NoError(t, err)
+	assert.Len(t, more, 1)
+	assert.Positive(t, a.State().Others)
+	_, words := open(t, options(dir))
+	assert.Equal(t, []state.Word{back, word("s2", true, map[string]uint64{"b": 1})}, words, "an older word does not come back")
+}
+
+// Each byte that is changed, and each place at which the file is cut, shows; the file is put aside and the next one is good.
+func TestDamage(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, options(dir))
+	_, err := keep(t, s, out)
+	require.NoError(t, err)
+	s.Close(time.Second)
+	path := filepath.Join(dir, fileName)
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	for i := range text {
+		bad := append([]byte(nil), text...)
+		bad[i] ^= 1
+		_, err := parse(bad)
+		require.ErrorIs(t, err, ErrTorn, "byte %d", i)
+		_, err = parse(text[:i])
+		require.ErrorIs(t, err, ErrTorn, "%d bytes", i)
+	}
+	require.NoError(t, os.WriteFile(path, text[:len(text)/2], 0o600))
+	s, words, err := Open(options(dir), now)
+	require.ErrorIs(t, err, ErrTorn)
+	require.NotNil(t, s)
+	t.Cleanup(func() { s.Close(time.Second) })
+	assert.Empty(t, words)
+	aside, err := os.ReadFile(fmt.Sprintf("%s.torn.%d", path, now.UnixMilli()))
+	require.NoError(t, err)
+	assert.Equal(t, text[:len(text)/2], aside)
+	_, err = keep(t, s, back)
+	require.NoError(t, err)
+	_, words = open(t, options(dir))
+	assert.Equal(t, []state.Word{back}, words)
+}
+
+// A copy that was away for longer than words are remembered could bring back one that all others have forgotten.
+func TestAnOldCopyIsNotUsed(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, options(dir))
+	_, err := keep(t, s, out)
+	require.NoError(t, err)
+	s.Close(time.Second)
+	s, words, err := Open(options(dir), now.Add(2*time.Hour))
+	require.ErrorIs(t, err, ErrOld)
+	assert.Empty(t, words)
+	s.Close(time.Second)
+}
+
+// While its process lives the copy does not grow old, though no word is said.
+func TestTheFileIsKeptFresh(t *testing.T) {
+	opt := options(t.TempDir())
+	opt.Horizon = 400 * time.Millisecond
+	s, _ := open(t, opt)
+	_, err := keep(t, s, out)
+	require.NoError(t, err)
+	assert.Eventually(t, func() bool { return s.State().Saved >= 4 }, 10*time.Second, time.Millisecond)
+	s.Close(time.Second)
+	_, words, err := Open(opt, time.Now())
+	require.NoError(t, err)
+	assert.Len(t, words, 1)
+}
+
+// Another's directory is left as it is.
+func TestForeignFiles(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, options(dir))
+	_, err := keep(t, s, out)
+	require.NoError(t, err)
+	s.Close(time.Second)
+	path := filepath.Join(dir, fileName)
+	before, err := os.ReadFile(path)
+	require.NoError(t, err)
+	for _, change := range []func(*Options){func(o *Options) { o.Gateway = "n2" }, func(o *Options) { o.Fleet = "g" }} {
+		opt := options(dir)
+		change(&opt)
+		s, _, err := Open(opt, now)
+		assert.ErrorIs(t, err, ErrForeign)
+		assert.Nil(t, s)
+	}
+	later, err := compose(content{Format: format + 1, Fleet: "f", Gateway: "n1"})
+	require.NoError(t, err)
+	_, err = parse(later)
+	assert.ErrorIs(t, err, ErrFormat)
+	after, err := os.ReadFile(path)
+	require.NoError(t, err)
+	assert.Equal(t, before, after)
+}
+
+// A disk that fails is told to whoever waits, and what is saved once it is well again is all there is.
+func TestFailingDisk(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "d")
+	s, _ := open(t, options(dir))
+	require.NoError(t, os.Rename(dir, dir+"-away"))
+	_, err := keep(t, s, out)
+	require.Error(t, err)
+	assert.NotEmpty(t, s.State().Err)
+	require.NoError(t, os.Rename(dir+"-away", dir))
+	_, err = keep(t, s, out)
+	require.NoError(t, err)
+	assert.Empty(t, s.State().Err)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -218,7 +218,8 @@
 func (r *Router) onMembers(m Members) {
 	switch m.Kind {
 	case ListFailed, ListSilent:
-		most := map[ListKind]time.Duration{ListFailed: 2 * r.set.MustAskIn, ListSilent: silentMost}[m.Kind]
+		again := silentMost << min(r.refused, 3)
+		most := map[ListKind]time.Duration{ListFailed: 2 * r.set.MustAskIn, ListSilent: again}[m.Kind]
 		if r.refused++; r.set.AskForList {
 			r.askForList(askPace<<min(r.refused-1, 1), most)
 		}
