Look again before overdue timers fire; let no answer to a gateway's last process stand for a comparison

(1) TestFleetColdStop, 42 late statements: a stop can fall between epoll_wait's return and the look at the clock, so that what came during the stop is not among the events and timers judge without it. (2) TestFleetStateSuspension: a restarted gateway sent one or two statements to a suspended database. Its log shows that it took clients 0.5 s before it had the word; links of 200 ms had brought it the answer "same" to a question of the process before. Comparisons now carry a number that each process draws and its answers tell back, and a gateway has caught up when an answer to itself says that its copy is equal, or brings pages whose digest its own then has; any page, or a pushed word, was enough before.

TestSyncedByAnAnswerToThisProcess fails on the old rule. Ruled out: statements that the stand-in read late (they came 3.5 s behind the word, from the new process's connections).

--- a/internal/fleet/state/words.go
+++ b/internal/fleet/state/words.go
@@ -53,6 +53,9 @@
 	Want   bool   `cbor:"4,keyasint,omitempty"` // send me yours
 	Asked  uint64 `cbor:"5,keyasint,omitempty"` // of words just said: tell me that you hold them
 	Held   uint64 `cbor:"6,keyasint,omitempty"` // the answer
+	// Round is drawn by each process that asks to compare, and told back: an answer to the process before must not pass.
+	Round uint64 `cbor:"7,keyasint,omitempty"`
+	Sum   uint64 `cbor:"8,keyasint,omitempty"` // the digest of all words of which these are the last
 }
 
 // WordsSend is such a message to a member.
@@ -73,6 +76,7 @@
 	next   time.Duration
 	out    []WordsSend
 	synced bool
+	round  uint64
 	digest uint64 // of all words; 0: to be made anew
 
 	now     time.Duration
@@ -94,7 +98,8 @@
 
 // NewWords makes an empty copy. The writer must differ from that of every other process, those before this one included.
 func NewWords(name, writer string, seed uint64) *Words {
-	return &Words{rnd: rand.New(rand.NewPCG(seed, 0x776f7264)), name: name, writer: writer, words: map[string][]Word{}}
+	rnd := rand.New(rand.NewPCG(seed, 0x776f7264))
+	return &Words{rnd: rnd, round: rnd.Uint64() | 1, name: name, writer: writer, words: map[string][]Word{}}
 }
 
 // Live tells which other gateways can be told.
@@ -106,7 +111,7 @@
 	}
 }
 
-// Synced tells whether this copy has been compared with another's since the start.
+// Synced tells whether this copy has been found equal to another's since the start, by an answer to this process.
 func (s *Words) Synced() bool { return s.synced }
 
 // Say takes an operator's word. It returns a number by which Holders tells who has it; 0: there is no room for one more.
@@ -278,13 +283,17 @@
 	s.out = append(s.out, WordsSend{To: to, Message: m})
 }
 
-// pages sends all words.
-func (s *Words) pages(to string, want bool) {
+// pages sends all words, as the answer to a round.
+func (s *Words) pages(to string, want bool, round uint64) {
 	all := s.All()
 	for {
 		n := min(len(all), wordsPerSend)
 		last := n == len(all)
-		s.send(to, WordsMessage{Words: all[:n], Want: want && last})
+		m := WordsMessage{Words: all[:n], Want: want && last, Round: round}
+		if last {
+			m.Sum = s.Digest()
+		}
+		s.send(to, m)
 		if all = all[n:]; last {
 			return
 		}
@@ -294,9 +303,7 @@
 // Receive takes a message in; it returns the hosts about which something has changed.
 func (s *Words) Receive(from string, m WordsMessage) (changed []string) {
 	changed = s.Load(m.Words)
-	if m.Same || len(m.Words) > 0 && m.Asked == 0 || m.Want {
-		s.synced = true
-	}
+	s.synced = s.synced || m.Round == s.round && (m.Same || m.Sum == s.Digest())
 	switch {
 	case m.Asked != 0 && len(m.Words) > 0:
 		s.send(from, WordsMessage{Held: m.Asked})
@@ -307,11 +314,11 @@
 			}
 		}
 	case m.Want:
-		s.pages(from, false)
+		s.pages(from, false, 0)
 	case m.Digest != 0 && m.Digest == s.Digest():
-		s.send(from, WordsMessage{Same: true})
+		s.send(from, WordsMessage{Same: true, Round: m.Round})
 	case m.Digest != 0:
-		s.pages(from, true)
+		s.pages(from, true, m.Round)
 	}
 	return changed
 }
@@ -326,7 +333,7 @@
 	if !s.synced {
 		s.next = now + compareEvery/5
 	}
-	s.send(s.live[s.rnd.IntN(len(s.live))], WordsMessage{Digest: s.Digest()})
+	s.send(s.live[s.rnd.IntN(len(s.live))], WordsMessage{Digest: s.Digest(), Round: s.round})
 }
 
 // Take hands over what is to be sent.
--- a/internal/fleet/state/words_test.go
+++ b/internal/fleet/state/words_test.go
@@ -177,3 +177,41 @@
 	assert.False(t, s.merge(Word{Host: "z", Vector: map[string]uint64{"b": 1}}))
 	assert.Len(t, s.All(), wordsMost)
 }
+
+// What answers the process before, or brings a part of what there is, does not tell a new process that it knows all.
+func TestSyncedByAnAnswerToThisProcess(t *testing.T) {
+	c := newCrew(2, 1)
+	c.say(0, "s1", true)
+	for range 3 {
+		c.round()
+	}
+	require.True(t, c.list[1].Synced())
+	c.list[1].Tick(c.now + time.Minute)
+	late := c.list[1].Take()
+	require.Len(t, late, 1)
+	c.list[0].Receive("n1", late[0].Message)
+	answer := c.list[0].Take()
+	require.Len(t, answer, 1)
+	require.True(t, answer[0].Message.Same)
+	c.start(1)
+	c.list[1].Receive("n0", answer[0].Message)
+	assert.False(t, c.list[1].Synced(), "it answers the process before")
+	for i := range 3 * wordsPerSend {
+		c.say(0, fmt.Sprint("h", i), true)
+	}
+	c.list[1].Receive("n0", WordsMessage{Words: c.list[0].All()[:1], Asked: 1})
+	assert.False(t, c.list[1].Synced(), "a word that was just said")
+	c.held, c.from = nil, nil
+	c.list[1].Take()
+	c.list[1].Tick(c.now + time.Hour)
+	c.list[0].Receive("n1", c.list[1].Take()[0].Message)
+	pages := c.list[0].Take()
+	require.Greater(t, len(pages), 2)
+	for _, p := range pages[1:] {
+		c.list[1].Receive("n0", p.Message)
+	}
+	assert.False(t, c.list[1].Synced(), "a page is missing")
+	c.list[1].Receive("n0", pages[0].Message)
+	c.list[1].Receive("n0", pages[len(pages)-1].Message)
+	assert.True(t, c.list[1].Synced())
+}
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -135,8 +135,9 @@
 		}
 		l.late.look(called, l.now, due)
 		l.gather(n)
-		// Timers judge by what has not come. After a gap more may be ready than one call brings.
-		for k := 0; n == perRound && k < gatherMost && l.due() > 0 && l.due() <= l.now; k++ {
+		// Timers judge by what has not come. After a gap more may be ready than one call brings, and a stop may have come
+		// between the call and the look at the clock.
+		for k := 0; (n == perRound || k == 0 && l.overdue()) && k < gatherMost && l.due() > 0 && l.due() <= l.now; k++ {
 			if n, err = l.poll(0); err != nil {
 				return err
 			}
@@ -182,6 +183,9 @@
 	return l.timers[0].at
 }
 
+// overdue tells that a timer should have fired long ago: this process was not there.
+func (l *Loop) overdue() bool { return l.due() > 0 && l.now-l.due() > tolerable }
+
 // patience is how many milliseconds the next round may wait for events: until the
 // next timer, rounded up, so that the loop does not spin through its last millisecond.
 func (l *Loop) patience(again bool) int {
