Play seeded schedules of faults on seven processes: one answer, equal copies, a clean audit

TestFleetChaos draws kills, stops, partitions, lossy links, replaced databases, wrong answers and operators' words from a seed and judges by the stand-ins' rules; afterwards all copies of the words must be equal, each gateway serve writes, and the audit, over the files of all processes there were, find nothing.

--- /dev/null
+++ b/cmd/lilaccove/chaos_test.go
@@ -0,0 +1,250 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lilaccove/internal/fleet/audit"
+	"lilaccove/internal/load/plan"
+	"lilaccove/internal/standin"
+)
+
+// How many schedules are played, and from which seed on: go test ./cmd/lilaccove -run Chaos -chaos.seeds 50
+var (
+	chaosSeeds = flag.Uint64("chaos.seeds", 2, "schedules of faults that TestFleetChaos plays")
+	chaosFrom  = flag.Uint64("chaos.from", 1, "the first seed")
+	chaosTime  = flag.Duration("chaos.time", 8*time.Second, "how long the faults of a schedule go on")
+)
+
+const chaosPlan = `seed: 31
+groups: 2
+sessions: {count: 300, follow: 30%, after: 100 ms}
+retries: {most: 2, pause: 100 ms}
+connections: 60
+stall: 20 s
+classes:
+  browse: {kind: bounded-read, mix: 66%, aim: 500 ms, deadline: 1200 ms, bound: 1 s}
+  own: {kind: session-read, mix: 14%, aim: 500 ms, deadline: 1500 ms}
+  write: {kind: write, mix: 20%, aim: 600 ms, deadline: 3 s}
+stages: [{shape: constant, rate: 200/s, for: 120 s}]
+lab: {gateways: 7, members: 4, cores: 4, queue: 60, service: 10 ms, lag: 10 ms, cold: 3 s, fleet: true, positions: true, primaries: true, subsets: true, audit: true, words: 1 min}
+`
+
+// chaos is a schedule of faults that follows from a seed: what is done when, not how processes take it.
+type chaos struct {
+	*party
+	rnd   *rand.Rand
+	begun time.Time
+	stop  chan struct{}
+	work  sync.WaitGroup
+
+	mu     sync.Mutex
+	said   []string
+	down   map[int]bool // gateways that are killed or stopped
+	rolled int          // databases of each group that were replaced
+	muted  time.Time
+	broken bool // links
+}
+
+func (c *chaos) say(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.said = append(c.said, fmt.Sprintf("%.2fs ", time.Since(c.begun).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// later does something in a while, or at the end of the faults if that is earlier.
+func (c *chaos) later(d time.Duration, do func()) {
+	c.work.Add(1)
+	go func() {
+		defer c.work.Done()
+		standin.Sleep(d, c.stop)
+		do()
+	}()
+}
+
+func (c *chaos) span(from, to time.Duration) time.Duration {
+	return from + time.Duration(c.rnd.Int64N(int64(to-from)))
+}
+
+// victim is a gateway that runs, as long as no more than three do not.
+func (c *chaos) victim() (int, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := c.rnd.IntN(c.n)
+	if len(c.down) >= 3 || c.down[i] {
+		return 0, false
+	}
+	c.down[i] = true
+	return i, true
+}
+
+func (c *chaos) up(i int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.down, i)
+}
+
+// one does one thing. Draws are made whether or not it can be done, so that a schedule stays the same.
+func (c *chaos) one() {
+	what, d := c.rnd.IntN(8), c.span(200*time.Millisecond, 2500*time.Millisecond)
+	switch what {
+	case 0, 1:
+		if i, ok := c.victim(); ok {
+			c.say("kill n%d for %v", i, d/2)
+			c.Node(i).Kill()
+			c.later(d/2, func() {
+				_, err := c.Start(i)
+				assert.NoError(c.t, err)
+				c.up(i)
+			})
+		}
+	case 2, 3:
+		if i, ok := c.victim(); ok {
+			c.say("stop n%d for %v", i, d)
+			node := c.Node(i)
+			assert.NoError(c.t, node.Stop())
+			c.later(d, func() {
+				assert.NoError(c.t, node.Continue())
+				c.up(i)
+			})
+		}
+	case 4:
+		k := 1 + c.rnd.IntN(c.n-1)
+		order := c.rnd.Perm(c.n)
+		if sides := [][]int{order[:k], order[k:]}; !c.broken {
+			c.broken = true
+			c.say("partition %v for %v", sides, d)
+			c.Mesh().Partition(sides, true)
+			c.later(d, func() { c.Mesh().Partition(sides, false) })
+		}
+	case 5:
+		link := plan.Link{Loss: 0.2 * c.rnd.Float64(), Duplicate: 0.2, Reorder: 0.2, Delay: c.span(0, 50*time.Millisecond), Jitter: 30 * time.Millisecond}
+		if !c.broken {
+			c.broken = true
+			c.say("links %+v for %v", link, d)
+			c.links(link)
+			c.later(d, func() { c.links(plan.Link{}) })
+		}
+	case 6:
+		// One at a time in each group, and none while a watch may be silent without anybody's knowledge.
+		if members := c.World().Members(); c.rolled < 2 && time.Since(c.muted) > 7*time.Second {
+			c.rolled++
+			for g := range 2 {
+				h := members[slices.IndexFunc(members, func(h *standin.Host) bool { return h.Group == g })]
+				c.say("replace %s", h.ID)
+				c.work.Add(1)
+				go func() {
+					defer c.work.Done()
+					assert.NoError(c.t, c.World().Replace(h, 4*time.Second, nil))
+				}()
+			}
+			c.muted = time.Now() // nor is one muted while they are told of
+		}
+	case 7:
+		if faults := []standin.Faults{{ResetBefore: 0.05}, {ResetAfter: 0.05}, {Silence: 0.03}, {Errors: 0.05}, {Spoil: 0.03}}; true {
+			f := faults[c.rnd.IntN(len(faults))]
+			c.say("answers %+v for %v", f, d)
+			c.World().SetFaults(f)
+			c.later(d, func() { c.World().SetFaults(standin.Faults{}) })
+		}
+	}
+	if c.rnd.IntN(3) == 0 { // an operator
+		host, verb, i := c.World().Members()[c.rnd.IntN(8)].ID, []string{"suspend", "resume"}[c.rnd.IntN(2)], c.rnd.IntN(c.n)
+		c.mu.Lock()
+		down := c.down[i]
+		c.mu.Unlock()
+		if !down {
+			_, err := c.Node(i).Call("PUT", "/v1/fleet/databases/"+host+"/"+verb)
+			c.say("%s %s at n%d: %v", verb, host, i, err)
+		}
+	}
+}
+
+func (c *chaos) links(l plan.Link) {
+	for i := range c.n {
+		for j := range c.n {
+			if i != j {
+				c.Mesh().Set(i, j, l)
+			}
+		}
+	}
+}
+
+// kept are the records of all processes there were, from the gateways' files.
+func (c *chaos) kept() (all []audit.Sealed) {
+	for i := range c.n {
+		text, err := os.ReadFile(c.AuditFile(i))
+		require.NoError(c.t, err)
+		for lines := bufio.NewScanner(bytes.NewReader(text)); lines.Scan(); {
+			if s, err := audit.Open(lines.Bytes()); err == nil { // a killed process may leave half a line
+				all = append(all, s)
+			}
+		}
+	}
+	return all
+}
+
+// Seven processes under faults drawn from a seed: gateways killed and stopped, partitions, links that lose, databases replaced
+// and cold, answers that go wrong, operators at any of them. All along each request has one answer, no write runs twice, no
+// read is too old, no database gets work that it must not have; afterwards all copies of the operators' words are equal,
+// everybody serves, and the audit finds nothing, for nothing was done that it should find.
+func TestFleetChaos(t *testing.T) {
+	for seed := *chaosFrom; seed < *chaosFrom+*chaosSeeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			c := &chaos{party: newPartyOf(t, 7, chaosPlan), rnd: rand.New(rand.NewPCG(seed, 0x6368616f73)), stop: make(chan struct{}), down: map[int]bool{}}
+			c.begun = time.Now()
+			t.Cleanup(func() {
+				if t.Failed() {
+					t.Logf("the schedule of seed %d:\n%s", seed, strings.Join(c.said, "\n"))
+				}
+			})
+			for time.Since(c.begun) < *chaosTime {
+				c.one()
+				time.Sleep(c.span(100*time.Millisecond, 700*time.Millisecond))
+			}
+			close(c.stop)
+			c.work.Wait()
+			c.links(plan.Link{})
+			c.agree(7, c.all()...)
+			c.equal()
+			for _, h := range c.World().Members() {
+				c.word(0, h.ID, "resume")
+			}
+			c.left(0, c.all()...)
+			c.equal()
+			c.eventually("all are in the front", func() bool { return c.Front().Admitted() == 7 })
+			from := make([]int, 7)
+			for i := range 7 {
+				from[i] = c.figure(i, "passed.write")
+			}
+			c.eventually("each serves writes", func() bool {
+				for i := range 7 {
+					if c.figure(i, "passed.write") < from[i]+3 {
+						return false
+					}
+				}
+				return true
+			})
+			c.judge(0.3)
+			findings := map[string][]string{}
+			for _, f := range audit.Judge(c.kept(), audit.DefaultBounds()) {
+				findings[f.Kind] = append(findings[f.Kind], fmt.Sprintf("%+v", f))
+			}
+			for _, kind := range []string{"two-primaries", "after-drain", "after-word", "two-processes", "broken-chain"} {
+				assert.Empty(t, findings[kind], kind)
+			}
+		})
+	}
+}
