Drain a gateway by a word told at any other; it holds over restarts and partitions

Need: a drain could be told only to the gateway itself, so not to one that cannot be reached, and a restart forgot it. PUT /v1/fleet/gateways/NAME/drain and activate (lilacctl drain, activate) are words like those on databases: replicated, kept on disks, *drained* wins where two differ; the owner alone carries them out. One that is drained has left the view, so it is answered when it compares words (Machine.Addr). TestFleetStateDrain, four processes: told while it is cut off, obeyed after the heal and after SIGKILL, not undone by its own activate. Turned down: carrying the call to the gateway over HTTP; it does nothing for one that is down.

--- a/cmd/lilaccove/operations.go
+++ b/cmd/lilaccove/operations.go
@@ -9,6 +9,7 @@
 
 	"lilaccove/internal/backend"
 	"lilaccove/internal/discovery"
+	"lilaccove/internal/fleet/state"
 	"lilaccove/internal/front"
 	"lilaccove/internal/gateway"
 	"lilaccove/internal/handover"
@@ -53,10 +54,12 @@
 	begunAt         time.Duration
 	share           *handover.Share // nil: no other process can be met
 	beside          bool            // another process of this gateway lives
-	drained         bool            // by an operator
-	ending          bool            // SIGTERM has come
-	leaving         bool            // to a successor
-	closed          bool            // no client is accepted and none kept
+	drained         bool            // by an operator, who said so here or to the fleet
+	drainHere       bool
+	drainFleet      bool
+	ending          bool // SIGTERM has come
+	leaving         bool // to a successor
+	closed          bool // no client is accepted and none kept
 	agreeing        []agreement
 }
 
@@ -150,7 +153,8 @@
 	for id, e := range s.Suspended {
 		o.core.SetSuspended(policy.HostID(id), o.suspended(id, e.On))
 	}
-	o.drain(s.Drained.On)
+	o.drainHere = s.Drained.On
+	o.drain()
 }
 
 // agree gives the answers that have waited long enough.
@@ -166,6 +170,8 @@
 	switch {
 	case o.ending:
 		return "ending", false
+	case o.drained && o.drainFleet:
+		return "drained by a word to the fleet", false
 	case o.drained:
 		return "drained", false
 	case o.core.Members() == 0:
@@ -229,6 +235,14 @@
 
 // word does what operators told the whole fleet. It binds at once, also of a database that the list does not name yet.
 func (o *operations) word(id string, out bool) {
+	if name, ok := state.GatewayOf(id); ok {
+		if name == o.links.Name() && out != o.drainFleet {
+			o.drainFleet = out
+			log.Printf("event=drain on=%t fleet=true clients=%d owed=%d", out, o.front.Clients(), o.core.Owed())
+			o.drain()
+		}
+		return
+	}
 	o.spans.Word(id, out)
 	o.core.SetSuspended(policy.HostID(id), out || o.out[id])
 }
@@ -265,6 +279,9 @@
 	if o.links == nil || !o.core.InList(policy.HostID(id)) && !o.links.Out(id) {
 		return false
 	}
+	if _, ok := state.GatewayOf(id); ok {
+		return false
+	}
 	waits, said := 2, ""
 	done := func() {
 		if waits--; waits == 0 {
@@ -280,16 +297,24 @@
 	return true
 }
 
-// Drain empties the gateway, or has it work again.
+// FleetDrain takes a word that drains a gateway of the fleet, or has it work again. Its owner carries it out, whenever it
+// hears of it: it holds for one that is cut off, or not started.
+func (o *operations) FleetDrain(name string, on bool, then func(said string)) bool {
+	return o.links != nil && (o.links.Knows(name) || o.links.Out(state.OnGateway(name))) && o.links.Say(state.OnGateway(name), on, then)
+}
+
+// Drain empties the gateway, or has it work again, as far as the fleet's word lets it.
 func (o *operations) Drain(on bool) {
 	log.Printf("event=drain on=%t clients=%d owed=%d", on, o.front.Clients(), o.core.Owed())
-	o.drain(on)
+	o.drainHere = on
+	o.drain()
 	if o.share != nil {
 		o.share.Drain(on, o.loop.Now())
 	}
 }
 
-func (o *operations) drain(on bool) {
+func (o *operations) drain() {
+	on := o.drainHere || o.drainFleet
 	switch {
 	case on == o.drained:
 	case on:
--- a/cmd/lilaccove/words_test.go
+++ b/cmd/lilaccove/words_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -113,3 +114,40 @@
 	p.left(1, 0)
 	p.judge(0.7)
 }
+
+// A gateway is drained by a word told at another, while nobody can reach it. It obeys when it hears of that, and again after it
+// was killed; only the fleet's word has it work again.
+func TestFleetStateDrain(t *testing.T) {
+	p := newPartyOf(t, 4, storePlan)
+	say := func(i int, verb string) {
+		t.Helper()
+		_, err := p.Node(i).Call("PUT", "/v1/fleet/gateways/n2/"+verb)
+		require.NoError(t, err)
+	}
+	drained := func() bool {
+		_, err := p.Node(2).Call("GET", "/v1/readyz")
+		return err != nil && strings.Contains(err.Error(), "drained by a word to the fleet")
+	}
+	sides := [][]int{{2}, {0, 1, 3}}
+	p.Mesh().Partition(sides, true)
+	p.agree(3, 0, 1, 3)
+	say(0, "drain")
+	passed := p.figure(2, "passed.browse")
+	p.eventually("it cannot know yet", func() bool { return p.figure(2, "passed.browse") > passed+10 })
+	p.Mesh().Partition(sides, false)
+	p.eventually("it obeys", func() bool { return drained() && p.Front().Admitted() == 3 })
+	p.restart(nil, 2)
+	p.eventually("it obeys after a restart", func() bool { return drained() && p.state(2).CaughtUp })
+	_, err := p.Node(2).Call("PUT", "/v1/gateway/activate")
+	require.NoError(t, err)
+	p.agree(3, 0, 1, 3)
+	assert.True(t, drained())
+	assert.Equal(t, 3, p.Front().Admitted())
+	assert.Zero(t, p.figure(2, "passed.browse"))
+	say(1, "activate")
+	p.eventually("it works again", func() bool { return p.Front().Admitted() == 4 && p.figure(2, "passed.browse") > 0 })
+	p.agree(4, p.all()...)
+	_, err = p.Node(0).Call("PUT", "/v1/fleet/gateways/nobody/drain")
+	assert.ErrorContains(t, err, "404")
+	p.judge(0.5)
+}
--- a/cmd/lilacctl/main.go
+++ b/cmd/lilacctl/main.go
@@ -99,6 +99,8 @@
 			"Each gateway knows the versions of the others; the first that answers is enough. With several the newest telling of\n"+
 				"each gateway counts.", versions),
 		auditCommand(),
-		wordCommand("suspend", "Leave a database out"), wordCommand("resume", "Have a database serve again"))
+		wordCommand("suspend", "Leave a database out"), wordCommand("resume", "Have a database serve again"),
+		sayCommand("drain", "GATEWAY", "Empty a gateway of the fleet, told at any of them", func() string { return "/v1/fleet/gateways/" }),
+		sayCommand("activate", "GATEWAY", "Have a gateway of the fleet work again", func() string { return "/v1/fleet/gateways/" }))
 	return root
 }
--- a/cmd/lilacctl/state.go
+++ b/cmd/lilacctl/state.go
@@ -11,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	fleetstate "lilaccove/internal/fleet/state"
 	"lilaccove/internal/peer"
 )
 
@@ -35,7 +36,7 @@
 			newest = r
 		}
 		for _, h := range r.Conflicts {
-			findings = append(findings, r.Name+": words about "+h+" differ; it is left out until you say suspend or resume once more")
+			findings = append(findings, r.Name+": words about "+h+" differ; it is left out until you say once more what holds")
 		}
 		fmt.Fprintf(t, "%s\t%s\t%t\t%d\t%s\n", a, r.Name, r.CaughtUp, len(r.Words), r.Digest)
 	}
@@ -43,6 +44,9 @@
 		fmt.Fprintf(t, "\nDATABASE\tWORD\tSAID AT\tTO\n")
 		for _, x := range newest.Words {
 			word := map[bool]string{true: "suspend", false: "resume"}[x.Out]
+			if _, ok := fleetstate.GatewayOf(x.Host); ok {
+				word = map[bool]string{true: "drain", false: "activate"}[x.Out]
+			}
 			fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", x.Host, word, time.UnixMilli(x.AtMS).UTC().Format(time.RFC3339), x.By)
 		}
 	}
@@ -57,16 +61,25 @@
 
 // wordCommand tells one gateway, or the whole fleet, to leave a database out or to use it.
 func wordCommand(verb, short string) *cobra.Command {
+	fleet := false
+	c := sayCommand(verb, "DATABASE", short+", here or with --fleet everywhere", func() string {
+		if fleet {
+			return "/v1/fleet/databases/"
+		}
+		return "/v1/databases/"
+	})
+	c.Flags().BoolVar(&fleet, "fleet", false, "tell the whole fleet")
+	return c
+}
+
+// sayCommand tells a gateway a word on a database or a gateway.
+func sayCommand(verb, what, short string, below func() string) *cobra.Command {
 	var at string
-	var fleet bool
 	var wait time.Duration
 	c := &cobra.Command{
-		Use: verb + " DATABASE --at 127.0.0.1:7510", Short: short + ", here or with --fleet everywhere", Args: cobra.ExactArgs(1),
+		Use: verb + " " + what + " --at 127.0.0.1:7510", Short: short, Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			path := "/v1/databases/"
-			if fleet {
-				path = "/v1/fleet/databases/"
-			}
+			path := below()
 			said, err := call(at, http.MethodPut, path+url.PathEscape(args[0])+"/"+verb, wait)
 			if err != nil {
 				if strings.Contains(err.Error(), " 404 ") || strings.HasPrefix(err.Error(), "404") {
@@ -82,7 +95,6 @@
 		},
 	}
 	c.Flags().StringVar(&at, "at", "", "a gateway's operators' address")
-	c.Flags().BoolVar(&fleet, "fleet", false, "tell the whole fleet")
 	c.Flags().DurationVar(&wait, "timeout", 2*time.Second, "how long the gateway may take to answer")
 	_ = c.MarkFlagRequired("at")
 	return c
--- a/internal/fleet/audit/records_test.go
+++ b/internal/fleet/audit/records_test.go
@@ -270,3 +270,21 @@
 	require.Len(t, last.Acts, 1)
 	assert.Equal(t, "stays", last.Acts[0].Database)
 }
+
+// What a request costs the record: an attempt noted, and for a write that it was taken.
+func BenchmarkRecord(b *testing.B) {
+	r := NewRecorder("n1", 7)
+	r.Set(time.Hour, Version{List: 1})
+	names := make([]string, 120)
+	for i := range names {
+		names[i] = fmt.Sprintf("s-%04x", i)
+	}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		now, k := time.Hour+time.Duration(i)*time.Microsecond, i%len(names)
+		r.Sent(now, names[k], k/4)
+		r.Accepted(now, names[k], k/4)
+	}
+}
--- a/internal/fleet/membership/machine.go
+++ b/internal/fleet/membership/machine.go
@@ -189,7 +189,7 @@
 
 // Addr is where a member that lives told others to look for it.
 func (m *Machine) Addr(name string) (a netip.AddrPort, ok bool) {
-	if o := m.members[name]; o != nil && o.State.Live() {
+	if o := m.members[name]; o != nil && (o.State.Live() || o.State == Left) {
 		return o.Addr, true
 	}
 	return a, false
--- a/internal/fleet/state/words.go
+++ b/internal/fleet/state/words.go
@@ -28,6 +28,15 @@
 	By     string            `cbor:"5,keyasint" json:"by"`     // the gateway that took it
 }
 
+// gateways begins what a word on a gateway is kept under, beside those on databases.
+const gateways = "gateway:"
+
+// OnGateway is what a word on a gateway is kept under: out means that it is drained.
+func OnGateway(name string) string { return gateways + name }
+
+// GatewayOf is the gateway that a word is on; false: it is on a database.
+func GatewayOf(key string) (name string, ok bool) { return strings.CutPrefix(key, gateways) }
+
 // Sound tells whether a word can be one.
 func (w *Word) Sound() bool {
 	return w.Host != "" && len(w.Host) <= hostMost && len(w.By) <= 64 && len(w.Vector) > 0 && len(w.Vector) <= writersMost
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -46,6 +46,8 @@
 	FleetAudit() ([]byte, bool)
 	// FleetSuspend is Suspend for the whole fleet; then tells who has the word.
 	FleetSuspend(id string, out bool, then func(said string)) bool
+	// FleetDrain tells the fleet to drain a gateway, whichever it is, or to have it work again; false: nobody knows it.
+	FleetDrain(name string, on bool, then func(said string)) bool
 	// Fence shuts the gateway out, or has it go on with what it has; false: there is no fence.
 	Fence(out bool) bool
 	// Drain empties the gateway, or has it work again.
@@ -187,7 +189,7 @@
 			c.answer(200, "ok\n")
 		}
 	default:
-		c.database(q)
+		c.word(q)
 	}
 }
 
@@ -203,34 +205,34 @@
 	}
 }
 
-// database handles /v1/databases/ID/suspend and its like, and the same below /v1/fleet.
-func (c *call) database(q http1.Request) {
-	suspend := func(id string, out bool, then func(said string)) bool {
-		return c.s.ops.Suspend(id, out, func() { then("") })
-	}
-	rest, ok := strings.CutPrefix(q.Path, "/v1/databases/")
-	if !ok {
-		suspend = c.s.ops.FleetSuspend
-		rest, ok = strings.CutPrefix(q.Path, "/v1/fleet/databases/")
-	}
-	name, verb, two := strings.Cut(rest, "/")
-	if !ok || !two || verb != "suspend" && verb != "resume" {
-		c.answer(404, "no such path\n")
-		return
-	}
-	id, ok := http1.Segment(name)
-	if !ok {
-		c.answer(400, "the database's name is not encoded as a path is\n")
-		return
-	}
-	if !c.method(q, "PUT") {
+// word handles what operators say of one database or gateway: PREFIX/NAME/VERB.
+func (c *call) word(q http1.Request) {
+	for _, k := range []struct {
+		prefix, what, out, in string
+		say                   func(name string, out bool, then func(said string)) bool
+	}{
+		{"/v1/databases/", "database", "suspend", "resume", func(id string, out bool, then func(said string)) bool {
+			return c.s.ops.Suspend(id, out, func() { then("") })
+		}},
+		{"/v1/fleet/databases/", "database", "suspend", "resume", c.s.ops.FleetSuspend},
+		{"/v1/fleet/gateways/", "gateway", "drain", "activate", c.s.ops.FleetDrain},
+	} {
+		rest, ok := strings.CutPrefix(q.Path, k.prefix)
+		text, verb, two := strings.Cut(rest, "/")
+		if !ok || !two || verb != k.out && verb != k.in {
+			continue
+		}
+		name, ok := http1.Segment(text)
+		switch {
+		case !ok:
+			c.answer(400, "the "+k.what+"'s name is not encoded as a path is\n")
+		case !c.method(q, "PUT"):
+		case !k.say(name, verb == k.out, func(said string) { c.answer(200, strings.TrimSuffix("ok: "+said, ": ")+"\n") }):
+			c.answer(404, fmt.Sprintf("no %s %q\n", k.what, name))
+		}
 		return
 	}
-	if !suspend(id, verb == "suspend", func(said string) {
-		c.answer(200, strings.TrimSuffix("ok: "+said, ": ")+"\n")
-	}) {
-		c.answer(404, fmt.Sprintf("no database %q\n", id))
-	}
+	c.answer(404, "no such path\n")
 }
 
 // method tells whether the call has the method, and answers if not.
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -33,6 +33,9 @@
 func (s *staff) FleetSuspend(id string, out bool, then func(string)) bool {
 	return s.Suspend("fleet "+id, out, func() { then("held by 2 of 2 others") })
 }
+func (s *staff) FleetDrain(name string, on bool, then func(string)) bool {
+	return s.FleetSuspend("gateway "+name, on, then)
+}
 func (s *staff) Fleet() ([]byte, bool) { return []byte("{}"), s.ready == "" }
 func (s *staff) Drain(on bool)         { s.did = append(s.did, fmt.Sprintf("drain %t", on)) }
 func (s *staff) Suspend(id string, out bool, then func()) bool {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -7,6 +7,7 @@
 	"log"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -197,6 +198,12 @@
 	return own.Name
 }
 
+// Knows tells whether a gateway of that name has been heard of, or is this one.
+func (l *Links) Knows(name string) bool {
+	own, _ := l.m.Own()
+	return name == own.Name || slices.ContainsFunc(l.m.Members(), func(e membership.Entry) bool { return e.Name == name })
+}
+
 // View is the stable view, see membership.View.
 func (l *Links) View() membership.View { return l.m.View() }
 
