Bound the repeats of all gateways together to a share of first attempts, without talk

Need: each gateway repeats a failed read on its own, so a group that stalls meets the sum of all gateways' repeats. internal/repeats keeps a retry budget (share of first attempts, three in hand); the module asks it before a further attempt behind a failed one (mayResend) and answers at once where there is none. Off without repeats: in the fleet file. A share divides itself, so nothing is lent or told. The stand-ins count first and further attempts at one try of a client.

--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -171,6 +171,9 @@
 		})
 		clients.Hold(true) // until what operators told the fleet is known
 	}
+	if party != nil && party.Repeats > 0 {
+		core.Fleet(policy.Repeats{Share: party.Repeats})
+	}
 	if links != nil && party.Subsets {
 		s := &subsets{loop: loop, core: core, links: links, zones: set.Zones}
 		changed = append(changed, s.stir)
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -25,6 +25,7 @@
 	Budgets   *Budgets                  // nil: none is divided
 	Positions bool                      // gateways tell each other how far databases have come
 	Primaries bool                      // and which of them answered as primary
+	Repeats   float64                   // of attempts, as a share of first ones; 0: not bounded
 	Subsets   bool                      // each gateway uses some replicas of a group first
 	Audit     *Audit                    // nil: records stay in memory
 	Words     *Words                    // nil: operators' words are not kept on a disk
@@ -53,7 +54,7 @@
 
 // Common is the part that is to be equal in all files of a fleet, as text.
 func (f *File) Common() []byte {
-	return fmt.Appendf(nil, "%s %v %v %d %s %t %t %v %t %v", f.Fleet, f.Period, f.Still, f.Most, f.Budgets.text(), f.Positions, f.Subsets, f.Fence, f.Primaries, f.Words.keep())
+	return fmt.Appendf(nil, "%s %v %v %d %s %t %t %v %t %v %v", f.Fleet, f.Period, f.Still, f.Most, f.Budgets.text(), f.Positions, f.Subsets, f.Fence, f.Primaries, f.Words.keep(), f.Repeats)
 }
 
 // MostMembers bounds what a file may ask for.
@@ -66,7 +67,7 @@
 		return nil, err
 	}
 	f := &File{Dial: map[string]netip.AddrPort{}}
-	got := r.Fields(top, "", "fleet", "listen", "advertise", "seeds", "dial", "period", "still", "most", "budgets", "subsets", "positions", "primaries", "audit", "fence", "words")
+	got := r.Fields(top, "", "fleet", "listen", "advertise", "seeds", "dial", "period", "still", "most", "budgets", "subsets", "positions", "primaries", "audit", "fence", "words", "repeats")
 	need := func(key string) *yaml.Node {
 		if got[key] == nil && top.Kind == yaml.MappingNode {
 			r.Fail(top, key, "missing")
@@ -132,6 +133,11 @@
 			f.Audit.Keep = r.Count(v, "keep", 0, 100)
 		}
 	}
+	if n := got["repeats"]; n != nil {
+		if f.Repeats = r.Share(n, "repeats"); f.Repeats <= 0 {
+			r.Fail(n, "repeats", "over 0%% up to 100%% would do, like 20%%; without the line they are not bounded")
+		}
+	}
 	if n := got["words"]; n != nil {
 		f.Words = words(r, n)
 	}
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -178,6 +178,9 @@
 	if d := l.Plan.Lab.Fence; d > 0 {
 		b = fmt.Appendf(b, "fence: %d ms\n", d.Milliseconds())
 	}
+	if s := l.Plan.Lab.Repeats; s > 0 {
+		b = fmt.Appendf(b, "repeats: %g%%\n", s*100)
+	}
 	if d := l.Plan.Lab.Words; d > 0 {
 		b = fmt.Appendf(b, "words: {dir: %q, keep: %d s}\n", l.WordsDir(i), int(d.Seconds()))
 	}
--- a/internal/load/plan/plan.go
+++ b/internal/load/plan/plan.go
@@ -120,6 +120,7 @@
 	Positions bool          `json:"positions,omitempty"` // gateways tell each other of them
 	Primaries bool          `json:"primaries,omitempty"` // likewise, of who answers as primary
 	Audit     bool          `json:"audit,omitempty"`     // gateways keep files of records
+	Repeats   float64       `json:"repeats,omitempty"`   // of attempts, as a share of first ones; 0: not bounded
 	Words     time.Duration `json:"words,omitempty"`     // gateways keep operators' words on a disk, for so long; 0: they do not
 	Fence     time.Duration `json:"fence,omitempty"`     // behind for so long a gateway shuts itself out; 0: never
 }
@@ -425,7 +426,7 @@
 }
 
 func (r *reader) lab(p *Plan, n *yaml.Node) {
-	f := r.Fields(n, "lab", "gateways", "told", "members", "cores", "queue", "service", "delay", "lag", "cold", "fleet", "budget", "lease", "subsets", "positions", "primaries", "audit", "fence", "words")
+	f := r.Fields(n, "lab", "gateways", "told", "members", "cores", "queue", "service", "delay", "lag", "cold", "fleet", "budget", "lease", "subsets", "positions", "primaries", "audit", "fence", "words", "repeats")
 	for key, to := range map[string]*int{"gateways": &p.Lab.Gateways, "told": &p.Lab.Told, "members": &p.Lab.Members, "cores": &p.Lab.Cores, "queue": &p.Lab.Queue, "budget": &p.Lab.Budget} {
 		if f[key] != nil {
 			*to = r.Count(f[key], key, 1, 1000)
@@ -441,6 +442,9 @@
 	p.Lab.Positions = r.Bool(f["positions"], "positions")
 	p.Lab.Primaries = r.Bool(f["primaries"], "primaries")
 	p.Lab.Audit = r.Bool(f["audit"], "audit")
+	if n := f["repeats"]; n != nil {
+		p.Lab.Repeats = r.Share(n, "repeats")
+	}
 	if n := f["words"]; n != nil {
 		p.Lab.Words = r.Time(n, "words")
 	}
--- a/internal/standin/database.go
+++ b/internal/standin/database.go
@@ -153,6 +153,7 @@
 		w.mu.Unlock()
 		return write(c, append(note, refusal(pgwire.CodeReadOnly, "this is no primary")...))
 	}
+	h.came(string(head.ID), text)
 	if h.waiting >= w.opt.Cores+w.opt.Queue {
 		w.counts.Full++
 		w.mu.Unlock()
@@ -201,6 +202,20 @@
 	return write(c, Row(fmt.Sprintf("applied=%d", position.UnixMilli()), string(note)))
 }
 
+// came counts a statement as the first or a further attempt at one try of a client, which marks its own retries.
+func (h *Host) came(id, text string) {
+	try, _, _ := strings.Cut(text, "*/")
+	if _, mark, again := strings.Cut(try, ",r="); again {
+		id += "," + strings.TrimSpace(mark)
+	}
+	if w := h.w; w.tried[id] {
+		w.counts.Repeats++
+	} else {
+		w.tried[id] = true
+		w.counts.Firsts++
+	}
+}
+
 // service draws how long a statement takes.
 func (h *Host) service() time.Duration {
 	w := h.w
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -51,6 +51,7 @@
 	Duplicates         int // writes that ran a second time
 	Stale              int // reads answered from data older than their class or session allows
 	Misses, Full       int
+	Firsts, Repeats    int // statements of a client's try that came for the first time, and again; those turned away are none
 	Foreign            int // statements that no client of the protocol sends
 	Drained            int // statements begun on a database two seconds after it was to get nothing new
 	Connections        int
@@ -71,6 +72,7 @@
 	named  int
 	watch  map[chan []byte]*Discovery
 	muted  map[chan []byte]bool
+	tried  map[string]bool // clients' tries that came
 	ran    map[string]int
 	counts Counts
 	faults Faults
@@ -110,7 +112,7 @@
 
 // New starts a world.
 func New(opt Options) (*World, error) {
-	w := &World{opt: opt, rnd: rand.New(rand.NewPCG(opt.Seed, 0x73746e64)), watch: map[chan []byte]*Discovery{}, muted: map[chan []byte]bool{}, ran: map[string]int{}, seq: 1, done: make(chan struct{})}
+	w := &World{opt: opt, rnd: rand.New(rand.NewPCG(opt.Seed, 0x73746e64)), watch: map[chan []byte]*Discovery{}, muted: map[chan []byte]bool{}, tried: map[string]bool{}, ran: map[string]int{}, seq: 1, done: make(chan struct{})}
 	for g := range opt.Groups {
 		for m := range opt.Members {
 			if _, err := w.add(opt.Group+g, m == 0, time.Time{}); err != nil {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lilaccove/internal/alarm"
+	"lilaccove/internal/repeats"
 )
 
 const (
@@ -65,23 +66,21 @@
 
 // group is one primary with its replicas, and the breaker on that primary.
 type group struct {
-	hosts    []*host
-	primary  *host // nil: unknown
-	lostAt   time.Duration
-	fails    int
-	openedAt time.Duration
-	trips    int // of the breaker on this primary without a success between
-	waiting  []*request
-	doubtAt  time.Duration // when its primary came into doubt
-	// Stirred: a waiting request may go. Seeking: a timer is set. Dark: a bounded read found nothing fresh.
-	open, stirred, seeking, dark bool
+	hosts                        []*host
+	primary                      *host // nil: unknown
+	lostAt                       time.Duration
+	fails                        int
+	openedAt                     time.Duration
+	trips                        int // of the breaker on this primary without a success between
+	waiting                      []*request
+	doubtAt                      time.Duration // when its primary came into doubt
+	open, stirred, seeking, dark bool          // stirred: one that waits may go; dark: a bounded read found none fresh
 }
 
 type attempt struct {
 	q                 *request
 	h                 *host
-	sentAt            time.Duration
-	away              time.Duration // of the router by then
+	sentAt, away      time.Duration // away: of the router by then
 	overdue, resolved bool          // overdue: counted as a failure already
 }
 
@@ -96,8 +95,8 @@
 	mayRunAt  time.Duration // when the first such was sent
 	lookUntil time.Duration // it waits so long for fresher positions
 
-	waitUntil, arrived, deadline time.Duration
-	missed, waiting, done        bool
+	waitUntil, arrived, deadline  time.Duration
+	missed, waiting, done, failed bool // failed: some attempt was
 }
 
 // Router decides for one router process. It is not safe for concurrent use.
@@ -113,6 +112,7 @@
 	marks         map[SessionID]time.Duration // newest commit acknowledged to a session here
 	base          time.Duration               // marks up to here were forgotten
 	wakes         alarm.Queue
+	repeats       repeats.Bound
 	stirred       []*group
 	seq           uint64
 	timerAt       time.Duration    // earliest timer asked for; long if none
@@ -385,6 +385,8 @@
 		}
 	case Fenced:
 		r.fenced = e.Out
+	case Repeats:
+		r.repeats = repeats.New(e.Share)
 	case Away:
 		r.away, r.missed = e.Lost, e.Lost-r.away
 	case Preferred:
@@ -665,7 +667,7 @@
 
 // mayResend keeps the rule of repeats; a first attempt is always allowed.
 func (r *Router) mayResend(q *request) bool {
-	left := r.set.MaxTries <= 0 || len(q.attempts) < r.set.MaxTries
+	left := (r.set.MaxTries <= 0 || len(q.attempts) < r.set.MaxTries) && r.repeats.Left(q.failed)
 	inWindow := q.class.Repeat != Fragile && r.now+r.set.Tick < q.mayRunAt+q.class.DedupWindow
 	return left && (!q.mayRun && q.out == 0 || q.class.Repeat == Retryable || inWindow)
 }
@@ -780,10 +782,9 @@
 	r.do(Send{Request: q.ID, Host: h.id, Timeout: timeout})
 	a := &attempt{q: q, h: h, sentAt: r.now, away: r.away}
 	q.attempts = append(q.attempts, a)
-	q.out++
-	q.waiting = false
 	h.out = append(h.out, a)
-	h.sentAt = r.now
+	q.out, q.waiting, h.sentAt = q.out+1, false, r.now
+	r.repeats.Made(q.failed)
 	if q.mayRunAt == 0 {
 		q.mayRunAt = r.now
 	}
@@ -833,6 +834,7 @@
 	if !q.mayRun && q.out == 0 {
 		q.mayRunAt = 0
 	}
+	q.failed = q.failed || !slices.Contains([]Outcome{OK, Miss, Moot}, e.Outcome)
 	q.missed = q.missed || e.Outcome == Miss && q.class.Level == Write
 	switch {
 	case e.Finished || e.Outcome == OK || q.done:
@@ -952,11 +954,9 @@
 		return
 	}
 	r.probes--
-	list := g.hosts
-	if r.turn++; r.turn%2 == 0 {
-		list = r.order
-	}
-	if list = slices.DeleteFunc(slices.Clone(list), r.left); len(list) > 0 {
+	r.turn++
+	list := slices.DeleteFunc(slices.Clone([][]*host{r.order, g.hosts}[r.turn%2]), r.left)
+	if len(list) > 0 {
 		r.probe(slices.MinFunc(list, func(a, b *host) int { return cmp.Compare(a.probedAt, b.probedAt) }))
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"reflect"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -429,6 +430,45 @@
 	g.wantSend("a")
 }
 
+// Repeats of failed attempts are bounded where the fleet says so.
+func TestRepeatsAreBounded(t *testing.T) {
+	for _, share := range []float64{0, 0.1} {
+		g := newRig(t, base())
+		g.at(ms, Repeats{Share: share})
+		sent, refused := 0, 0
+		for i := range 100 {
+			id := RequestID(strconv.Itoa(i))
+			g.at(50*ms, Request{ID: id, Class: loose, Budget: time.Second})
+			for n := 0; ; n++ {
+				var host HostID
+				for _, a := range g.got {
+					if s, ok := a.(Send); ok && s.Request == id {
+						host = s.Host
+					}
+				}
+				if host == "" {
+					break
+				}
+				sent++
+				g.at(ms, Result{Request: id, Attempt: n, Host: host, Outcome: ConnectFailed})
+			}
+			r, f := g.final(id)
+			if r == 0 { // it waits for a member
+				r, f = g.at(1200 * ms).final(id)
+			}
+			refused += r
+			require.Zero(t, f)
+		}
+		require.Equal(t, 100, refused, "each has its answer")
+		if share > 0 {
+			assert.LessOrEqual(t, sent, 100+10+3)
+			assert.Greater(t, sent, 105)
+		} else {
+			assert.Greater(t, sent, 150)
+		}
+	}
+}
+
 // A large fleet asks again slowly after a failure, but not where a watch fell silent: what that does not tell may bind
 // already, however many routers there are.
 func TestSilenceIsAnsweredSoon(t *testing.T) {
@@ -1004,7 +1044,7 @@
 	const n = 1200
 	for i := range n {
 		id := RequestID(rune(i + 256))
-		g.at(10*ms, Request{ID: id, Class: loose, Group: 1, Budget: time.Second})
+		g.at(10*ms, Request{ID: id, Class: loose, Budget: time.Second})
 		asked := g.probed()
 		for _, h := range g.sends() {
 			g.at(0, Result{Request: id, Host: h, Outcome: OK, Finished: true, Latency: 10 * ms})
--- a/policy/types.go
+++ b/policy/types.go
@@ -246,6 +246,8 @@
 		Host HostID
 		At   time.Duration
 	}
+	// Repeats bounds attempts that follow a failed one of the same request to a share of the first ones; 0: they are not.
+	Repeats struct{ Share float64 }
 	// Fenced tells that this process acts on knowledge that it cannot vouch for: it takes no writes until told otherwise.
 	Fenced struct{ Out bool }
 	// Heard tells that another router knows a host to have applied all commits up to a position. It is a floor, as
@@ -267,6 +269,7 @@
 func (Preferred) event() {}
 func (Away) event()      {}
 func (Fenced) event()    {}
+func (Repeats) event()   {}
 func (Told) event()      {}
 func (Heard) event()     {}
 
