--- a/internal/fleet/audit/records_test.go
+++ b/internal/fleet/audit/records_test.go
@@ -17,7 +17,8 @@
 // process is one gateway whose records are judged.
 type process struct {
 	*Recorder
-	lines [][]byte
+	lines  [][]byte
+	others []*process // whose records go with its own
 }
 
 func newProcess(name string, session uint64) *process {
@@ -37,6 +38,7 @@
 
 func opened(t require.TestingT, all ...*process) (list []Sealed) {
 	for _, p := range all {
+		list = append(list, opened(t, p.others...)...)
 		p.lines = append(p.lines, p.Take()...)
 		for _, l := range p.lines {
 			s, err := Open(l)
@@ -193,6 +195,42 @@
 			a.Out(sec(1), "x", 1, true)
 			b.Sent(sec(5), "x", 1)
 		}, []string{AfterWord}},
+		"work against a word that it had heard the end of, but not the one who stood still": {func(a, b *process) {
+			a.Set(sec(1), Version{List: 1, Words: 7})
+			a.Out(sec(1), "x", 1, true)
+			b.Set(sec(1), Version{List: 1, Words: 8}) // with another word besides
+			b.Out(sec(1), "x", 1, true)
+			b.Set(sec(4), Version{List: 1, Words: 9})
+			b.Out(sec(4), "x", 1, false)
+			b.Sent(sec(6), "x", 1)
+		}, nil},
+		"work on words that are newer, by a process that never had the old ones": {func(a, b *process) {
+			a.Set(sec(1), Version{List: 1, Words: 7})
+			a.Out(sec(1), "x", 1, true)
+			c := newProcess("n2", 3)
+			c.Set(sec(1), Version{List: 1, Words: 7})
+			c.Set(sec(2), Version{List: 1, Words: 8})
+			c.Set(sec(3), Version{List: 1, Words: 9})
+			c.until(8*time.Second, 9*time.Second)
+			b.others = append(b.others, c)
+			b.Set(sec(3), Version{List: 1, Words: 9})
+			b.Sent(sec(6), "x", 1)
+		}, nil},
+		"work against a second word, behind the end of the first": {func(a, b *process) {
+			b.Set(sec(0.5), Version{List: 1, Words: 7})
+			b.Out(sec(0.5), "x", 1, true)
+			b.Set(sec(1), Version{List: 1, Words: 8})
+			b.Out(sec(1), "x", 1, false)
+			a.Set(sec(0.5), Version{List: 1, Words: 7})
+			a.Out(sec(0.5), "x", 1, true)
+			a.Set(sec(2), Version{List: 1, Words: 9}) // end and second word came at once
+			b.Sent(sec(7), "x", 1)
+		}, []string{AfterWord}},
+		"work that a newer list allows": {func(a, b *process) {
+			a.Drained(sec(1), "x", 1, true)
+			b.Set(sec(2), Version{List: 2})
+			b.Sent(sec(6), "x", 1)
+		}, nil},
 		"an old list": {func(a, b *process) {
 			a.Set(sec(1), Version{List: 2})
 			b.Sent(sec(7), "x", 1)
