Pass operators' words on when they are news, and compare at once with a gateway seen again

Whoever hears news now tells three others, once, and a gateway that is seen again is compared with at once. TestWordsSpreadBehindAHeal (16 copies, 50 seeds: all know within one round) fails without the greeting, TestNewsArePassedOn without passing on. The schedules also let watches on discovery fall silent now.

--- a/cmd/lilaccove/chaos_test.go
+++ b/cmd/lilaccove/chaos_test.go
@@ -43,6 +43,10 @@
 lab: {gateways: 7, members: 4, cores: 4, queue: 60, service: 10 ms, lag: 10 ms, cold: 3 s, fleet: true, positions: true, primaries: true, subsets: true, audit: true, words: 1 min}
 `
 
+// listPause is how long the list does not change behind watches that fell silent, and the other way round: what they do not
+// tell binds from the sixth second on.
+const listPause = 6500 * time.Millisecond
+
 // chaos is a schedule of faults that follows from a seed: what is done when, not how processes take it.
 type chaos struct {
 	*party
@@ -55,9 +59,19 @@
 	said   []string
 	down   map[int]bool // gateways that are killed or stopped
 	rolled int          // databases of each group that were replaced
-	muted  time.Time
-	broken bool // links
-	quiet  bool // no operators
+	listed time.Time    // when the list last began to change, or watches fell silent
+	broken bool         // links
+	quiet  bool         // no operators
+}
+
+func newChaos(t *testing.T, plan string, seed uint64) *chaos {
+	c := &chaos{party: newPartyOf(t, 7, plan), rnd: rand.New(rand.NewPCG(seed, 0x6368616f73)), stop: make(chan struct{}), down: map[int]bool{}, begun: time.Now()}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("the schedule of seed %d:\n%s", seed, strings.Join(c.said, "\n"))
+		}
+	})
+	return c
 }
 
 func (c *chaos) say(format string, args ...any) {
@@ -100,7 +114,7 @@
 
 // one does one thing. Draws are made whether or not it can be done, so that a schedule stays the same.
 func (c *chaos) one() {
-	what, d := c.rnd.IntN(8), c.span(200*time.Millisecond, 2500*time.Millisecond)
+	what, d := c.rnd.IntN(9), c.span(200*time.Millisecond, 2500*time.Millisecond)
 	switch what {
 	case 0, 1:
 		if i, ok := c.victim(); ok {
@@ -141,7 +155,7 @@
 		}
 	case 6:
 		// One at a time in each group, and none while a watch may be silent without anybody's knowledge.
-		if members := c.World().Members(); c.rolled < 2 && time.Since(c.muted) > 7*time.Second {
+		if members := c.World().Members(); c.rolled < 2 && time.Since(c.listed) > listPause {
 			c.rolled++
 			for g := range 2 {
 				h := members[slices.IndexFunc(members, func(h *standin.Host) bool { return h.Group == g })]
@@ -152,14 +166,19 @@
 					assert.NoError(c.t, c.World().Replace(h, 4*time.Second, nil))
 				}()
 			}
-			c.muted = time.Now() // nor is one muted while they are told of
+			c.listed = time.Now()
 		}
 	case 7:
-		if faults := []standin.Faults{{ResetBefore: 0.05}, {ResetAfter: 0.05}, {Silence: 0.03}, {Errors: 0.05}, {Spoil: 0.03}}; true {
-			f := faults[c.rnd.IntN(len(faults))]
-			c.say("answers %+v for %v", f, d)
-			c.World().SetFaults(f)
-			c.later(d, func() { c.World().SetFaults(standin.Faults{}) })
+		faults := []standin.Faults{{ResetBefore: 0.05}, {ResetAfter: 0.05}, {Silence: 0.03}, {Errors: 0.05}, {Spoil: 0.03}}
+		f := faults[c.rnd.IntN(len(faults))]
+		c.say("answers %+v for %v", f, d)
+		c.World().SetFaults(f)
+		c.later(d, func() { c.World().SetFaults(standin.Faults{}) })
+	case 8:
+		if time.Since(c.listed) > listPause {
+			c.listed = time.Now()
+			c.say("watches fall silent")
+			c.World().Mute()
 		}
 	}
 	if c.rnd.IntN(3) == 0 && !c.quiet { // an operator
@@ -205,13 +224,7 @@
 func TestFleetChaos(t *testing.T) {
 	for seed := *chaosFrom; seed < *chaosFrom+*chaosSeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			c := &chaos{party: newPartyOf(t, 7, chaosPlan), rnd: rand.New(rand.NewPCG(seed, 0x6368616f73)), stop: make(chan struct{}), down: map[int]bool{}}
-			c.begun = time.Now()
-			t.Cleanup(func() {
-				if t.Failed() {
-					t.Logf("the schedule of seed %d:\n%s", seed, strings.Join(c.said, "\n"))
-				}
-			})
+			c := newChaos(t, chaosPlan, seed)
 			for time.Since(c.begun) < *chaosTime {
 				c.one()
 				time.Sleep(c.span(100*time.Millisecond, 700*time.Millisecond))
@@ -286,16 +299,8 @@
 func TestFleetAuditSchedules(t *testing.T) {
 	for seed := *chaosFrom; seed < *chaosFrom+*auditSeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			c := &chaos{
-				party: newPartyOf(t, 7, strings.Replace(chaosPlan, "subsets: true, ", "", 1)), rnd: rand.New(rand.NewPCG(seed, 0x6175646974)),
-				stop: make(chan struct{}), down: map[int]bool{}, broken: true, rolled: 2, // links and databases are the incident's
-			}
-			c.begun = time.Now()
-			t.Cleanup(func() {
-				if t.Failed() {
-					t.Logf("the schedule of seed %d:\n%s", seed, strings.Join(c.said, "\n"))
-				}
-			})
+			c := newChaos(t, strings.Replace(chaosPlan, "subsets: true, ", "", 1), seed)
+			c.broken, c.rolled, c.quiet = true, 2, true // links, databases and operators are the incident's
 			c.eventually("all have written", func() bool {
 				for i := range c.n {
 					if c.figure(i, "passed.write") < 3 {
@@ -308,7 +313,6 @@
 			c.mu.Lock()
 			c.down[x.victim] = true // nothing else befalls it
 			c.mu.Unlock()
-			c.quiet = true
 			for from := time.Now(); time.Since(from) < 3*time.Second; time.Sleep(c.span(100*time.Millisecond, 600*time.Millisecond)) {
 				c.one()
 			}
--- a/internal/fleet/state/words.go
+++ b/internal/fleet/state/words.go
@@ -17,6 +17,8 @@
 	wordsMost    = 1024
 	writersMost  = 64 // of one vector
 	askedMost    = 64 // words whose holders are counted at once
+	passOn       = 3  // other gateways that what was news here is told to
+	greetMost    = 3  // gateways newly seen that are compared with at once
 )
 
 // Word is what an operator said of a database to the whole fleet.
@@ -113,10 +115,38 @@
 
 // Live tells which other gateways can be told.
 func (s *Words) Live(names []string) {
-	had := len(s.live)
+	had := s.live
 	s.live = slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == s.name })
-	if had == 0 && len(s.live) > 0 {
-		s.next = 0 // the first other: it may know more
+	// Whoever is seen again, behind a partition or a stop, may know more or less than this one.
+	fresh := slices.DeleteFunc(slices.Clone(s.live), func(n string) bool { return slices.Contains(had, n) })
+	for _, to := range s.some(fresh, greetMost) {
+		s.compare(to)
+	}
+}
+
+// some draws a few of some names.
+func (s *Words) some(names []string, most int) []string {
+	s.rnd.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names[:min(most, len(names))]
+}
+
+// compare asks another gateway whether its copy is equal.
+func (s *Words) compare(to string) {
+	s.send(to, WordsMessage{Digest: s.Digest(), Round: s.round})
+}
+
+// pass tells a few others what was news here (rumor mongering: Demers and others 1987). It is news to each gateway once, so
+// this ends by itself.
+func (s *Words) pass(from string, changed []string) {
+	var words []Word
+	for _, h := range changed {
+		words = append(words, s.words[h]...)
+	}
+	others := slices.DeleteFunc(slices.Clone(s.live), func(n string) bool { return n == from })
+	for _, to := range s.some(others, passOn) {
+		for page := range slices.Chunk(words, wordsPerSend) {
+			s.send(to, WordsMessage{Words: page})
+		}
 	}
 }
 
@@ -311,7 +341,9 @@
 
 // Receive takes a message in; it returns the hosts about which something has changed.
 func (s *Words) Receive(from string, m WordsMessage) (changed []string) {
-	changed = s.Load(m.Words)
+	if changed = s.Load(m.Words); len(changed) > 0 {
+		s.pass(from, changed)
+	}
 	s.synced = s.synced || m.Round == s.round && (m.Same || m.Sum == s.Digest())
 	switch {
 	case m.Asked != 0 && len(m.Words) > 0:
@@ -342,7 +374,7 @@
 	if !s.synced {
 		s.next = now + compareEvery/5
 	}
-	s.send(s.live[s.rnd.IntN(len(s.live))], WordsMessage{Digest: s.Digest(), Round: s.round})
+	s.compare(s.live[s.rnd.IntN(len(s.live))])
 }
 
 // Take hands over what is to be sent.
--- a/internal/fleet/state/words_test.go
+++ b/internal/fleet/state/words_test.go
@@ -215,3 +215,59 @@
 	c.list[1].Receive("n0", pages[len(pages)-1].Message)
 	assert.True(t, c.list[1].Synced())
 }
+
+// A word that one side of a partition has reaches all soon behind the heal, not by chance comparisons alone.
+func TestWordsSpreadBehindAHeal(t *testing.T) {
+	for seed := range uint64(50) {
+		c := newCrew(16, seed)
+		c.cut = func(a, b int) bool { return (a < 2) != (b < 2) }
+		for i, s := range c.list {
+			s.Live(c.names[:2])
+			if i >= 2 {
+				s.Live(c.names[2:])
+			}
+			s.Take()
+		}
+		c.say(0, "s1", true)
+		c.round()
+		c.cut = nil
+		for i, s := range c.list {
+			s.Live(c.names)
+			c.collect(i)
+		}
+		c.round()
+		knows := 0
+		for _, s := range c.list {
+			if out, _ := s.Out("s1"); out {
+				knows++
+			}
+		}
+		require.Equal(t, 16, knows, "seed %d", seed)
+	}
+}
+
+// A word that reached one other gateway only is passed on by it, before anybody compares.
+func TestNewsArePassedOn(t *testing.T) {
+	knows := 0
+	for seed := range uint64(20) {
+		c := newCrew(16, seed)
+		for i := range c.list {
+			c.list[i].Take()
+		}
+		require.NotZero(t, c.list[0].Say(c.now, "s1", true))
+		first := c.list[0].Take()[0]
+		for wire, n := []WordsSend{first}, 0; len(wire) > 0; n++ {
+			require.Less(t, n, 200, "it ends by itself")
+			var i int
+			_, _ = fmt.Sscanf(wire[0].To, "n%d", &i)
+			c.list[i].Receive("n0", wire[0].Message)
+			wire = append(wire[1:], c.list[i].Take()...)
+		}
+		for _, s := range c.list {
+			if out, _ := s.Out("s1"); out {
+				knows++
+			}
+		}
+	}
+	assert.Greater(t, knows, 20*16*3/4)
+}
