--- a/policy/policy.go
+++ b/policy/policy.go
@@ -74,7 +74,7 @@
 	trips                        int // of the breaker on this primary without a success between
 	waiting                      []*request
 	doubtAt                      time.Duration // when its primary came into doubt
-	open, stirred, seeking, dark bool          // stirred: one that waits may go; dark: a bounded read found none fresh
+	open, stirred, seeking, dark bool          // stirred: one waits that may go; dark: no fresh one found
 }
 
 type attempt struct {
