Have one piece say where a process's records begin, read files with auditfile.Lines, and say words once

The schedules read audit files by a scanner of their own, where auditfile.Lines is there and has no limit on a line.

--- a/cmd/lilaccove/audit_test.go
+++ b/cmd/lilaccove/audit_test.go
@@ -35,6 +35,19 @@
 	return all
 }
 
+// written waits until each gateway has served so many writes.
+func (p *party) written(n int) {
+	p.t.Helper()
+	p.eventually("all have written", func() bool {
+		for _, i := range p.all() {
+			if p.figure(i, "passed.write") < n {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // found are the findings of a kind in what all gateways tell.
 func (p *party) found(kind string) (list []audit.Finding) {
 	for _, f := range audit.Judge(p.records(p.all()...), audit.DefaultBounds()) {
@@ -48,14 +61,7 @@
 // Two databases of a group take writes: no gateway can know it, the records of all show it, and whose they are.
 func TestFleetAuditTwoPrimaries(t *testing.T) {
 	p := newPartyOf(t, 4, fmt.Sprintf(sharedPlan, 4))
-	p.eventually("all have written", func() bool {
-		for _, i := range p.all() {
-			if p.figure(i, "passed.write") < 5 {
-				return false
-			}
-		}
-		return true
-	})
+	p.written(5)
 	assert.Empty(t, audit.Judge(p.records(p.all()...), audit.DefaultBounds()), "a fleet at work has no findings")
 	members := p.World().Members()
 	old, claims := members[0], members[1]
--- a/cmd/lilaccove/chaos_test.go
+++ b/cmd/lilaccove/chaos_test.go
@@ -1,12 +1,9 @@
 package main
 
 import (
-	"bufio"
-	"bytes"
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -16,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"lilaccove/internal/auditfile"
 	"lilaccove/internal/fleet/audit"
 	"lilaccove/internal/load/plan"
 	"lilaccove/internal/standin"
@@ -206,10 +204,10 @@
 // kept are the records of all processes there were, from the gateways' files.
 func (c *chaos) kept() (all []audit.Sealed) {
 	for i := range c.n {
-		text, err := os.ReadFile(c.AuditFile(i))
+		lines, err := auditfile.Lines(c.AuditFile(i))
 		require.NoError(c.t, err)
-		for lines := bufio.NewScanner(bytes.NewReader(text)); lines.Scan(); {
-			if s, err := audit.Open(lines.Bytes()); err == nil { // a killed process may leave half a line
+		for _, l := range lines {
+			if s, err := audit.Open(l); err == nil { // a killed process may leave half a line
 				all = append(all, s)
 			}
 		}
@@ -301,14 +299,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			c := newChaos(t, strings.Replace(chaosPlan, "subsets: true, ", "", 1), seed)
 			c.broken, c.rolled, c.quiet = true, 2, true // links, databases and operators are the incident's
-			c.eventually("all have written", func() bool {
-				for i := range c.n {
-					if c.figure(i, "passed.write") < 3 {
-						return false
-					}
-				}
-				return true
-			})
+			c.written(3)
 			x := c.plant()
 			c.mu.Lock()
 			c.down[x.victim] = true // nothing else befalls it
--- a/cmd/lilaccove/store_test.go
+++ b/cmd/lilaccove/store_test.go
@@ -16,14 +16,6 @@
 // storePlan has four gateways that keep operators' words on a disk.
 var storePlan = strings.NewReplacer("%%", "%", "%d", "4", "fleet: true", "fleet: true, words: 1 min").Replace(partyPlan)
 
-// says takes a word to the fleet at one gateway; it returns the answer.
-func (p *party) says(i int, host, verb string) string {
-	p.t.Helper()
-	text, err := p.Node(i).Call("PUT", "/v1/fleet/databases/"+host+"/"+verb)
-	require.NoError(p.t, err)
-	return strings.TrimSpace(string(text))
-}
-
 // restart kills some gateways at once, has something done meanwhile, and starts them.
 func (p *party) restart(meanwhile func(), list ...int) {
 	p.t.Helper()
@@ -67,7 +59,7 @@
 	p := newPartyOf(t, 4, storePlan)
 	host := p.World().Members()[0]
 	p.eventually("it is in use", func() bool { return host.Begun() > 20 })
-	assert.Equal(t, "ok: held by 3 of 3 others, on disk", p.says(2, host.ID, "suspend"))
+	assert.Equal(t, "ok: held by 3 of 3 others, on disk", p.word(2, host.ID, "suspend"))
 	var begun int
 	p.restart(func() { begun = host.Begun() }, p.all()...)
 	p.left(1, p.all()...)
@@ -75,7 +67,7 @@
 	p.eventually("reads go on", func() bool { return p.World().Counts().Reads > before+200 })
 	assert.Equal(t, begun, host.Begun(), "it was used in spite of the word")
 	p.equal()
-	p.says(0, host.ID, "resume")
+	p.word(0, host.ID, "resume")
 	p.left(0, p.all()...)
 	p.judge(0.3)
 }
@@ -87,7 +79,7 @@
 	host := p.World().Members()[2].ID
 	sides := [][]int{{3}, {0, 1, 2}}
 	p.Mesh().Partition(sides, true)
-	assert.Equal(t, "ok: held by 0 of 3 others, on disk", p.says(3, host, "suspend"))
+	assert.Equal(t, "ok: held by 0 of 3 others, on disk", p.word(3, host, "suspend"))
 	p.restart(nil, 3)
 	p.left(1, 3)
 	p.left(0, 0, 1, 2)
@@ -103,11 +95,11 @@
 	p := newPartyOf(t, 4, storePlan)
 	host := p.World().Members()[1].ID
 	dir := p.WordsDir(1)
-	p.says(0, host, "suspend")
+	p.word(0, host, "suspend")
 	p.eventually("its disk has it", func() bool { return p.figure(1, "fleet_words.saved") > 0 })
 	old, err := os.ReadFile(filepath.Join(dir, "words"))
 	require.NoError(t, err)
-	p.says(3, host, "resume")
+	p.word(3, host, "resume")
 	p.left(0, p.all()...)
 	p.restart(func() { require.NoError(t, os.WriteFile(filepath.Join(dir, "words"), old, 0o600)) }, 1)
 	p.equal()
@@ -121,7 +113,7 @@
 func TestFleetStateDiskDamaged(t *testing.T) {
 	p := newPartyOf(t, 4, storePlan)
 	host := p.World().Members()[1].ID
-	p.says(0, host, "suspend")
+	p.word(0, host, "suspend")
 	file := func(i int) string { return filepath.Join(p.WordsDir(i), "words") }
 	for i := range 4 {
 		p.eventually("each disk has it", func() bool { return p.figure(i, "fleet_words.saved") > 0 })
@@ -139,9 +131,9 @@
 	assert.True(t, p.told(2, "another gateway's"))
 	p.equal()
 	p.left(1, p.all()...)
-	assert.Contains(t, p.says(2, host, "resume"), "not on disk")
+	assert.Contains(t, p.word(2, host, "resume"), "not on disk")
 	p.left(0, p.all()...)
-	assert.Contains(t, p.says(1, host, "suspend"), "on disk")
+	assert.Contains(t, p.word(1, host, "suspend"), "on disk")
 	p.left(1, p.all()...)
 	p.judge(0.5)
 }
@@ -150,7 +142,7 @@
 func TestFleetStateDiskTooOld(t *testing.T) {
 	p := newPartyOf(t, 4, strings.Replace(storePlan, "words: 1 min", "words: 1 s", 1))
 	host := p.World().Members()[1].ID
-	p.says(0, host, "suspend")
+	p.word(0, host, "suspend")
 	p.left(1, p.all()...)
 	p.restart(func() { time.Sleep(1300 * time.Millisecond) }, 2) // the fault
 	assert.True(t, p.told(2, "longer than words are kept"))
@@ -171,7 +163,7 @@
 	}
 	held := 0
 	for k := range 10 {
-		if p.says(k%4, p.World().Members()[1].ID, []string{"suspend", "resume"}[k%2]) == "ok: held by 3 of 3 others, on disk" {
+		if p.word(k%4, p.World().Members()[1].ID, []string{"suspend", "resume"}[k%2]) == "ok: held by 3 of 3 others, on disk" {
 			held++
 		}
 	}
--- a/cmd/lilaccove/words_test.go
+++ b/cmd/lilaccove/words_test.go
@@ -22,10 +22,12 @@
 	return r
 }
 
-func (p *party) word(i int, host, verb string) {
+// word takes an operator's word to the fleet at one gateway; it returns the answer.
+func (p *party) word(i int, host, verb string) string {
 	p.t.Helper()
-	_, err := p.Node(i).Call("PUT", "/v1/fleet/databases/"+host+"/"+verb)
+	text, err := p.Node(i).Call("PUT", "/v1/fleet/databases/"+host+"/"+verb)
 	require.NoError(p.t, err)
+	return strings.TrimSpace(string(text))
 }
 
 // left waits until some gateways leave out so many databases.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -50,7 +50,7 @@
 	heardAt time.Duration
 	told    bool // this watch has brought an object
 	heard   bool // some watch has
-	silent  bool // one that had fell silent since: what it did not tell may bind already
+	silent  bool // a watch or call said nothing, and none has since: what it did not tell may bind already
 }
 
 // New makes a client that asks at addr. Zones are the names in the order of the settings.
--- a/internal/fleet/audit/findings.go
+++ b/internal/fleet/audit/findings.go
@@ -81,7 +81,7 @@
 		if r.Dropped > 0 {
 			note(Incomplete, r, r.From, "%d acts at databases for which there was no room", r.Dropped)
 		}
-		if i == 0 || records[i-1].Session != r.Session || records[i-1].Gateway != r.Gateway {
+		if begins(records, i) {
 			continue // what came before it may have been let go, as is due
 		}
 		last := records[i-1]
@@ -202,6 +202,11 @@
 	return nil
 }
 
+// begins tells whether a record is the first there is of its process. Records are sorted by gateway, session and number.
+func begins(records []Sealed, i int) bool {
+	return i == 0 || records[i-1].Gateway != records[i].Gateway || records[i-1].Session != records[i].Session
+}
+
 // mark is a time in which a gateway knew that a database was to get nothing.
 type mark struct {
 	gateway  string
@@ -218,13 +223,15 @@
 // laterWords takes in what processes went on to.
 func laterWords(records []Sealed) later {
 	l := later{}
-	for i, r := range records[min(1, len(records)):] { // sorted by gateway, session and number
-		if b := records[i]; b.Gateway == r.Gateway && b.Session == r.Session && b.Words != r.Words {
-			if l[b.Words] == nil {
-				l[b.Words] = map[string]bool{}
-			}
-			l[b.Words][r.Words] = true
+	for i, r := range records {
+		if begins(records, i) || records[i-1].Words == r.Words {
+			continue
+		}
+		before := records[i-1].Words
+		if l[before] == nil {
+			l[before] = map[string]bool{}
 		}
+		l[before][r.Words] = true
 	}
 	return l
 }
@@ -251,7 +258,7 @@
 	out := map[[2]string][]Stamp{}
 	held := map[string]bool{}
 	for i, r := range records {
-		if i == 0 || records[i-1].Gateway != r.Gateway || records[i-1].Session != r.Session {
+		if begins(records, i) {
 			held = map[string]bool{}
 		}
 		holds := map[string]bool{}
@@ -283,7 +290,7 @@
 		marks, lifts := map[string][]mark{}, lifted(records, c.of)
 		told := Stamp(0)
 		for i, r := range records {
-			if b := records[max(0, i-1)]; i == 0 || b.Gateway != r.Gateway || b.Session != r.Session || b.Words != r.Words || b.List != r.List {
+			if begins(records, i) || records[i-1].Words != r.Words || records[i-1].List != r.List {
 				told = r.From
 			}
 			for _, a := range r.Acts {
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -183,8 +183,8 @@
 	return l.timers[0].at
 }
 
-// overdue tells that a timer should have fired long ago: this process was not there.
-func (l *Loop) overdue() bool { return l.due() > 0 && l.now-l.due() > tolerable }
+// overdue tells that a timer should have fired long ago, if there is one: this process was not there.
+func (l *Loop) overdue() bool { return l.now-l.due() > tolerable }
 
 // patience is how many milliseconds the next round may wait for events: until the
 // next timer, rounded up, so that the loop does not spin through its last millisecond.
