--- a/policy/herd_test.go
+++ b/policy/herd_test.go
@@ -498,3 +498,35 @@
 	g.report(10*ms, "a", Primary, 0).ask("x", fragile)
 	g.wantSend("a")
 }
+
+// In a large fleet each router hears of a primary so rarely that the throttle is all that keeps its queue short. There a
+// late answer cuts what is sent to primaries twice as hard, and what is worth a quarter for its time is shed four times
+// as hard, not twice: reads that no replica may serve must not crowd out the writes.
+func TestLargeFleetsKeepPrimariesForWrites(t *testing.T) {
+	share := func(routers int) (cut float64, sent map[int]int) {
+		set := base()
+		set.Routers = routers
+		set.Classes[loose].Worth, set.Classes[fragile].Worth = 1, 4
+		g := newRig(t, set, Member{Host: "p", Primary: true}, Member{Host: "a"})
+		p := g.r.hosts["p"]
+		g.r.throttle(p, admitLate)
+		cut = g.r.admit[true]
+		sent = map[int]int{}
+		for i := range 4000 {
+			g.r.admit[true] = 0.5
+			c := []int{loose, fragile}[i%2]
+			if g.r.admits(&request{Request: Request{Class: c}, class: &g.r.set.Classes[c], g: p.group}, p) {
+				sent[c]++
+			}
+		}
+		return cut, sent
+	}
+	cut, few := share(fewRouters)
+	assert.Equal(t, admitLate, cut)
+	assert.InDelta(t, 0.5*2000, few[fragile], 120)
+	assert.InDelta(t, 0.25*2000, few[loose], 100)
+	cut, many := share(fewRouters + 1)
+	assert.InDelta(t, admitLate*admitLate, cut, 1e-9)
+	assert.InDelta(t, 0.5*2000, many[fragile], 120)
+	assert.InDelta(t, 0.0625*2000, many[loose], 60)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,13 +16,14 @@
 	probeShare       = 0.05                    // probes of members in turn, as a share of requests
 	probeSoon        = 200 * time.Millisecond  // between probes of a member that is in doubt
 	askPace          = 100 * time.Millisecond  // between two calls to discovery, of all routers together
-	askMost          = 2500 * time.Millisecond // of waiting for the next such call, see askForList
+	askMost          = 2500 * time.Millisecond // of waiting for such a call: what is told binds, heard or not
 	crowdMost        = 4                       // calls in a row lost to a crowd, before they get rarer
 	probePace        = 25 * time.Millisecond   // between probes of a mute primary, of all routers together
 	fewRouters       = 8                       // so few hear of each host often, and may start at once
 	markAge          = time.Minute
 	coldPart         = 0.45  // of FallMultiple that the budget of a cold host grows by, see coldRoom
 	coldMore         = 0.6   // what that may rise by as hosts warm up and answer in good time
+	coldRouters      = 400   // so many see a cold host too rarely to spend what comes in a FallTime
 	smooth           = 0.1   // weight of a new observation of a host
 	equalCost        = 1.5   // members within this factor count as equals
 	strained         = 0.33  // mean answer time, as a share of the aim, at which a host gets less
@@ -148,9 +149,7 @@
 	r.wakeAt(0, func() {
 		r.since = r.now
 		r.forget()
-		if set.AskForList {
-			r.askForList(set.Routers - fewRouters)
-		}
+		r.askForList(set.Routers - fewRouters)
 	})
 	for _, c := range set.Classes {
 		r.latency = append(r.latency, c.Aim.Seconds()/5)
@@ -221,9 +220,7 @@
 		r.crowded = 0
 	}
 	if m.Kind == ListFailed || m.Kind == ListCrowded {
-		if r.set.AskForList {
-			r.askForList(max(r.set.Routers, fewRouters))
-		}
+		r.askForList(max(r.set.Routers, fewRouters))
 		return
 	}
 	listed := map[HostID]bool{}
@@ -238,12 +235,13 @@
 	}
 }
 
-// askForList asks at a random moment of a time that grows with the number of those who ask, lest all do at
-// once. What is told binds soon, heard or not: askMost bounds it, unless a crowd has long kept this router away.
+// askForList asks at a random moment, lest all routers ask at once; later where a crowd has long kept it out.
 func (r *Router) askForList(routers int) {
 	most := min(askMost<<min(max(0, r.crowded-crowdMost), 8), max(askMost, 2*r.set.MustAskIn))
 	span := min(askPace*time.Duration(max(0, routers)), most)
-	r.wakeAt(r.now+time.Duration(r.rnd.Int64N(int64(span)+1)), func() { r.do(Subscribe{}) })
+	if r.set.AskForList {
+		r.wakeAt(r.now+time.Duration(r.rnd.Int64N(int64(span)+1)), func() { r.do(Subscribe{}) })
+	}
 }
 
 func (r *Router) onMember(e Member) {
@@ -419,7 +417,7 @@
 	part := coldPart + coldMore*r.ease*(w-r.set.StartCapacity)/(1-r.set.StartCapacity)
 	rate := max(r.served, r.asked/4) / (r.now - r.since + r.set.FallTime).Seconds()
 	grow := part * r.set.FallMultiple * w * rate
-	most := grow * r.set.FallTime.Seconds() / 4 // a burst spends no more
+	most := grow * r.set.FallTime.Seconds() * max(0.25, float64(r.set.Routers)/coldRouters) // for a burst
 	budget := min(most, h.budget+grow*(r.now-h.budgetAt).Seconds())
 	pay := min(budget, r.work(q.Class))
 	h.budget, h.budgetAt = budget-pay, r.now
@@ -531,8 +529,7 @@
 	if g.open && r.blind() && r.now-g.openedAt >= 5*probeSoon {
 		g.open, g.fails = false, breakerThreshold-1
 	}
-	first := r.onTheWay(q)
-	switch {
+	switch first := r.onTheWay(q); {
 	case first != nil:
 		r.send(q, first)
 	case g.open && q.onlyPrimary():
@@ -694,8 +691,7 @@
 
 // pickReplica finds a member for a read: one that fits, of the own zone unless far busier, in turn.
 func (r *Router) pickReplica(q *request) *host {
-	least := math.Inf(1)
-	var fit []*host
+	fit, least := []*host(nil), math.Inf(1)
 	for _, h := range q.g.hosts {
 		switch {
 		case h == q.g.primary || q.tried(h) || !r.mayTake(h, false) || !r.room(h, q):
@@ -745,6 +741,9 @@
 // throttle keeps queues short where hosts are heard of too rarely to learn limits: by all replicas' answers.
 func (r *Router) throttle(h *host, factor float64) {
 	if primary := h == h.group.primary; h.gap > seldom {
+		if primary && factor < 1 && r.set.Routers > fewRouters { // a queue that all of them fill, reads first
+			factor *= factor
+		}
 		r.admit[primary] = min(1, max(admitLeast, factor*r.admit[primary]))
 	}
 }
@@ -765,7 +764,11 @@
 func (r *Router) admits(q *request, h *host) bool {
 	share := r.admit[h == q.g.primary]
 	r.throttle(h, 1+admitDrift/share)
-	return h.gap <= seldom || r.rnd.Float64() < math.Pow(share, r.rank(q.Class, true))
+	rank := r.rank(q.Class, true)
+	if r.set.Routers > fewRouters { // the throttle is all that sheds there
+		rank *= rank
+	}
+	return h.gap <= seldom || r.rnd.Float64() < math.Pow(share, rank)
 }
 
 func (r *Router) send(q *request, h *host) {
@@ -786,9 +789,7 @@
 	h.out = append(h.out, a)
 	q.out, q.waiting, h.sentAt = q.out+1, false, r.now
 	r.repeats.Made(q.failed)
-	if q.mayRunAt == 0 {
-		q.mayRunAt = r.now
-	}
+	q.mayRunAt = cmp.Or(q.mayRunAt, r.now)
 	r.wakeAt(r.now+q.class.Aim, func() { r.checkOverdue(a) })
 }
 
