Cancel by the key of a connection; count cold budgets of 4, 20 and 30 processes

The greeting handed out one key of zeros for all, and a CancelRequest did nothing. Each connection has a key of its own now, compared whole. A cancel ends the open request with 57014 where nothing can have run, else with its outcome; nothing is sent for it again.

--- a/cmd/lilaccove/cold_test.go
+++ b/cmd/lilaccove/cold_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -102,6 +103,54 @@
 	p.borne(0.3)
 }
 
+// Processes that do not talk to each other share the budget of a cold database by their number alone: few and many, with
+// clients spread and all at one, restarted all together or one after the other, beside a database that starts again while
+// it is cold. What is counted is what all of them send in any second.
+func TestColdBudgetOfManyProcesses(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		processes int
+		skew      bool
+		together  bool
+		again     bool
+	}{
+		{name: "4, together", processes: 4, together: true},
+		{name: "20, one after the other", processes: 20},
+		{name: "30, together", processes: 30, together: true, again: true},
+		{name: "30, all clients at one", processes: 30, skew: true, together: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			text := strings.NewReplacer("gateways: 7", fmt.Sprint("gateways: ", tt.processes), "fleet: true, positions: true", "fleet: false").Replace(coldPlan)
+			if tt.skew {
+				text = strings.Replace(text, "count: 400", "count: 1", 1)
+			}
+			p := newPartyOf(t, tt.processes, text)
+			p.chill()
+			if tt.together {
+				for _, i := range p.all() {
+					p.Node(i).Kill()
+				}
+			}
+			began := time.Now()
+			for _, i := range p.all() {
+				p.Node(i).Kill()
+				_, err := p.Start(i)
+				require.NoError(t, err)
+			}
+			p.eventually("all are in the front again", func() bool { return p.Front().Admitted() == tt.processes })
+			t.Logf("%d processes were ready after %v", tt.processes, time.Since(began))
+			if tt.again {
+				for _, h := range p.World().Members() {
+					if h.Cold() {
+						h.Tell("in_service", time.Now())
+					}
+				}
+			}
+			p.borne(0.1)
+		})
+	}
+}
+
 // A primary drains, and only then gateways are killed and come back. They cannot know for how long it has drained: it
 // gets nothing from them, though nobody else has its part yet.
 func TestFleetDrainHerd(t *testing.T) {
--- a/cmd/lilaccove/fleet_test.go
+++ b/cmd/lilaccove/fleet_test.go
@@ -119,7 +119,11 @@
 		p.finish()
 		p.Close()
 	})
-	p.agree(n, p.all()...)
+	if pl.Lab.Fleet {
+		p.agree(n, p.all()...)
+	} else {
+		p.eventually("all are in the front", func() bool { return p.Front().Admitted() == n })
+	}
 	return p
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,9 +5,11 @@
 
 import (
 	"container/list"
+	crand "crypto/rand"
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -24,6 +26,7 @@
 	Take(q *gateway.Request)
 	Gone(q *gateway.Request)
 	More(q *gateway.Request)
+	Cancel(q *gateway.Request)
 }
 
 const (
@@ -87,7 +90,8 @@
 	streams map[*conn]struct{} // whose first open answer comes in parts
 	large   int                // bytes of large statements, those to come included
 	queued  []*conn            // their large statements have no room yet
-	welcome []byte
+	keys    map[uint64]*conn   // by which clients may cancel; one says nothing of another
+	key     *rand.ChaCha8
 	closing bool          // each connection goes as soon as it owes nothing
 	until   time.Duration // while it does: when the last answer is due
 	easing  time.Duration // each goes behind its next answer, and idle ones by then; 0: they stay
@@ -101,8 +105,11 @@
 func New(loop *netloop.Loop, core Core, opt Options) *Front {
 	f := &Front{
 		loop: loop, core: core, opt: opt, classes: map[string]int{}, ids: map[string]struct{}{}, streams: map[*conn]struct{}{},
-		welcome: pgwire.AppendWelcome(nil),
+		keys: map[uint64]*conn{},
 	}
+	var secret [32]byte
+	_, _ = crand.Read(secret[:]) // it never fails
+	f.key = rand.NewChaCha8(secret)
 	for i, name := range opt.Classes {
 		f.classes[name] = i
 	}
@@ -356,6 +363,7 @@
 	front   *Front
 	nc      *netloop.Conn
 	started bool          // it has said hello
+	key     uint64        // told then
 	asked   bool          // it has sent a whole query
 	calls   []*call       // not answered to the client yet
 	kept    int           // bytes of answers that wait for their turns
@@ -442,6 +450,7 @@
 
 // Ended tells that the client is gone.
 func (c *conn) Ended(error) {
+	c.forget()
 	c.unfile()
 	c.dropPieces()
 	delete(c.front.streams, c)
@@ -532,16 +541,35 @@
 	case kind == pgwire.HelloTLS, kind == pgwire.HelloGSS:
 		c.fatal(pgwire.CodeUnsupported, "encryption is not spoken here")
 	case kind == pgwire.HelloCancel:
-		c.close() // a client gives up by closing its connection
+		if key, ok := pgwire.CancelKey(in[:n]); ok {
+			c.front.cancel(key)
+		}
+		c.close()
 	case kind == pgwire.HelloStart:
 		c.nc.Consume(n)
-		c.started = true
-		c.nc.Write(c.front.welcome)
+		c.started, c.key = true, c.front.key.Uint64()
+		c.front.keys[c.key] = c
+		c.nc.Write(pgwire.AppendWelcome(nil, c.key))
 		return true
 	}
 	return false
 }
 
+// cancel ends the request that the connection with this key waits for, not those sent ahead behind it. A wrong key, or
+// one that comes late, does nothing, and nobody is told which it was.
+func (f *Front) cancel(key uint64) {
+	if c := f.keys[key]; c != nil && len(c.calls) > 0 && c.calls[0].q != nil && !c.calls[0].done {
+		f.core.Cancel(c.calls[0].q)
+	}
+}
+
+// forget has the connection's key open nothing any more.
+func (c *conn) forget() {
+	if c.started {
+		delete(c.front.keys, c.key)
+	}
+}
+
 // query hands a statement to the core.
 func (c *conn) query(body []byte, n int) bool {
 	c.asked, c.last = true, c.front.closing
@@ -633,6 +661,7 @@
 }
 
 func (c *conn) finish() {
+	c.forget()
 	limit := limits[leaving]
 	if c.nc.Pending() > 0 {
 		limit = limits[unread]
@@ -646,6 +675,7 @@
 }
 
 func (c *conn) close() {
+	c.forget()
 	c.unfile()
 	c.dropPieces()
 	c.nc.Close()
@@ -675,6 +705,11 @@
 	a.answer(pgwire.AppendError(nil, "ERROR", pgwire.CodeTooManyConnections, "refused, nothing has run", detail))
 }
 
+// Cancelled tells that nothing has run, and that its client wanted it so.
+func (a *call) Cancelled() {
+	a.answer(pgwire.AppendError(nil, "ERROR", pgwire.CodeQueryCanceled, "canceled, nothing has run", ""))
+}
+
 // Failed promises nothing.
 func (a *call) Failed() {
 	a.answer(pgwire.AppendError(nil, "ERROR", pgwire.CodeUnknownOutcome, "failed, the statement may have run", ""))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,12 +22,13 @@
 // does so a tick before; this guards the rule that each request gets its answer in time.
 const lateBy = 2 * time.Millisecond
 
-// Client is the front's side of one request. Exactly one of the first three is called,
+// Client is the front's side of one request. Exactly one of the first four is called,
 // once, unless Gone came first.
 type Client interface {
 	Served(value []byte) // the value as the backend gave it, good during the call
 	Refused(retryAfter time.Duration)
 	Failed()
+	Cancelled() // behind Cancel: nothing has run
 	// A large value comes in parts instead: Begin, then Part, and at the end Complete, or Broken where
 	// it ended before it was whole. Part tells whether more may come at once; else More asks for it.
 	Begin()
@@ -82,6 +83,8 @@
 	attempts []*Attempt
 	out      int
 	over     bool     // it has its answer, or the client is gone
+	unwanted bool     // its client has cancelled it: no further attempt
+	mayRun   bool     // some attempt may have had its effect
 	stream   *Attempt // whose value is being passed on
 	overdue  *netloop.Timer
 }
@@ -245,6 +248,37 @@
 	}
 }
 
+// Cancel tells that the client of q wants no answer any more, and stays. What may run already goes on, and its outcome is
+// the answer; nothing else is begun.
+func (g *Gateway) Cancel(q *Request) {
+	if q.over {
+		return
+	}
+	q.unwanted = true
+	for _, a := range q.attempts {
+		if !a.done {
+			g.backends.Recall(a)
+		}
+	}
+	g.settle(q)
+	if q.over {
+		g.events = append(g.events, policy.Lapsed{Request: q.id})
+		g.release(q)
+	}
+}
+
+// settle ends a cancelled request that has nothing out.
+func (g *Gateway) settle(q *Request) {
+	switch {
+	case !q.unwanted || q.out > 0 || !g.end(q):
+	case q.mayRun:
+		g.fail(q)
+	default:
+		g.counts.Of(q.Class).Abandoned++
+		q.Client.Cancelled()
+	}
+}
+
 func (g *Gateway) expire(q *Request) {
 	if g.end(q) {
 		log.Printf("event=overdue request=%s attempts=%d out=%d", q.id, len(q.attempts), q.out)
@@ -311,6 +345,8 @@
 		g.counts.Of(q.Class).Passed++
 		q.Client.Served(r.Value)
 	}
+	q.mayRun = q.mayRun || slices.Contains([]policy.Outcome{policy.Error, policy.Timeout, policy.Reset, policy.Cancelled}, o)
+	g.settle(q)
 	g.events = append(g.events, policy.Result{
 		Request: q.id, Attempt: a.number, Host: a.Host, Outcome: o, Latency: g.took(a.sentAt),
 		Finished: q.over, Role: r.Role, Position: r.Position, HasPosition: r.HasPosition, Report: r.Report,
@@ -533,7 +569,7 @@
 func (g *Gateway) send(s policy.Send) {
 	now := g.loop.Now()
 	q := g.requests[s.Request]
-	if q == nil || q.over {
+	if q == nil || q.over || q.unwanted {
 		n := 0
 		if q != nil {
 			n = len(q.attempts)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -43,6 +43,7 @@
 func (w *world) Released()                   { w.said = append(w.said, "released") }
 func (w *world) Begin()                      { w.said = append(w.said, "begin") }
 func (w *world) Complete()                   { w.said = append(w.said, "complete") }
+func (w *world) Cancelled()                  { w.said = append(w.said, "cancelled") }
 func (w *world) Broken()                     { w.said = append(w.said, "broken") }
 func (w *world) Resume(a *Attempt)           { w.resumed = append(w.resumed, a) }
 func (w *world) Part(b []byte) bool {
--- a/internal/pgwire/message.go
+++ b/internal/pgwire/message.go
@@ -29,6 +29,7 @@
 	CodeProtocolViolation  = "08P01"
 	CodeUnsupported        = "0A000"
 	CodeUnknownOutcome     = "40003" // a statement that may have run
+	CodeQueryCanceled      = "57014" // at its client's wish: it never ran
 	CodeInvalidParameter   = "22023"
 	CodeTooLarge           = "54000"
 	CodeAdminShutdown      = "57P01"
@@ -200,6 +201,19 @@
 	return HelloStart, size, nil
 }
 
+// CancelKey is the key in a whole packet that asks to cancel; false: it holds none.
+func CancelKey(b []byte) (key uint64, ok bool) {
+	if len(b) != 16 {
+		return 0, false
+	}
+	return binary.BigEndian.Uint64(b[8:]), true
+}
+
+// CancelRequest is the packet that asks to cancel what the connection with this key has asked for.
+func CancelRequest(key uint64) []byte {
+	return binary.BigEndian.AppendUint64([]byte{0, 0, 0, 16, 4, 0xd2, 0x16, 0x2e}, key)
+}
+
 // Startup is the packet with which a gateway greets a database.
 func Startup(user, database string) []byte {
 	b := binary.BigEndian.AppendUint32(nil, 0)
@@ -226,9 +240,8 @@
 	return b
 }
 
-// AppendWelcome adds what a server answers to a startup packet. Nobody can cancel with
-// the key: a client gives up by closing its connection.
-func AppendWelcome(b []byte) []byte {
+// AppendWelcome adds what a server answers to a startup packet. With the key a client may cancel from another connection.
+func AppendWelcome(b []byte, key uint64) []byte {
 	b = append(b, AuthRequest, 0, 0, 0, 8, 0, 0, 0, 0)
 	for _, p := range [][2]string{
 		{"server_version", "15.0 (lilaccove)"}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"},
@@ -236,8 +249,8 @@
 	} {
 		b = appendTexts(b, ParameterStatus, p[0], p[1])
 	}
-	b = append(b, BackendKey, 0, 0, 0, 12, 0, 0, 0, 0, 0, 0, 0, 0)
-	return AppendReady(b)
+	b = append(b, BackendKey, 0, 0, 0, 12)
+	return AppendReady(binary.BigEndian.AppendUint64(b, key))
 }
 
 // AppendReady adds ReadyForQuery, outside a transaction.
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -200,3 +200,17 @@
 		}
 	})
 }
+
+func TestCancelKey(t *testing.T) {
+	packet := CancelRequest(0x0102030405060708)
+	kind, n, err := ParseHello(packet)
+	assert.NoError(t, err)
+	assert.Equal(t, HelloCancel, kind)
+	key, ok := CancelKey(packet[:n])
+	assert.True(t, ok)
+	assert.Equal(t, uint64(0x0102030405060708), key)
+	_, ok = CancelKey(packet[:12])
+	assert.False(t, ok)
+	welcome := AppendWelcome(nil, key)
+	assert.Contains(t, string(welcome), "K\x00\x00\x00\x0c\x01\x02\x03\x04\x05\x06\x07\x08")
+}
--- a/internal/standin/script.go
+++ b/internal/standin/script.go
@@ -82,7 +82,7 @@
 		write(c, pgwire.AppendError(nil, "FATAL", pgwire.CodeTooManyConnections, "too many connections", ""))
 		return false
 	}
-	return write(c, pgwire.AppendWelcome(nil))
+	return write(c, pgwire.AppendWelcome(nil, 0))
 }
 
 // Dials is how many connections were greeted or turned away.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -344,7 +344,7 @@
 	}
 	w := h.w
 	n := fallMore * warm * float64(w.opt.Cores) * float64(fallTime) / float64(w.opt.Service)
-	most := n + 3*math.Sqrt(n) + 3
+	most := n + 2*math.Sqrt(n) + 2 // what is beyond the budget is chance
 	w.counts.MostCold = max(w.counts.MostCold, float64(len(h.recent))/most)
 	if !h.fell && float64(len(h.recent)) > most {
 		h.fell = true
@@ -360,6 +360,13 @@
 	return 1
 }
 
+// Cold tells whether the database has not reached its full speed since it started.
+func (h *Host) Cold() bool {
+	h.w.mu.Lock()
+	defer h.w.mu.Unlock()
+	return h.warmth(time.Now()) < 1
+}
+
 // Begun is how many statements of clients have come to the database.
 func (h *Host) Begun() int {
 	h.w.mu.Lock()
