Name what is wrong in settings, and hold descriptors, resting connections, hand-overs and floods by tests

Settings below zero, not finite, or too large to fit were read as something else: a TryLimit of -1 was no limit, a time that overflowed was called negative without its name. Each is refused with its key, and what would do. What is missing under Allowed allows nothing.

Tests of real processes where the program did right already: idle clients fill the descriptors while discovery is down, databases close or speak on resting connections as a request comes, two primaries and a hand-over there and back, four kinds of floods with 48 MB and 160 descriptors.

--- /dev/null
+++ b/cmd/lilaccove/edges_test.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lilaccove/internal/pgwire"
+	"lilaccove/internal/standin"
+)
+
+// Idle clients take all descriptors that they may while discovery is down and the databases are shut. When both are back
+// the gateway reaches them, and its operators reach it, though the clients stay.
+func TestIdleClientsFillTheDescriptors(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, func(s *site) {
+		managed(s)
+		s.sockets = 96
+		s.world.Down(true)
+	})
+	stop := make(chan struct{})
+	var crowd sync.WaitGroup
+	for range 4 {
+		crowd.Go(func() { // whoever is let go comes again
+			var held []net.Conn
+			defer func() {
+				for _, c := range held {
+					c.Close()
+				}
+			}()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if c, err := net.Dial("tcp", s.addr); err == nil {
+					_, _ = c.Write([]byte(string(pgwire.Startup("api", "ledger")) + query("")))
+					if held = append(held, c); len(held) > 60 {
+						held[0].Close()
+						held = held[1:]
+					}
+				}
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	defer crowd.Wait()
+	defer close(stop)
+	fds := func() int {
+		list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", s.Pid()))
+		require.NoError(t, err)
+		return len(list)
+	}
+	s.eventually("they fill it", func() bool { return fds() > 48 })
+	for _, d := range []*database{s.p, s.a, s.b} {
+		d.HangUp()
+	}
+	time.Sleep(time.Second) // the fault lasts
+	s.world.Down(false)
+	s.watches(s.disc, 1)
+	assert.True(t, s.ready())
+	s.a.Tell("terminating", time.Time{})
+	s.eventually("a write is served", func() bool { return s.client().ask(stmt("write", 1000, "")).value == "p" })
+	s.eventually("a read is served", func() bool { return s.client().ask(stmt("own", 1000, "")).value != "" })
+	assert.LessOrEqual(t, fds(), s.sockets)
+}
+
+// A database closes its resting connections, or says half a line on them, in the moment in which a request comes: the
+// request goes out on a connection that holds, once.
+func TestRestingConnectionsThatFail(t *testing.T) {
+	t.Parallel()
+	for name, fail := range map[string]func(d *database){
+		"closed":        func(d *database) { d.HangUp() },
+		"half a line":   func(d *database) { d.Blurt("S\x00\x00") },
+		"another's row": func(d *database) { d.Blurt(string(standin.Row("another's", ""))) },
+		"an error":      func(d *database) { d.Blurt(string(pgwire.AppendError(nil, "FATAL", "57P01", "shutting down", ""))) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, nil)
+			s.serves()
+			c := s.client()
+			for i := range 5 {
+				s.stops(func() {
+					fail(s.p)
+					c.write(query(stmt("write", 3000, "")))
+					time.Sleep(20 * time.Millisecond) // both have come
+				})
+				assert.Equal(t, "p", c.read().value)
+				assert.Len(t, s.p.Statements(), i+2)
+			}
+			assert.NotContains(t, s.logged(), "breaker opens")
+		})
+	}
+}
+
+// Primary and successor both take writes, a miss comes after the switch, and the old one returns: each write runs once at
+// most, with one attempt more than its first at most, and one that was told as done has run.
+func TestHandOverAndBack(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, nil)
+	for _, d := range []*database{s.p, s.a, s.b} {
+		d.Script(nil)
+	}
+	c := s.client()
+	done := 0
+	writes := func(n int) {
+		for range n {
+			if c.ask(stmt("write", 2000, "")).rows == 1 {
+				done++
+			}
+		}
+	}
+	writes(5)
+	s.a.Claim()
+	writes(20)
+	s.a.Promote()
+	writes(20)
+	s.eventually("the new one is found", func() bool { return c.ask(stmt("write", 2000, "")).rows == 1 })
+	done++
+	s.p.Promote()
+	writes(20)
+	s.eventually("the old one is found", func() bool { return c.ask(stmt("write", 2000, "")).rows == 1 })
+	done++
+	n := s.world.Counts()
+	assert.Zero(t, n.Duplicates)
+	assert.Equal(t, done, n.Writes, "no write is lost, none is told that has not run")
+	assert.LessOrEqual(t, n.Misses, 8, "a miss tells the role")
+	assert.GreaterOrEqual(t, done, 50)
+}
+
+// Clients send much at once and go, come without end and read no answers, while memory is short: the others are served,
+// and the process keeps to its limits.
+func TestFloods(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, func(s *site) { managed(s); s.sockets, s.memory = 160, 48 })
+	value := blob(60 << 10)
+	s.meet(s.client())
+	s.p.will(func(d *database, c net.Conn, _ string) { d.Answer(c, value) })
+	stop := make(chan struct{})
+	var crowd sync.WaitGroup
+	flood := func(do func(c net.Conn)) {
+		for range 3 {
+			crowd.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					if c, err := net.Dial("tcp", s.addr); err == nil {
+						_ = c.SetDeadline(time.Now().Add(time.Second))
+						_, _ = c.Write(pgwire.Startup("api", "ledger"))
+						do(c)
+						c.Close()
+					}
+				}
+			})
+		}
+	}
+	text := query(stmt("own", 500, ""))
+	flood(func(c net.Conn) { _, _ = c.Write([]byte(strings.Repeat(text, 2000))) })
+	flood(func(c net.Conn) { _, _ = c.Write([]byte("Q\x00\x0f\x00\x00" + strings.Repeat("x", 900<<10))) })
+	flood(func(c net.Conn) { time.Sleep(5 * time.Millisecond) })
+	flood(func(c net.Conn) {
+		for range 30 {
+			_, _ = c.Write([]byte(query(stmt("write", 500, ""))))
+		}
+		time.Sleep(300 * time.Millisecond)
+	})
+	c, served := s.client(), 0
+	for range 60 {
+		if c.ask(stmt("own", 2000, "")).rows == 1 {
+			served++
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+	close(stop)
+	crowd.Wait()
+	assert.Greater(t, served, 45, "of 60")
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.Pid()))
+	require.NoError(t, err)
+	for line := range strings.Lines(string(status)) {
+		if v, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kb, err := strconv.Atoi(strings.Fields(v)[0])
+			require.NoError(t, err)
+			assert.Less(t, kb, s.memory<<10, "resident at most")
+		}
+	}
+	assert.True(t, s.ready())
+	s.serves()
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -66,14 +67,40 @@
 		return 0
 	}
 	x, err := strconv.ParseFloat(v, 64)
-	if err != nil {
+	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
 		s.fail("%s: %q is no number", path, v)
+		return 0
+	}
+	return x
+}
+
+// atMost is a number from 0 up to a bound. Below it would count for none at all, which allows more than was meant.
+func (s *reader) atMost(path string, most float64, what string) float64 {
+	x := s.num(path)
+	if x < 0 || x > most {
+		s.fail("%s: %s is out of range; give %s from 0 to %g", path, s.value[path], what, most)
+		return 0
 	}
 	return x
 }
 
+// Bounds that no deployment comes near: beyond them a value would not fit, or is not meant.
+const (
+	longest = 10 * 365 * 24 * time.Hour
+	mostOf  = math.MaxInt32
+)
+
 func (s *reader) time(path string) time.Duration {
-	return time.Duration(s.num(path) * float64(time.Microsecond))
+	return time.Duration(s.atMost(path, float64(longest/time.Microsecond), "microseconds") * float64(time.Microsecond))
+}
+
+// count is a whole number.
+func (s *reader) count(path string) int {
+	x := s.atMost(path, mostOf, "a whole number")
+	if x != math.Trunc(x) {
+		s.fail("%s: %s is no whole number", path, s.value[path])
+	}
+	return int(x)
 }
 
 func (s *reader) bool(path string) bool { return s.value[path] == "true" || s.value[path] == "1" }
@@ -150,12 +177,12 @@
 	s := &reader{value: value}
 	set := Settings{
 		Policy:      s.policy(),
-		Zero:        s.time("Domain.ZeroUs"),
+		Zero:        time.Duration(s.num("Domain.ZeroUs") * float64(time.Microsecond)),
 		Zones:       s.list("Localities"),
 		ConnIdle:    s.time("Allowed.ConnIdleUs"),
 		DialTimeout: s.time("Allowed.DialTimeoutUs"),
 		AnswerSlack: s.time("Rules.AnswerSlackUs"),
-		MaxOpen:     int(s.num("Allowed.MaxOpen")),
+		MaxOpen:     s.count("Allowed.MaxOpen"),
 		Peers:       s.bool("Allowed.Peers"),
 		ProbeReport: value["Report.Fields"] != "" && value["Report.Source"] != "none",
 	}
@@ -167,7 +194,7 @@
 
 func (s *reader) policy() policy.Settings {
 	set := policy.Settings{
-		Routers:       int(s.num("Instances")),
+		Routers:       s.count("Instances"),
 		Zone:          int(s.num("Zone")),
 		Tick:          s.time("ResolutionUs"),
 		AskForList:    s.value["Discovery"] == "ask",
@@ -178,21 +205,21 @@
 		Remembered:    s.value["Domain.SessionMarks"] == "router",
 		Probes:        s.bool("Allowed.Probes"),
 		Cancels:       s.bool("Allowed.Cancel"),
-		MaxTries:      int(s.num("Allowed.TryLimit")),
+		MaxTries:      s.count("Allowed.TryLimit"),
 		MaxRetryAfter: s.time("Allowed.MaxRetryAfterUs"),
 		DrainGrace:    s.time("Rules.DrainGraceUs"),
 		GoneIsAdvice:  s.bool("Rules.GoneIsAdvice"),
 		MustAskIn:     s.time("Rules.MustAskInUs"),
-		StartCapacity: s.num("Rules.StartCapacity"),
+		StartCapacity: s.atMost("Rules.StartCapacity", 1, "a share"),
 		ColdTime:      s.time("Rules.ColdUs"),
-		FallMultiple:  s.num("Rules.FallMultiple"),
+		FallMultiple:  s.atMost("Rules.FallMultiple", mostOf, "a number"),
 		FallTime:      s.time("Rules.FallUs"),
 	}
 	if !s.bool("Allowed.RetryAfter") {
 		set.MaxRetryAfter = 0
 	}
 	read, bound := s.list("Domain.ReadLevel"), s.list("Domain.ClassBoundUs")
-	for i := range int(s.num("Lanes.count")) {
+	for i := range s.count("Lanes.count") {
 		set.Classes = append(set.Classes, s.class(i, listed(read, i), listed(bound, i)))
 	}
 	return set
@@ -210,8 +237,8 @@
 	c := policy.Class{
 		Aim:         s.time(at + "GoalTimeUs"),
 		Deadline:    s.time(at + "DeadlineUs"),
-		Worth:       s.num(at + "Worth"),
-		LateWorth:   s.num(at + "LateWorth"),
+		Worth:       s.atMost(at+"Worth", mostOf, "a number"),
+		LateWorth:   s.atMost(at+"LateWorth", mostOf, "a number"),
 		Repeat:      choice(s, at+"Repeat", repeats),
 		DedupWindow: s.time(at + "DedupWindowUs"),
 	}
@@ -222,10 +249,13 @@
 	if c.Level, ok = levels[level]; !ok {
 		s.fail("Domain.ReadLevel: unknown word %q for class %d", level, i)
 	}
-	if us, err := strconv.ParseFloat(bound, 64); err == nil {
+	if us, err := strconv.ParseFloat(bound, 64); err == nil && us >= 0 && us <= float64(longest/time.Microsecond) {
 		c.Bound = time.Duration(us * float64(time.Microsecond))
-	} else if c.Level == policy.Recent {
-		s.fail("Domain.ClassBoundUs: no bound for class %d", i)
+	} else if c.Level == policy.Recent || bound != "" {
+		s.fail("Domain.ClassBoundUs: no bound for class %d in %q; give microseconds", i, bound)
+	}
+	if c.Aim <= 0 || c.Deadline <= 0 {
+		s.fail("%sGoalTimeUs and %sDeadlineUs: class %d needs both, in microseconds, above 0", at, at, i)
 	}
 	return c
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -55,6 +56,20 @@
 		{"no value", "Zone", `setting "Zone" has no value`},
 		{"level", "Domain.ReadLevel=recent", `unknown word "" for class 1`},
 		{"bound", "Domain.ClassBoundUs=", "no bound for class 0"},
+		{"bound below zero", "Domain.ClassBoundUs=-5,0", `no bound for class 0 in "-5"; give microseconds`},
+		{"bound that is no number", "Domain.ClassBoundUs=3000000,soon", `no bound for class 1 in "soon"`},
+		{"time below zero", "Rules.DrainGraceUs=-1", "Rules.DrainGraceUs: -1 is out of range; give microseconds from 0"},
+		{"huge time", "Lanes.0.DedupWindowUs=1e30", "Lanes.0.DedupWindowUs: 1e30 is out of range"},
+		{"no number at all", "Rules.FallUs=NaN", `Rules.FallUs: "NaN" is no number`},
+		{"endless", "Rules.ColdUs=+Inf", `Rules.ColdUs: "+Inf" is no number`},
+		{"attempts below zero, which would be no limit", "Allowed.TryLimit=-1", "Allowed.TryLimit: -1 is out of range"},
+		{"half an attempt", "Allowed.TryLimit=2.5", "Allowed.TryLimit: 2.5 is no whole number"},
+		{"huge count", "Instances=1e300", "Instances: 1e300 is out of range"},
+		{"a share over all", "Rules.StartCapacity=27", "Rules.StartCapacity: 27 is out of range; give a share from 0 to 1"},
+		{"multiple below zero", "Rules.FallMultiple=-2", "Rules.FallMultiple: -2 is out of range"},
+		{"no repeat", "Lanes.1.Repeat=", `Lanes.1.Repeat: unknown word ""`},
+		{"no deadline", "Lanes.1.DeadlineUs=0", "class 1 needs both"},
+		{"huge number of classes", "Lanes.count=1e12", "Lanes.count: 1e12 is out of range"},
 	}
 	for _, tt := range tests {
 		_, err := FromPairs(append(append([]string(nil), pairs...), tt.pair))
@@ -63,3 +78,21 @@
 	_, err := FromJSON([]byte(`[1]`))
 	assert.Error(t, err)
 }
+
+// What is missing is read as what allows least: nothing is repeated, called off, probed or advised.
+func TestWhatIsMissingAllowsNothing(t *testing.T) {
+	var least []string
+	for _, pair := range pairs {
+		if !strings.HasPrefix(pair, "Allowed.") {
+			least = append(least, pair)
+		}
+	}
+	set, err := FromPairs(least)
+	require.NoError(t, err)
+	assert.False(t, set.Policy.Probes)
+	assert.False(t, set.Policy.Cancels)
+	assert.False(t, set.Peers)
+	assert.Zero(t, set.Policy.MaxRetryAfter)
+	assert.Zero(t, set.Policy.Classes[0].DedupWindow)
+	assert.Zero(t, set.Policy.DrainGrace)
+}
--- a/internal/standin/script.go
+++ b/internal/standin/script.go
@@ -217,3 +217,17 @@
 	defer d.w.mu.Unlock()
 	return d.calls
 }
+
+// HangUp closes all connections to the database, as a process that restarts does; new ones are taken.
+func (h *Host) HangUp() { h.each(func(c net.Conn) { c.Close() }) }
+
+// Blurt says something on all connections that nobody has asked for.
+func (h *Host) Blurt(text string) { h.each(func(c net.Conn) { _, _ = c.Write([]byte(text)) }) }
+
+func (h *Host) each(do func(c net.Conn)) {
+	h.w.mu.Lock()
+	defer h.w.mu.Unlock()
+	for c := range h.conns {
+		do(c)
+	}
+}
