--- a/cmd/lilaccove/leave_test.go
+++ b/cmd/lilaccove/leave_test.go
@@ -13,7 +13,6 @@
 	"github.com/stretchr/testify/require"
 
 	"lilaccove/internal/pgwire"
-	"lilaccove/internal/standin"
 )
 
 // gone is how long after a client has left an attempt may still begin.
@@ -96,9 +95,6 @@
 func TestClientThatLeavesInTheMiddleOfItsStatement(t *testing.T) {
 	t.Parallel()
 	s := newSite(t, func(s *site) { s.settings = strings.Replace(testSettings, `"Cancel":true`, `"Cancel":false`, 1) })
-	world, err := standin.New(standin.Options{Groups: 0, Cores: 1})
-	require.NoError(t, err)
-	t.Cleanup(world.Close)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { ln.Close() })
