--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -3,6 +3,7 @@
 
 import (
 	"debug/elf"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -11,9 +12,34 @@
 	"strings"
 	"testing"
 
+	"github.com/pelletier/go-toml/v2"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
+// list is what go list says with these arguments, run at the root. The test's cached result depends on what the test itself
+// opens and not on what go list does; so all sources are opened here.
+func list(t *testing.T, args ...string) []string {
+	t.Helper()
+	for _, dir := range []string{"../cmd", "../internal", "../policy"} {
+		require.NoError(t, filepath.WalkDir(dir, func(path string, _ os.DirEntry, err error) error {
+			if err != nil || filepath.Ext(path) != ".go" {
+				return err
+			}
+			f, err := os.Open(path)
+			if err != nil {
+				return err
+			}
+			return f.Close()
+		}))
+	}
+	cmd := exec.Command("go", append([]string{"list"}, args...)...)
+	cmd.Dir, cmd.Stderr = "..", os.Stderr
+	out, err := cmd.Output()
+	require.NoError(t, err)
+	return strings.Fields(string(out))
+}
+
 // value is that of a key in the deploy file.
 func value(t *testing.T, key string) string {
 	t.Helper()
@@ -62,10 +88,86 @@
 			"golang.org/x/sys", "lilaccove",
 		},
 	} {
-		out, err := exec.Command("go", "list", "-deps", "-f", "{{with .Module}}{{.Path}}{{end}}", "../cmd/"+program).Output()
-		require.NoError(t, err)
-		found := strings.Fields(string(out))
+		found := list(t, "-deps", "-f", "{{with .Module}}{{.Path}}{{end}}", "./cmd/"+program)
 		slices.Sort(found)
 		require.Subset(t, modules, slices.Compact(found), program)
 	}
 }
+
+// nodeProblems holds the folders of the deploy file's node against the packages that the gateway links. A folder names
+// all that lies in it; present are the packages that there are. Every text says what to do.
+func nodeProblems(node, linked, present []string) []string {
+	within := func(pkg, folder string) bool { return pkg == folder || strings.HasPrefix(pkg, folder+"/") }
+	var problems []string
+	for _, pkg := range linked {
+		if !slices.ContainsFunc(node, func(folder string) bool { return within(pkg, folder) }) {
+			problems = append(problems, fmt.Sprintf("add %q to node: the gateway links it", pkg))
+		}
+	}
+	for i, folder := range node {
+		for j, other := range node {
+			if i != j && within(folder, other) && (folder != other || i > j) {
+				problems = append(problems, fmt.Sprintf("take %q out of node: %q names it already", folder, other))
+			}
+		}
+		inFolder := func(pkg string) bool { return within(pkg, folder) }
+		if !slices.ContainsFunc(linked, inFolder) {
+			problems = append(problems, fmt.Sprintf("take %q out of node: the gateway links nothing in it", folder))
+			continue
+		}
+		for _, pkg := range present {
+			if inFolder(pkg) && !slices.Contains(linked, pkg) {
+				problems = append(problems, fmt.Sprintf(
+					"name the linked packages of %q one by one in node, or move %q: the gateway does not link it", folder, pkg))
+			}
+		}
+	}
+	return problems
+}
+
+func TestNodeProblems(t *testing.T) {
+	linked := []string{"cmd/lilaccove", "internal/fleet", "internal/fleet/state", "internal/front"}
+	present := append([]string{"cmd/adapter", "internal/frontal"}, linked...)
+	for name, c := range map[string]struct{ node, present, want []string }{
+		"as it should be": {[]string{"cmd/lilaccove", "internal/fleet", "internal/front"}, present, nil},
+		"missing": {[]string{"cmd/lilaccove", "internal/fleet"}, present,
+			[]string{`add "internal/front" to node: the gateway links it`}},
+		"missing beside its child": {[]string{"cmd/lilaccove", "internal/fleet/state", "internal/front"}, present,
+			[]string{`add "internal/fleet" to node: the gateway links it`}},
+		"not linked": {[]string{"cmd/lilaccove", "internal/fleet", "internal/front", "internal/frontal"}, present,
+			[]string{`take "internal/frontal" out of node: the gateway links nothing in it`}},
+		"twice": {[]string{"cmd/lilaccove", "internal/fleet", "internal/front", "internal/front"}, present,
+			[]string{`take "internal/front" out of node: "internal/front" names it already`}},
+		"below another": {[]string{"cmd/lilaccove", "internal/fleet", "internal/fleet/state", "internal/front"}, present,
+			[]string{`take "internal/fleet/state" out of node: "internal/fleet" names it already`}},
+		"not linked within a folder": {[]string{"cmd/lilaccove", "internal/fleet", "internal/front"},
+			append([]string{"internal/fleet/model"}, present...),
+			[]string{`name the linked packages of "internal/fleet" one by one in node, or move "internal/fleet/model": the gateway does not link it`}},
+	} {
+		assert.Equal(t, c.want, nodeProblems(c.node, linked, c.present), name)
+	}
+}
+
+// node names what the platform takes for the gateway: all of our packages that it links, and no others. The decision
+// module stands in policy.
+func TestNodeNamesWhatTheGatewayLinks(t *testing.T) {
+	text, err := os.ReadFile("balancer.toml")
+	require.NoError(t, err)
+	var file struct{ Policy, Node []string }
+	require.NoError(t, toml.Unmarshal(text, &file))
+	packages := func(args ...string) []string {
+		const ours = `{{with .Module}}{{if .Main}}{{if or $.GoFiles $.CgoFiles}}{{$.ImportPath}}{{end}}{{end}}{{end}}`
+		var names []string
+		for _, path := range list(t, append([]string{"-f", ours}, args...)...) {
+			name := strings.TrimPrefix(path, "lilaccove/")
+			if !slices.ContainsFunc(file.Policy, func(f string) bool { return filepath.Dir(f) == name }) {
+				names = append(names, name)
+			}
+		}
+		return names
+	}
+	linked := packages("-deps", "./cmd/lilaccove")
+	require.Contains(t, linked, "cmd/lilaccove")
+	problems := nodeProblems(file.Node, linked, packages("./..."))
+	require.Empty(t, problems, "deploy/balancer.toml:\n%s", strings.Join(problems, "\n"))
+}
