Move the wiring of a gateway's control side into internal/control

Cause: hollow gateways are to run the program's own control side, which was wired in the main package. A wrong GW_DISCOVERY is told behind wrong settings now; all else stays.

--- a/cmd/lilaccove/operations.go
+++ b/cmd/lilaccove/operations.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lilaccove/internal/backend"
+	"lilaccove/internal/control"
 	"lilaccove/internal/discovery"
 	"lilaccove/internal/fleet/state"
 	"lilaccove/internal/front"
@@ -50,9 +51,8 @@
 	watch  *discovery.Client
 	pool   *backend.Pool
 	counts *stats.Counters
-	links  *peer.Links     // to the fleet; nil: without a fleet file
-	spans  *peer.Spans     // what was done; only with links
-	out    map[string]bool // databases left out by a word to this gateway alone; only with links
+	side   *control.Side
+	links  *peer.Links // to the fleet; nil: without a fleet file
 
 	memory, sockets int
 	longest         time.Duration // deadline of a class
@@ -157,7 +157,7 @@
 // adopt does what another process was told, or a predecessor.
 func (o *operations) adopt(s handover.State) {
 	for id, e := range s.Suspended {
-		o.core.SetSuspended(policy.HostID(id), o.suspended(id, e.On))
+		o.core.SetSuspended(policy.HostID(id), o.side.Alone(id, e.On))
 	}
 	o.drainHere = s.Drained.On
 	o.drain()
@@ -212,7 +212,7 @@
 // Suspend leaves a database out, or has it serve again, here and in a process beside this one.
 func (o *operations) Suspend(id string, out bool, then func()) bool {
 	o.look()
-	known := o.core.Suspend(policy.HostID(id), o.suspended(id, out), func() {
+	known := o.core.Suspend(policy.HostID(id), o.side.Alone(id, out), func() {
 		if !o.beside {
 			then()
 			return
@@ -228,29 +228,13 @@
 	return known
 }
 
-// suspended notes a word to this gateway alone; it tells what holds: the fleet's word leaves a database out as well.
-func (o *operations) suspended(id string, out bool) bool {
-	if o.links == nil {
-		return out
-	}
-	if o.out[id] = out; !out {
-		delete(o.out, id)
-	}
-	return out || o.links.Out(id)
-}
-
-// word does what operators told the whole fleet. It binds at once, also of a database that the list does not name yet.
-func (o *operations) word(id string, out bool) {
-	if name, ok := state.GatewayOf(id); ok {
-		if name == o.links.Name() && out != o.drainFleet {
-			o.drainFleet = out
-			log.Printf("event=drain on=%t fleet=true clients=%d owed=%d", out, o.front.Clients(), o.core.Owed())
-			o.drain()
-		}
-		return
+// drainedByFleet does what the fleet's word on this gateway comes to.
+func (o *operations) drainedByFleet(on bool) {
+	if on != o.drainFleet {
+		o.drainFleet = on
+		log.Printf("event=drain on=%t fleet=true clients=%d owed=%d", on, o.front.Clients(), o.core.Owed())
+		o.drain()
 	}
-	o.spans.Word(id, out)
-	o.core.SetSuspended(policy.HostID(id), out || o.out[id])
 }
 
 // FleetState is what operators told the fleet; false: this gateway is in none.
@@ -297,7 +281,7 @@
 	if !o.links.Say(id, out, func(text string) { said = text; done() }) {
 		return false
 	}
-	if !o.core.Suspend(policy.HostID(id), out || o.out[id], done) {
+	if !o.core.Suspend(policy.HostID(id), out || o.side.LeftOut(id), done) {
 		done() // not listed any more: nothing is sent there anyway
 	}
 	return true
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,200 @@
+// Package control builds what a gateway knows and decides by, without clients and connections to databases: the decision
+// module, the list, and its ties to the others of its fleet. The program adds both ends; hollow gateways add neither.
+package control
+
+import (
+	"fmt"
+	"log"
+	"net/netip"
+	"time"
+
+	"lilaccove/internal/discovery"
+	"lilaccove/internal/fleet"
+	"lilaccove/internal/fleet/state"
+	"lilaccove/internal/gateway"
+	"lilaccove/internal/netloop"
+	"lilaccove/internal/peer"
+	"lilaccove/internal/settings"
+	"lilaccove/internal/stats"
+	"lilaccove/policy"
+)
+
+// Side is the control side of one gateway. Everything runs on the loop's goroutine. Use New, then Connect, then Join.
+type Side struct {
+	Loop   *netloop.Loop
+	Core   *gateway.Gateway
+	Watch  *discovery.Client
+	Counts *stats.Counters
+	Ask    netip.AddrPort // where discovery was told to be
+	Links  *peer.Links    // to the fleet; nil: without a fleet file
+	Spans  *peer.Spans    // what was done; only with links
+
+	cfg       Config
+	set       settings.Settings
+	party     *fleet.File
+	alone     map[string]bool // databases left out by a word to this gateway alone; only with links
+	drain     func(on bool)
+	changed   []func() // what follows from a new list
+	positions *peer.Positions
+	primaries *peer.Positions
+	subsets   *subsets
+}
+
+// New makes one by a configuration, its settings as they were read, and a fleet file; nil: in no fleet.
+func New(loop *netloop.Loop, cfg Config, set settings.Settings, party *fleet.File) (*Side, error) {
+	ask, err := netip.ParseAddrPort(cfg.Discovery)
+	if err != nil {
+		return nil, fmt.Errorf("GW_DISCOVERY: %w", err)
+	}
+	router, err := policy.New(adapt(set), seed(cfg.Seed))
+	if err != nil {
+		return nil, err
+	}
+	s := &Side{Loop: loop, Ask: ask, Counts: stats.New(set.Classes), cfg: cfg, set: set, party: party, alone: map[string]bool{}}
+	s.Core = gateway.New(loop, router, set.MaxOpen, s.Counts)
+	s.Watch = discovery.New(loop, s.Core, ask, set.Zones)
+	if party == nil {
+		return s, nil
+	}
+	if s.Links, err = peer.New(loop, cfg.Name, zone(set), party, loop.Now()); err != nil {
+		return nil, err
+	}
+	if s.Spans, err = s.Links.Record(func(class int) bool { return set.Policy.Classes[class].Level == policy.Write }); err != nil {
+		s.Links.Close()
+		return nil, fmt.Errorf("audit file: %w", err)
+	}
+	return s, nil
+}
+
+// Budgets are this gateway's parts of the fleet's budgets; nil: none are divided.
+func (s *Side) Budgets() *peer.Budgets {
+	if s.Links == nil {
+		return nil
+	}
+	return s.Links.Budgets()
+}
+
+// Connect sets what the gateway reaches databases by, and has it know the list from before its start.
+func (s *Side) Connect(b gateway.Backends) {
+	s.Core.Connect(b, s.Watch)
+	if err := s.Watch.Known(s.cfg.Known); err != nil {
+		log.Printf("event=bad_known err=%q", err) // discovery has a newer one
+	}
+}
+
+// Join ties what the fleet tells to what the gateway does; drain is called whenever the fleet's word drains it, or
+// has it work again.
+func (s *Side) Join(drain func(on bool)) {
+	if s.party == nil {
+		return
+	}
+	s.drain = drain
+	core, links := s.Core, s.Links
+	core.OnActs(s.Spans)
+	s.Spans.Listed(core.Hosts())
+	s.changed = append(s.changed, func() { s.Spans.Listed(core.Hosts()) })
+	links.OnWord(s.word)
+	links.OnFence(core.Fence)
+	links.Tell(peer.Facts{
+		List: s.Watch.Seq, Ask: s.Watch.Renew, Config: sameSettings(s.cfg.Settings), File: digest(s.party.Common()), Build: build(),
+	})
+	if s.party.Repeats > 0 {
+		core.Fleet(policy.Repeats{Share: s.party.Repeats})
+	}
+	if s.party.Subsets {
+		s.subsets = &subsets{loop: s.Loop, core: core, links: links, zones: s.set.Zones}
+		s.changed = append(s.changed, s.subsets.stir)
+		links.OnView(s.subsets.stir)
+		s.subsets.stir()
+	}
+	if s.party.Positions {
+		s.positions = links.SharePositions(core.InList, core.Fleet)
+		core.OnPosition(s.Position)
+		s.changed = append(s.changed, s.positions.Forget)
+	}
+	if s.party.Primaries {
+		s.primaries = links.SharePrimaries(core.InList, core.Fleet)
+		core.OnPrimary(s.Primary)
+		s.changed = append(s.changed, s.primaries.Forget)
+	}
+	core.OnList(func() {
+		for _, do := range s.changed {
+			do()
+		}
+	})
+}
+
+// Position takes in how far a database says that it has come.
+func (s *Side) Position(host policy.HostID, at time.Duration) {
+	if s.positions != nil {
+		s.positions.Learned(host, at-s.set.Policy.PositionGrain) // a write's position is rounded up
+	}
+}
+
+// Primary takes in that a database has answered as primary, and when it was asked.
+func (s *Side) Primary(host policy.HostID, at time.Duration) {
+	if s.primaries != nil {
+		s.primaries.Learned(host, at)
+	}
+}
+
+// Step goes behind all that a round has brought.
+func (s *Side) Step() (again bool) {
+	if s.Links != nil {
+		s.Links.Guard()
+	}
+	return s.Core.Step()
+}
+
+// Close ends the records and writes what is not on the disk yet.
+func (s *Side) Close() {
+	if s.Links != nil {
+		s.Spans.Close()
+		s.Links.Close()
+	}
+}
+
+// Alone notes a word on a database to this gateway alone; it tells what holds: the fleet's word leaves it out as well.
+func (s *Side) Alone(id string, out bool) bool {
+	if s.Links == nil {
+		return out
+	}
+	if s.alone[id] = out; !out {
+		delete(s.alone, id)
+	}
+	return out || s.Links.Out(id)
+}
+
+// LeftOut tells whether a word to this gateway alone leaves a database out.
+func (s *Side) LeftOut(id string) bool { return s.alone[id] }
+
+// word does what operators told the whole fleet. It binds at once, also of a database that the list does not name yet.
+func (s *Side) word(id string, out bool) {
+	if name, ok := state.GatewayOf(id); ok {
+		if name == s.Links.Name() {
+			s.drain(out)
+		}
+		return
+	}
+	s.Spans.Word(id, out)
+	s.Core.SetSuspended(policy.HostID(id), out || s.alone[id])
+}
+
+// Reload reads the file at GW_CONFIG again, after SIGHUP. What it says of discovery goes before GW_DISCOVERY, which is
+// as old as the process; all else is for the next start. A file that is no good changes nothing.
+func (s *Side) Reload(env func(string) string) {
+	var cfg struct {
+		Discovery string `json:"discovery"`
+	}
+	err := read(env, &cfg)
+	var ask netip.AddrPort
+	if err == nil {
+		ask, err = netip.ParseAddrPort(cfg.Discovery)
+	}
+	if err != nil {
+		log.Printf("event=reload_failed err=%q", err)
+		return
+	}
+	log.Printf("event=reloaded discovery=%s", ask)
+	s.Watch.Move(ask)
+}
--- a/cmd/lilaccove/subsets.go
+++ b/internal/control/subsets.go
@@ -1,4 +1,4 @@
-package main
+package control
 
 import (
 	"log"
