--- a/cmd/lilaccove/operations.go
+++ b/cmd/lilaccove/operations.go
@@ -195,10 +195,7 @@
 // Metrics adds the figures.
 func (o *operations) Metrics(b []byte) []byte {
 	b = o.counts.Append(b, o.core.Figures())
-	if o.links != nil {
-		b = o.links.Metrics(b)
-	}
-	return b
+	return o.side.Metrics(b)
 }
 
 // Fleet is what this gateway knows of the others; false: it is in no fleet.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -138,6 +138,22 @@
 	}
 }
 
+// PositionAges are how old the positions of databases are that this gateway knows from its own and others' answers.
+func (s *Side) PositionAges() []time.Duration {
+	if s.positions == nil {
+		return nil
+	}
+	return s.positions.Ages()
+}
+
+// Preferred are the databases that this gateway uses first; none: the settings say which.
+func (s *Side) Preferred() []policy.HostID {
+	if s.subsets == nil {
+		return nil
+	}
+	return s.subsets.last
+}
+
 // Step goes behind all that a round has brought.
 func (s *Side) Step() (again bool) {
 	if s.Links != nil {
@@ -154,6 +170,24 @@
 	}
 }
 
+// Traffic tells what each role of the control side has sent and taken in, by its name.
+func (s *Side) Traffic() map[string]stats.Traffic {
+	all := map[string]stats.Traffic{}
+	if s.Links != nil {
+		all = s.Links.Traffic()
+	}
+	all["discovery"] = s.Watch.Traffic()
+	return all
+}
+
+// Metrics adds the figures of the fleet, a line each; without one there are none.
+func (s *Side) Metrics(b []byte) []byte {
+	if s.Links == nil {
+		return b
+	}
+	return s.Watch.Traffic().Append(s.Links.Metrics(b), "discovery")
+}
+
 // Alone notes a word on a database to this gateway alone; it tells what holds: the fleet's word leaves it out as well.
 func (s *Side) Alone(id string, out bool) bool {
 	if s.Links == nil {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -13,6 +13,7 @@
 	"lilaccove/internal/gateway"
 	"lilaccove/internal/http1"
 	"lilaccove/internal/netloop"
+	"lilaccove/internal/stats"
 	"lilaccove/policy"
 )
 
@@ -53,6 +54,7 @@
 	askedAt time.Duration
 	told    bool // this watch has brought an object
 	heard   bool // some watch has
+	traffic stats.Traffic
 }
 
 // New makes a client that asks at addr. Zones are the names in the order of the settings.
@@ -193,14 +195,20 @@
 
 // Connected asks.
 func (c *Client) Connected() {
-	c.nc.Write(fmt.Appendf(nil, "GET /api/targets?watch=1&after=%d HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n",
-		c.seq, c.addr))
+	call := fmt.Appendf(nil, "GET /api/targets?watch=1&after=%d HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n",
+		c.seq, c.addr)
+	c.traffic.Out(len(call))
+	c.nc.Write(call)
 }
 
+// Traffic is that of all watches: calls go out, lists and changes come in.
+func (c *Client) Traffic() stats.Traffic { return c.traffic }
+
 // Received takes in the answer.
 func (c *Client) Received() {
 	n, err := c.answer.Feed(c.nc.Input(), c.data)
 	c.nc.Consume(n)
+	c.traffic.InBytes += uint64(n)
 	switch {
 	case err != nil:
 	case c.answer.Headed && c.answer.Status != 200:
@@ -249,6 +257,7 @@
 		kind = policy.ListFull
 	}
 	c.seq, c.told, c.heard = l.Seq, true, true
+	c.traffic.InMessages++
 	c.core.Listed(kind, c.entries(l.Hosts))
 	return nil
 }
--- a/internal/fleet/state/positions.go
+++ b/internal/fleet/state/positions.go
@@ -140,3 +140,11 @@
 
 // Counts are figures since the start.
 func (p *Positions) Counts() Counts { return p.counts }
+
+// Ages are how far the positions that are known lie behind a moment, in no order.
+func (p *Positions) Ages(now time.Duration) (ages []time.Duration) {
+	for _, at := range p.at {
+		ages = append(ages, now-at)
+	}
+	return ages
+}
--- a/internal/peer/envelope.go
+++ b/internal/peer/envelope.go
@@ -22,6 +22,7 @@
 	version        = 1
 	headSize       = 12
 	tailSize       = 8
+	lengthSize     = 4         // before each envelope of a stream
 	mostFrame      = 480 << 10 // of a stream
 )
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -55,6 +55,7 @@
 	out       int
 	buf       []byte
 	counts    Counts
+	traffic   traffic
 	senders   map[netip.AddrPort]*rate
 	bad       netloop.Sparse
 	news      netloop.Sparse
@@ -70,6 +71,8 @@
 	fence     *audit.Fence // nil: this process never shuts itself out
 	fenced    bool         // as was told
 	onFence   func(out bool)
+	deaths    uint64
+	died      func(name string)
 }
 
 // rate bounds what one sender may have read.
@@ -247,6 +250,12 @@
 func (l *Links) tell(c membership.Change) {
 	e := c.Entry
 	own, member := l.m.Own()
+	if e.State == membership.Dead && !c.New && c.Was != membership.Dead && e.Name != own.Name {
+		l.deaths++
+		if l.died != nil {
+			l.died(e.Name)
+		}
+	}
 	switch {
 	case e.Twice && (e.Name == own.Name || c.Was == e.State):
 		log.Printf("event=fleet_twice name=%s addr=%s session=%x own=%t", e.Name, e.Addr, e.Session, e.Session == own.Session)
@@ -294,6 +303,7 @@
 	}
 	l.counts.Out++
 	l.counts.OutBytes += uint64(len(b))
+	l.traffic.out(b, 0)
 }
 
 // every has do called again and again.
@@ -334,7 +344,7 @@
 		l.bad.Printf(now, "event=fleet_bad from=%s err=%q", from, "too many datagrams in a second")
 		return
 	}
-	l.take(from, b, 0)
+	l.take(from, b, 0, 0)
 }
 
 func (l *Links) large(from netip.AddrPort) {
@@ -342,9 +352,12 @@
 	l.bad.Printf(l.loop.Now(), "event=fleet_bad from=%s err=%q", from, "a datagram that is too large")
 }
 
-// take opens an envelope and hands on what is in it; false: it was no good.
-func (l *Links) take(from netip.AddrPort, b []byte, via uint64) bool {
+// take opens an envelope, before which so many bytes came, and hands on what is in it; false: it was no good.
+func (l *Links) take(from netip.AddrPort, b []byte, before int, via uint64) bool {
 	channel, body, err := l.codec.open(b)
+	if err == nil {
+		l.traffic.in(channel, before+len(b))
+	}
 	switch {
 	case err != nil:
 	case channel == channelMembership:
@@ -399,15 +412,16 @@
 
 // exchange sends a whole list, on a connection of its own or as the answer on another's.
 func (l *Links) exchange(s *membership.Send) {
-	b, err := l.codec.pack(make([]byte, 4), channelMembership, s.Message)
+	b, err := l.codec.pack(make([]byte, lengthSize), channelMembership, s.Message)
 	if err != nil || len(b) > mostFrame {
 		l.counts.StreamsFailed++
 		return
 	}
-	binary.BigEndian.PutUint32(b, uint32(len(b)-4))
+	binary.BigEndian.PutUint32(b, uint32(len(b)-lengthSize))
 	if s.Via != 0 {
 		if st := l.in[s.Via]; st != nil {
 			l.counts.OutBytes += uint64(len(b))
+			l.traffic.out(b[lengthSize:], lengthSize)
 			st.nc.Write(b)
 			st.finish()
 		}
@@ -448,6 +462,7 @@
 // Connected sends what the connection was opened for.
 func (st *stream) Connected() {
 	st.l.counts.OutBytes += uint64(len(st.first))
+	st.l.traffic.out(st.first[lengthSize:], lengthSize)
 	st.nc.Write(st.first)
 	st.first = nil
 }
@@ -455,27 +470,27 @@
 // Received takes a frame in once it is whole.
 func (st *stream) Received() {
 	in := st.nc.Input()
-	if len(in) < 4 {
+	if len(in) < lengthSize {
 		return
 	}
 	n := int(binary.BigEndian.Uint32(in))
-	if n > mostFrame-4 {
+	if n > mostFrame-lengthSize {
 		st.l.drop(netip.AddrPort{}, errGarbage)
 		st.fail()
 		return
 	}
-	if len(in) < 4+n {
+	if len(in) < lengthSize+n {
 		return
 	}
-	frame := in[4 : 4+n]
+	frame := in[lengthSize : lengthSize+n]
 	st.l.counts.InBytes += uint64(len(in))
-	ok := st.l.take(netip.AddrPort{}, frame, st.via)
+	ok := st.l.take(netip.AddrPort{}, frame, lengthSize, st.via)
 	switch {
 	case st.nc.Closed():
 	case st.via == 0 || !ok:
 		st.close() // it was the answer
 	default:
-		st.nc.Consume(4 + n)
+		st.nc.Consume(lengthSize + n)
 	}
 }
 
--- a/internal/peer/positions.go
+++ b/internal/peer/positions.go
@@ -53,6 +53,9 @@
 // Learned takes in what a database told this gateway.
 func (s *Positions) Learned(host policy.HostID, at time.Duration) { s.p.Learned(string(host), at) }
 
+// Ages are how old the positions are that are known, in no order.
+func (s *Positions) Ages() []time.Duration { return s.p.Ages(s.l.loop.Now()) }
+
 // Forget drops what left the list.
 func (s *Positions) Forget() { s.p.Forget() }
 
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -107,6 +107,7 @@
 	line("overflow", c.Overflow)
 	line("exchanges", k.Streams)
 	line("exchanges_failed", k.StreamsFailed)
+	line("deaths", l.deaths)
 	line("received", k.In)
 	line("received_bytes", k.InBytes)
 	line("sent", k.Out)
@@ -120,6 +121,11 @@
 	line("dropped.large", k.Large)
 	line("dropped.rate", k.Rate)
 	line("rests", l.udp.Rests())
+	for channel, role := range roles {
+		if role != "" {
+			b = l.traffic[channel].Append(b, role)
+		}
+	}
 	if l.versions != nil {
 		since, asked := l.versions.v.Behind()
 		line("behind", uint64(min(since, 1)))
--- /dev/null
+++ b/internal/peer/traffic.go
@@ -0,0 +1,48 @@
+package peer
+
+import (
+	"lilaccove/internal/fleet/membership"
+	"lilaccove/internal/stats"
+)
+
+// roles name what the channels are for.
+var roles = [...]string{
+	channelMembership: "membership", channelBudget: "budgets", channelState: "positions", channelWords: "words", channelVersions: "versions",
+	channelPrimaries: "primaries",
+}
+
+// traffic is that of each channel.
+type traffic [len(roles)]stats.Traffic
+
+// out counts an envelope that was sent, and so many bytes before it.
+func (t *traffic) out(b []byte, more int) { t[b[3]].Out(len(b) + more) }
+
+// in counts an envelope that has come. Only a sound one tells its channel.
+func (t *traffic) in(channel byte, size int) {
+	if int(channel) < len(t) {
+		t[channel].In(size)
+	}
+}
+
+// Traffic tells what each role has sent and taken in, by its name.
+func (l *Links) Traffic() map[string]stats.Traffic {
+	all := map[string]stats.Traffic{}
+	for channel, role := range roles {
+		if role != "" {
+			all[role] = l.traffic[channel]
+		}
+	}
+	return all
+}
+
+// Totals are the messages dropped, sent and taken in, of all roles.
+func (l *Links) Totals() Counts { return l.counts }
+
+// Own is this gateway's entry, and whether it is a member at the moment.
+func (l *Links) Own() (own membership.Entry, member bool) { return l.m.Own() }
+
+// OnDeath has do called with the name of each gateway that was known here and is now taken for dead.
+func (l *Links) OnDeath(do func(name string)) { l.died = do }
+
+// Deaths is how many gateways that were known here were taken for dead so far.
+func (l *Links) Deaths() uint64 { return l.deaths }
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -64,3 +64,35 @@
 	line("lost_ms", "", uint64(g.Lost.Milliseconds()))
 	return b
 }
+
+// Traffic counts what one role sends and takes in: bytes as they go over the socket, and whole messages.
+type Traffic struct {
+	OutBytes    uint64 `json:"out_bytes"`
+	OutMessages uint64 `json:"out_messages"`
+	InBytes     uint64 `json:"in_bytes"`
+	InMessages  uint64 `json:"in_messages"`
+}
+
+// Out counts a message that was sent.
+func (t *Traffic) Out(bytes int) {
+	t.OutBytes += uint64(bytes)
+	t.OutMessages++
+}
+
+// In counts a message that has come.
+func (t *Traffic) In(bytes int) {
+	t.InBytes += uint64(bytes)
+	t.InMessages++
+}
+
+// Append adds the figures of a role of the fleet, a line each.
+func (t Traffic) Append(b []byte, role string) []byte {
+	for _, x := range []struct {
+		name string
+		n    uint64
+	}{{"out_bytes", t.OutBytes}, {"out_messages", t.OutMessages}, {"in_bytes", t.InBytes}, {"in_messages", t.InMessages}} {
+		b = append(append(append(append(append(b, "edge_gw.fleet_"...), role...), '_'), x.name...), '=')
+		b = append(strconv.AppendUint(b, x.n, 10), '\n')
+	}
+	return b
+}
