--- a/cmd/lilaccove/hollow_test.go
+++ b/cmd/lilaccove/hollow_test.go
@@ -225,3 +225,75 @@
 	require.GreaterOrEqual(m.t, i, 0)
 	return r.Known[i].State
 }
+
+// What the roles have sent and taken in adds up to what the links have, in hollow gateways and in real ones.
+func TestTrafficByRoleAddsUp(t *testing.T) {
+	m := newMixed(t, 3, 1)
+	m.agree(4, 3)
+	m.eventually("every role that is on has sent and heard", func(r hollow.Report) bool {
+		return !slices.ContainsFunc(r.Gateways, func(s hollow.State) bool {
+			for _, role := range []string{"membership", "positions", "primaries", "versions", "words", "discovery"} {
+				if x := s.Roles[role]; x.OutMessages == 0 || x.OutBytes == 0 || x.InMessages == 0 || x.InBytes == 0 {
+					return true
+				}
+			}
+			return false
+		})
+	})
+	for _, s := range m.report().Gateways {
+		var out, in, sent, heard uint64
+		for role, x := range s.Roles {
+			if role != "discovery" {
+				out, in, sent, heard = out+x.OutBytes, in+x.InBytes, sent+x.OutMessages, heard+x.InMessages
+			}
+		}
+		assert.Equal(t, s.Totals.OutBytes, out, "%s has sent", s.Name)
+		assert.Equal(t, s.Totals.InBytes, in, "%s has taken in", s.Name)
+		assert.GreaterOrEqual(t, sent, s.Totals.OutMessages, "datagrams, and what went over streams")
+		assert.GreaterOrEqual(t, heard, s.Totals.InMessages)
+		assert.Zero(t, s.Roles["budgets"], "none are divided")
+	}
+	text, err := m.nodes["r0"].Call("GET", "/v1/metrics")
+	require.NoError(t, err)
+	figure := func(name string) (n uint64) {
+		_, rest, found := strings.Cut(string(text), "edge_gw.fleet_"+name+"=")
+		require.True(t, found, "%s in\n%s", name, text)
+		_, err := fmt.Sscan(rest, &n)
+		require.NoError(t, err)
+		return n
+	}
+	var out, in uint64
+	for _, role := range []string{"membership", "positions", "primaries", "versions", "words", "budgets"} {
+		out, in = out+figure(role+"_out_bytes"), in+figure(role+"_in_bytes")
+	}
+	assert.Equal(t, figure("sent_bytes"), out)
+	assert.Equal(t, figure("received_bytes"), in)
+	assert.Positive(t, figure("membership_in_messages"))
+	assert.Positive(t, figure("discovery_in_bytes"))
+}
+
+// A gateway without a fleet file tells nothing of a fleet.
+func TestTrafficByRoleNeedsAFleet(t *testing.T) {
+	s := newSite(t, func(s *site) { s.managed = true })
+	n := &lab.Node{Manage: s.manage}
+	text, err := n.Call("GET", "/v1/metrics")
+	require.NoError(t, err)
+	assert.NotContains(t, string(text), "fleet_")
+}
+
+// Answers are fed in at the rate that was asked for, a tenth of them those of primaries.
+func TestHollowGatewaysLearnAtTheRateAskedFor(t *testing.T) {
+	m := newMixed(t, 2, 0)
+	m.agree(2, 2)
+	begun := m.report()
+	m.eventually("six seconds", func(r hollow.Report) bool { return r.AtMS >= begun.AtMS+6000 })
+	now := m.report()
+	for i, s := range now.Gateways {
+		was := begun.Gateways[i]
+		want := mixedRate * float64(now.AtMS-begun.AtMS) / 1000
+		assert.InEpsilon(t, want, s.Learned-was.Learned, 0.02, s.Name)
+		assert.InEpsilon(t, want/10, s.LearnedPrimary-was.LearnedPrimary, 0.35, s.Name)
+		assert.Equal(t, 9, s.KnownPositions)
+		assert.Less(t, s.AgeP50, 500.0, "positions are news")
+	}
+}
