--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -288,7 +288,11 @@
 
 // config is what the platform would tell a gateway of this plan.
 func (l *Lab) config(i int) map[string]any {
-	p := l.Plan
+	return Config(l.Plan, l.name(i), l.Discovery(i).Addr, l.Plan.Seed+uint64(i)+1, l.world.List())
+}
+
+// Config is what the platform would tell a gateway of a plan that asks at a discovery; known is the list to start from.
+func Config(p *plan.Plan, name, discovery string, seed uint64, known json.RawMessage) map[string]any {
 	var lanes []any
 	var levels []string
 	var bounds []int64
@@ -308,8 +312,8 @@
 		})
 	}
 	return map[string]any{
-		"name": l.name(i), "listen": "127.0.0.1:0", "discovery": l.Discovery(i).Addr, "seed": fmt.Sprintf("%x", p.Seed+uint64(i)+1),
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": json.RawMessage(l.world.List()),
+		"name": name, "listen": "127.0.0.1:0", "discovery": discovery, "seed": fmt.Sprintf("%x", seed),
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": known,
 		"settings": map[string]any{
 			"Allowed": map[string]any{"Cancel": true, "Peers": p.Lab.Fleet, "ConnIdleUs": 15000000, "DialTimeoutUs": 250000, "MaxRetryAfterUs": 1000000,
 				"Probes": true, "RetryAfter": true, "TryLimit": 6},
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -27,7 +27,10 @@
 
 // Launch starts it. Each line of its log is handed to each, on a goroutine of its own; ended is called when it is over.
 func (p *Process) Launch(each func(line string), ended func()) error {
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if p.cmd.SysProcAttr == nil {
+		p.cmd.SysProcAttr = &syscall.SysProcAttr{}
+	}
+	p.cmd.SysProcAttr.Pdeathsig = syscall.SIGKILL
 	out, err := p.cmd.StderrPipe()
 	if err != nil {
 		return err
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -25,6 +25,7 @@
 type Options struct {
 	Groups, Members int
 	Group           int           // the number of the first group
+	Rest            int           // databases of one more group, smaller than the others
 	Names           []string      // of the databases, group by group; those beyond are numbered
 	Cores, Queue    int           // of a database: statements at work, and those that wait
 	Service         time.Duration // mean time of a statement
@@ -122,6 +123,12 @@
 			}
 		}
 	}
+	for m := range opt.Rest {
+		if _, err := w.add(opt.Group+opt.Groups, m == 0, time.Time{}); err != nil {
+			w.Close()
+			return nil, err
+		}
+	}
 	if _, err := w.Elsewhere(); err != nil {
 		w.Close()
 		return nil, err
