Hold lilacload datapath to its sums by tests on real sockets

200 clients before 40 databases: each statement has exactly one end, the clients' sums are the gateway's own, descriptors come back, and a run in which a side stood still is INVALID.

--- a/internal/datapath/clients.go
+++ b/internal/datapath/clients.go
@@ -417,7 +417,8 @@
 	c.idle = false
 	c.mu.Unlock()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		if late := time.Since(until); begun.Before(until) && late >= 0 {
+		// At the end of the load all wake at once: that is no statement's lateness.
+		if late := time.Since(until); begun.Before(until) && late >= 0 && until.Before(c.ends()) {
 			c.crowd.mu.Lock()
 			defer c.crowd.mu.Unlock()
 			record(c.lateness, late)
--- /dev/null
+++ b/internal/datapath/datapath_test.go
@@ -0,0 +1,262 @@
+package datapath
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const roleArgument = "datapath-role"
+
+// The sides are processes of this binary.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 3 && os.Args[1] == roleArgument {
+		side := map[string]func() error{
+			"databases": func() error { return Databases(os.Stdin, os.Stdout) },
+			"clients":   func() error { return Clients(os.Stdin, os.Stdout) },
+		}[os.Args[2]]
+		if err := side(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	code := m.Run()
+	if built.dir != "" {
+		os.RemoveAll(built.dir)
+	}
+	os.Exit(code)
+}
+
+var built struct {
+	sync.Once
+	dir string
+}
+
+// small is a run of a few seconds before the real gateway.
+func small(t *testing.T) Options {
+	built.Do(func() {
+		var err error
+		built.dir, err = os.MkdirTemp("", "datapath-test-")
+		require.NoError(t, err)
+		out, err := exec.Command("go", "build", "-o", filepath.Join(built.dir, "lilaccove"), "lilaccove/cmd/lilaccove").CombinedOutput()
+		require.NoError(t, err, "%s", out)
+	})
+	return Options{
+		Clients: 200, Statements: 400, Databases: 40, GroupsOf: 4, For: 2 * time.Second, Idle: 300 * time.Millisecond, Warm: 300 * time.Millisecond,
+		Again: 100 * time.Millisecond, Seed: 5, Sockets: 2000, MemoryMB: 64, Told: 1, Keep: time.Second, Service: 5 * time.Millisecond,
+		Stall: 30 * time.Second, Gateway: []string{filepath.Join(built.dir, "lilaccove")},
+		Sides: func(role string) []string { return []string{os.Args[0], roleArgument, role} },
+	}
+}
+
+// addsUp holds what is true of every whole run.
+func addsUp(t *testing.T, r *Report) {
+	t.Helper()
+	g, w := &r.Gateway, r.ClientSide.Whole
+	assert.Empty(t, r.Faults)
+	assert.Equal(t, w.Sent, w.Served+w.Refused+w.Failed, "each statement sent has one end")
+	assert.Equal(t, g.Sent, g.Served+g.Refused+g.Failed)
+	sum := Counts{}
+	for _, k := range g.Classes {
+		sum.Sent += k.Sent
+		sum.Served += k.Served
+		sum.Refused += k.Refused
+		sum.Failed += k.Failed
+		sum.Late += k.Late
+	}
+	assert.Equal(t, Counts{Sent: g.Sent, Served: g.Served, Late: g.Late, Refused: g.Refused, Failed: g.Failed}, sum)
+	passed, dropped, by := 0, 0, 0
+	for _, k := range classes {
+		passed += g.Figures["passed."+k.Name]
+		dropped += g.Figures["dropped."+k.Name]
+	}
+	assert.Equal(t, passed, w.Served, "the gateway counts as many")
+	assert.Equal(t, dropped, w.Refused)
+	for _, n := range g.RefusedBy {
+		by += n
+	}
+	assert.Equal(t, w.Refused, by, "each refusal has its cause")
+	by = 0
+	for _, n := range g.FailedBy {
+		by += n
+	}
+	assert.Equal(t, w.Failed, by)
+	assert.Zero(t, g.FailedBy["no answer"])
+	assert.Zero(t, r.ClientSide.Unasked, "no statement has two answers")
+	assert.GreaterOrEqual(t, r.StandIn.Reads+r.StandIn.Writes, w.Served, "what was served has run")
+	assert.Zero(t, r.StandIn.Duplicates)
+	assert.LessOrEqual(t, g.DescriptorsAfter, g.DescriptorsIdle+backSlack, "all descriptors have come back")
+	assert.GreaterOrEqual(t, g.BackSeconds, 0.0)
+	assert.Zero(t, g.Figures["in_progress"])
+}
+
+// Before databases that have time to spare all is served, and every figure is there.
+func TestScaleDataPathServesAll(t *testing.T) {
+	t.Parallel()
+	r, err := Run(context.Background(), small(t))
+	require.NoError(t, err)
+	addsUp(t, r)
+	assert.NoError(t, Verdict(r))
+	g := &r.Gateway
+	assert.InDelta(t, 800, g.Sent, 160, "about as many as were asked for")
+	assert.GreaterOrEqual(t, g.Served, g.Sent*9/10)
+	assert.InDelta(t, 200, g.ClientConnections, 20)
+	assert.Greater(t, g.Descriptors, g.DescriptorsIdle+150)
+	assert.Positive(t, g.RSSIdle)
+	assert.Greater(t, g.RSS, g.RSSIdle)
+	assert.Positive(t, g.PerStatement)
+	assert.Positive(t, g.DatabaseConnections)
+	all := r.StandIn.Per["all"]
+	assert.Equal(t, 40, all.Databases)
+	assert.InDelta(t, g.DatabaseConnections, all.Mean*40, 1)
+	assert.Equal(t, 10, r.StandIn.Per["primary"].Databases)
+	assert.LessOrEqual(t, all.ShareOne, all.ShareAny)
+}
+
+// Twice what the databases can do: what is refused or fails is so for a cause that is told, and all of it adds up.
+func TestScaleDataPathRefuses(t *testing.T) {
+	t.Parallel()
+	o := small(t)
+	o.Databases, o.Service, o.Seed = 4, 50*time.Millisecond, 6 // 100 statements/s each
+	o.Statements = 800
+	r, err := Run(context.Background(), o)
+	require.NoError(t, err)
+	addsUp(t, r)
+	assert.Positive(t, r.Gateway.Refused)
+	assert.NotEmpty(t, r.Gateway.RefusedBy)
+	assert.Positive(t, r.Gateway.Served)
+}
+
+// The last group is smaller than the others, and gets its statements.
+func TestScaleDataPathUnevenGroups(t *testing.T) {
+	t.Parallel()
+	o := small(t)
+	o.Databases, o.For, o.Seed = 10, time.Second, 7
+	r, err := Run(context.Background(), o)
+	require.NoError(t, err)
+	addsUp(t, r)
+	assert.Equal(t, 10, r.StandIn.Per["all"].Databases)
+	assert.Equal(t, 3, r.StandIn.Per["primary"].Databases)
+}
+
+// A run in which the clients' or the databases' process stood still is told invalid, whatever else it shows.
+func TestScaleDataPathStarvedIsInvalid(t *testing.T) {
+	t.Parallel()
+	for _, role := range []string{"clients", "databases"} {
+		t.Run(role, func(t *testing.T) {
+			t.Parallel()
+			o := small(t)
+			o.Stall, o.Seed = 1500*time.Millisecond, 8
+			o.For = 3 * time.Second
+			var stalls sync.WaitGroup
+			o.Started = func(which string, pid int) {
+				if which != role {
+					return
+				}
+				stalls.Add(1)
+				go func() {
+					defer stalls.Done()
+					if role == "clients" {
+						time.Sleep(1200 * time.Millisecond) // they ask
+					} else {
+						time.Sleep(4500 * time.Millisecond) // the gateway was looked at alone first
+					}
+					assert.NoError(t, syscall.Kill(pid, syscall.SIGSTOP))
+					time.Sleep(2 * time.Second)
+					assert.NoError(t, syscall.Kill(pid, syscall.SIGCONT))
+				}()
+			}
+			r, err := Run(context.Background(), o)
+			stalls.Wait()
+			require.NoError(t, err)
+			assert.False(t, r.Valid)
+			assert.Contains(t, r.Invalid, "the "+role+"' process was late")
+			assert.Error(t, Verdict(r))
+			assert.ErrorContains(t, Verdict(&Report{Invalid: r.Invalid}), "INVALID")
+			w := r.ClientSide.Whole
+			assert.Equal(t, w.Sent, w.Served+w.Refused+w.Failed)
+		})
+	}
+}
+
+// An interrupt ends the run soon, with a report that says so.
+func TestScaleDataPathInterrupted(t *testing.T) {
+	t.Parallel()
+	o := small(t)
+	o.For = time.Minute
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	o.Started = func(role string, _ int) {
+		if role == "clients" {
+			time.AfterFunc(2*time.Second, cancel)
+		}
+	}
+	begun := time.Now()
+	r, err := Run(ctx, o)
+	require.NoError(t, err)
+	assert.Less(t, time.Since(begun), 30*time.Second)
+	assert.True(t, r.Partial)
+	assert.Less(t, r.Seconds, 30.0)
+	w := r.ClientSide.Whole
+	assert.Positive(t, w.Sent)
+	assert.Equal(t, w.Sent, w.Served+w.Refused+w.Failed)
+}
+
+// What does not fit is told before anything starts, all at once.
+func TestOptionsThatDoNotFit(t *testing.T) {
+	hard := hardLimit()
+	_, err := Run(context.Background(), Options{Clients: hard, Databases: 3, GroupsOf: 4, Sockets: hard + 1})
+	for _, part := range []string{"--statements 0", "--databases 3 in --groups-of 4", "--for 0s", "--sockets", "ulimit -Hn", "--clients"} {
+		assert.ErrorContains(t, err, part)
+	}
+	_, err = Run(context.Background(), Options{Clients: 0, Statements: 1, Databases: 4, GroupsOf: 4, For: time.Second})
+	assert.ErrorContains(t, err, "--clients 0")
+}
+
+// A gateway that does not start is said so, and nothing is left behind.
+func TestGatewayThatDoesNotStart(t *testing.T) {
+	o := small(t)
+	o.Gateway = []string{"false"}
+	_, err := Run(context.Background(), o)
+	assert.ErrorContains(t, err, "does not start")
+	o.Sides = func(string) []string { return []string{"false"} }
+	_, err = Run(context.Background(), o)
+	assert.Error(t, err)
+}
+
+func TestSpread(t *testing.T) {
+	var p PerDatabase
+	p.spread([]int{3, 0, 1, 1})
+	assert.Equal(t, PerDatabase{Mean: 1.25, P99: 3, Max: 3, ShareAny: 0.75, ShareOne: 0.5}, p)
+	p.spread(nil)
+	assert.Equal(t, 1.25, p.Mean)
+}
+
+// The figures of a process are those of the kernel: a process that works for a while has used processor time.
+func TestProcessFigures(t *testing.T) {
+	m := newMeter(os.Getpid())
+	for begun := time.Now(); time.Since(begun) < 200*time.Millisecond; {
+		_ = fmt.Sprint(begun)
+	}
+	used, percent := m.since()
+	assert.Positive(t, used)
+	assert.Positive(t, percent)
+	all, own := resident(os.Getpid())
+	assert.Greater(t, all, own)
+	assert.Positive(t, own)
+	before := descriptors(os.Getpid())
+	f, err := os.Open(os.DevNull)
+	require.NoError(t, err)
+	defer f.Close()
+	assert.Equal(t, before+1, descriptors(os.Getpid()))
+}
