Compute the capacity page from its runs: slopes, three sizes and the order of what breaks

Extrapolations are marked, INVALID and PARTIAL runs are in no figure. Formulas have their inputs as named constants; a test holds those that stand in the program against its source. A walk from nothing over today's size to the target gives the order in which allowances are met. lilacload capacity checks docs/CAPACITY.md or writes its tables.

--- a/cmd/lilacload/main.go
+++ b/cmd/lilacload/main.go
@@ -206,5 +206,6 @@
 		},
 	}
 	root.AddCommand(check, record, play, world, compare)
+	root.AddCommand(capacityCommand())
 	return root
 }
--- /dev/null
+++ b/internal/capacity/figures_test.go
@@ -0,0 +1,195 @@
+package capacity
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// figure finds one by part and name.
+func figure(t *testing.T, st *state, part, name string) Figure {
+	for _, p := range st.parts() {
+		if i := slices.IndexFunc(p.Figures, func(f Figure) bool { return f.Name == name }); p.Name == part && i >= 0 {
+			return p.Figures[i]
+		}
+	}
+	t.Fatalf("%s has no figure %q", part, name)
+	return Figure{}
+}
+
+// The made-up runs have known laws; each value says where it is from.
+func TestFiguresOfMadeUpRuns(t *testing.T) {
+	st := &state{runs: madeUp(t)}
+	big := Size{Name: "big", Gateways: 367, Databases: 405, Regions: 3}
+	for _, tt := range []struct {
+		part, name string
+		at         Size
+		x          float64
+		kind       Kind
+	}{
+		{"control", "membership: sent", Today, 630, Measured},
+		{"control", "membership: sent", big, 900 + 2.5*367, Fitted},
+		{"control", "membership: sent", Target, 900 + 2.5*490, Beyond},
+		{"control", "membership: sent", Worst, 900 + 2.5*245, Measured},
+		{"control", "membership: false deaths in a minute", Worst, 6, Measured},
+		{"control", "positions: sent", Target, 18900, Beyond}, // neither the invalid run nor the one with the mechanism counts
+		{"control", "sum: memory, mean", big, 4 + 0.00001*367*405, Fitted},
+		{"control", "sum: processor time, mean", Today, 0.7, Measured},
+		{"control", "words: sent", Target, 0, NotRun},
+		{"control", "a change of configuration: in force everywhere", Today, 0, NotRun},
+		{"control", "a change of primary: until all know it, the slowest", big, 5.5, Fitted},
+		{"gateway", "clients: memory of the process", Target, 12 + 0.006*5102 + 0.01*810, Measured},
+		{"gateway", "clients: memory of the process", Worst, 12 + 0.006*7653 + 0.01*810, Beyond}, // the run of that size is invalid
+		{"gateway", "clients: memory of the process", Size{Databases: 405, Connections: 2000, Statements: 800}, 12 + 0.006*2000 + 0.01*405, Fitted},
+		{"gateway", "clients: memory of the process", Today, 0, NotKnown},
+		{"gateway", "clients: connections", Worst, 7653, Given},
+		{"database", "connections that gateways hold, from one gateway's pool", Target, 729.0 * 490 / 810, Measured},
+		{"discovery", "bytes sent to all gateways", Target, 0.5 * 490 * 810, Beyond},
+		{"tool", "memory", Target, 0, NotRun},
+	} {
+		v := figure(t, st, tt.part, tt.name).At(tt.at)
+		assert.Equal(t, kinds[tt.kind], kinds[v.Kind], "%s at %+v", tt.name, tt.at)
+		assert.InDelta(t, tt.x, v.X, 0.002*math.Abs(tt.x), "%s at %+v", tt.name, tt.at)
+	}
+	l, ok := figure(t, st, "control", "membership: sent").Slope(3)
+	require.True(t, ok)
+	assert.Equal(t, Gateways, l.Of)
+	l, ok = figure(t, st, "control", "sum: memory, mean").Slope(1)
+	require.True(t, ok)
+	assert.Equal(t, Product, l.Of)
+	l, ok = figure(t, st, "gateway", "decisions: memory, by databases listed").Slope(0)
+	require.True(t, ok)
+	assert.Equal(t, Databases, l.Of)
+	assert.InDelta(t, 0.01, l.Per, 1e-4)
+
+	after := st.controlAfter()
+	i := slices.IndexFunc(after.Figures, func(f Figure) bool { return f.Name == "positions: sent" })
+	require.GreaterOrEqual(t, i, 0)
+	v := after.Figures[i].At(Size{Gateways: 245, Databases: 400, Regions: 3})
+	assert.Equal(t, Value{X: 1200, Kind: Measured}, v)
+}
+
+// The formulas, at sizes where they can be told by hand.
+func TestFormulas(t *testing.T) {
+	assert.InDelta(t, 100*(1-math.Exp(-2)), heldConnections(Size{Gateways: 100, Databases: 10, Statements: 10}), 1e-9)
+	assert.InDelta(t, 10*math.Exp(-1), clientsBack(Size{Connections: 50, Statements: 10}), 1e-9)
+	assert.Equal(t, 1235.0, math.Round(databaseStatements(Target)))
+	assert.Equal(t, 4050.0, positionNews(Target))
+	assert.Equal(t, 300.0, positionRoom())
+	assert.Equal(t, 3.0*(240+21*300), positionBytesOut(Target), "no more than goes out")
+	assert.Equal(t, 3.0*(240+21*50), positionBytesOut(Size{Databases: 10}))
+	assert.Equal(t, 196.0, offeredCalls(Target))
+	assert.Equal(t, 10.0, offeredCalls(Size{Gateways: 20}), "paced while the span grows")
+	assert.Equal(t, 24.5, lastAnswered(Target))
+	assert.InDelta(t, 490.0/410*86400, restartOfAll(Target), 1e-6)
+	assert.InDelta(t, restartOfAll(Target), restartOfAll(Today), 1e-6, "restarts are as frequent for each gateway")
+	assert.Equal(t, 490.0/16, versionsHeard(Target))
+	assert.Equal(t, Size{Gateways: 150, Databases: 60, Regions: 1, Connections: 5102, Statements: 2041}, growth(0.5))
+	assert.Equal(t, Size{Gateways: 395, Databases: 465, Regions: 3, Connections: 5102, Statements: 2041}, growth(1.5))
+	end := Target
+	end.Name = ""
+	assert.Equal(t, end, growth(2))
+}
+
+// Growth meets what does not fit in the order of its sizes; what no run tells stands apart.
+func TestBreaks(t *testing.T) {
+	st := &state{runs: madeUp(t)}
+	list, open := st.breaks()
+	at := map[string]Break{}
+	for i, b := range list {
+		at[b.Figure.Name] = b
+		assert.Greater(t, b.Value.X, b.Figure.Allowance)
+		if i > 0 {
+			assert.LessOrEqual(t, list[i-1].u, b.u)
+		}
+	}
+	for _, tt := range []struct {
+		name      string
+		gateways  float64
+		databases float64
+		first     bool
+	}{
+		{"budgets: holders for each of 100 connections", 101, 41, false},
+		{"after an outage: until the last gateway has its list", 121, 49, false},
+		{"positions: news", 151, 61, false},
+		{"connections that gateways hold", 101, 41, false},
+		{"positions: sent", 300, 120, true}, // the least of these runs have 120 databases
+	} {
+		b, ok := at[tt.name]
+		if assert.True(t, ok, tt.name) {
+			assert.Equal(t, tt.gateways, math.Ceil(b.At.Gateways), tt.name)
+			assert.Equal(t, tt.databases, math.Ceil(b.At.Databases), tt.name)
+			assert.Equal(t, tt.first, b.First && !b.Any, tt.name)
+		}
+	}
+	assert.True(t, at["a change of configuration that waits for the restart of each gateway"].Any)
+	assert.NotContains(t, at, "membership: sent")
+	assert.Contains(t, open, "Control of one gateway: words: sent")
+	assert.NotContains(t, open, "Control of one gateway: membership: sent")
+
+	// Regions bring a break half way.
+	f := Figure{Bounded: true, Allowance: 1, At: func(s Size) Value { return Value{X: float64(s.Regions), Kind: Arithmetic} }}
+	b, ok := f.meets()
+	assert.True(t, ok)
+	assert.Equal(t, 395.0, b.At.Gateways)
+	// What breaks at the target alone is met there.
+	f.At = func(s Size) Value { return Value{X: s.Gateways * s.Databases / (490 * 810), Kind: Arithmetic} }
+	f.Allowance = 0.9999
+	b, ok = f.meets()
+	assert.True(t, ok)
+	assert.Equal(t, Target, b.At)
+}
+
+func TestInvalidRunsAreListed(t *testing.T) {
+	tables, err := madeUp(t).Tables()
+	require.NoError(t, err)
+	assert.Contains(t, tables["runs"], "INVALID: late by 400 ms; in no figure")
+	assert.Contains(t, tables["runs"], "INVALID: the generator was late; in no figure")
+	for name, text := range tables {
+		assert.NotContains(t, text, "999,9", name)
+	}
+	assert.Contains(t, tables["calibration"], "| 0.769 | over 15% |")
+	assert.Contains(t, tables["control"], "does not fit")
+	assert.Contains(t, tables["trials"], "5,780 B/s")
+}
+
+// Runs before and after the mechanism are set side by side only if they played the same.
+func TestComparison(t *testing.T) {
+	runs := madeUp(t)
+	text, err := runs.comparison()
+	require.NoError(t, err)
+	assert.Contains(t, text, "| positions: sent | 18,900 B/s | 1,200 B/s | 0.0635 |")
+	i := slices.IndexFunc(runs.Scale, func(s Scale) bool { return s.after() })
+	for _, change := range []func(s *Scale){
+		func(s *Scale) { s.Seed++ }, func(s *Scale) { s.Gateways++ }, func(s *Scale) { s.Databases++ }, func(s *Scale) { s.Regions++ }, func(s *Scale) { s.RTT++ },
+		func(s *Scale) { s.Command = strings.Replace(s.Command, "made-up", "other", 1) },
+	} {
+		was := runs.Scale[i]
+		change(&runs.Scale[i])
+		_, err = runs.comparison()
+		assert.ErrorContains(t, err, "play both with the same")
+		runs.Scale[i] = was
+	}
+	runs.Scale[i].Valid = false
+	text, err = runs.comparison()
+	require.NoError(t, err)
+	assert.Contains(t, text, "INVALID: not compared")
+	runs.Scale[i].File = "scale-lost-after.json"
+	_, err = runs.comparison()
+	assert.ErrorContains(t, err, "scale-lost.json is missing")
+	text, err = (&Runs{}).comparison()
+	require.NoError(t, err)
+	assert.Equal(t, "Not run.\n", text)
+}
+
+func TestNumber(t *testing.T) {
+	for x, s := range map[float64]string{
+		0: "0", 1: "1", 0.1234: "0.123", 999.96: "1,000", 1234: "1,234", 7653: "7,653", 18936.2: "18,940", 1e6: "1,000,000", -1234.56: "-1,235", 0.00001: "0.00001",
+	} {
+		assert.Equal(t, s, number(x))
+	}
+}
--- /dev/null
+++ b/internal/capacity/fit_test.go
@@ -0,0 +1,145 @@
+package capacity
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+var all = []Variable{Gateways, Databases, Product, Connections, Statements}
+
+// points draws sizes that tell all variables apart: none moves in step with another.
+func points(t *rapid.T) []Point {
+	list := make([]Point, rapid.IntRange(8, 16).Draw(t, "runs"))
+	for i := range list {
+		draw := func(name string, most int) float64 { return float64(rapid.IntRange(1, most).Draw(t, name)) }
+		list[i].Size = Size{
+			Gateways: draw("G", 500), Databases: draw("D", 800), Regions: 1, Connections: draw("connections", 8000), Statements: draw("statements", 3000),
+		}
+	}
+	return list
+}
+
+// apart tells whether no variable but v itself nearly draws v's line.
+func apart(list []Point, v Variable) bool {
+	for _, u := range all {
+		values := map[float64]bool{}
+		for i := range list {
+			values[u.Of(list[i].Size)] = true
+		}
+		if len(values) < leastSizes {
+			return false
+		}
+		if u != v && math.Abs(correlation(list, u, v)) > 0.9 {
+			return false
+		}
+	}
+	return true
+}
+
+func correlation(list []Point, u, v Variable) float64 {
+	var su, sv, suu, svv, suv, n float64
+	for _, p := range list {
+		x, y := u.Of(p.Size), v.Of(p.Size)
+		su, sv, suu, svv, suv, n = su+x, sv+y, suu+x*x, svv+y*y, suv+x*y, n+1
+	}
+	return (n*suv - su*sv) / math.Sqrt((n*suu-su*su)*(n*svv-sv*sv))
+}
+
+// Whatever the slope, the right variable is picked and the slope found, with noise of a hundredth of what the variable moves.
+func TestFitFindsSlopes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := points(t)
+		v := rapid.SampledFrom(all).Draw(t, "variable")
+		if !apart(list, v) {
+			t.Skip("the sizes tell too little")
+		}
+		per := rapid.Float64Range(0.5, 100).Draw(t, "slope")
+		least, most := math.Inf(1), 0.0
+		for _, p := range list {
+			least, most = min(least, v.Of(p.Size)), max(most, v.Of(p.Size))
+		}
+		moved, mean := per*(most-least), 0.0
+		from := rapid.Float64Range(0, 3).Draw(t, "intercept") * moved
+		for i := range list {
+			list[i].Y = from + per*v.Of(list[i].Size) + moved*0.01*rapid.Float64Range(-1, 1).Draw(t, "noise")
+			mean += list[i].Y / float64(len(list))
+		}
+		l, ok := Fit(list, all...)
+		if !ok || l.Of != v || len(l.Like) > 0 || math.Abs(l.Per-per) > 0.1*per || l.Residual > 0.01*moved/mean+1e-9 || l.Sizes < leastSizes {
+			t.Fatalf("%+v %v, want %v for each of %s behind %v", l, ok, per, v, from)
+		}
+		y, beyond := l.At(list[0].Size)
+		if beyond || math.Abs(y-list[0].Y) > 0.1*moved {
+			t.Fatalf("%v %v at a size that was measured, want %v", y, beyond, list[0].Y)
+		}
+	})
+}
+
+// A figure that hardly moves depends on nothing, whatever line would go through it.
+func TestFitFlat(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := points(t)
+		mean := rapid.Float64Range(1, 1e5).Draw(t, "mean")
+		for i := range list {
+			list[i].Y = mean * (1 + 0.0475*rapid.Float64Range(-1, 1).Draw(t, "noise"))
+		}
+		l, ok := Fit(list, all...)
+		if len(distinct(list)) < leastSizes {
+			if ok {
+				t.Fatalf("%+v from too few sizes", l)
+			}
+			return
+		}
+		if !ok || l.Of != None || l.Per != 0 || math.Abs(l.Intercept-mean) > 0.05*mean {
+			t.Fatalf("%+v %v, want flat at %v", l, ok, mean)
+		}
+	})
+}
+
+func distinct(list []Point) map[Size]bool {
+	m := map[Size]bool{}
+	for _, p := range list {
+		m[p.Size] = true
+	}
+	return m
+}
+
+func line(v Variable, per float64, sizes ...Size) (list []Point) {
+	for _, s := range sizes {
+		list = append(list, Point{s, 1000 + per*v.Of(s)})
+	}
+	return list
+}
+
+func TestFitWantsFourSizes(t *testing.T) {
+	three := []Size{{Gateways: 50, Databases: 100}, {Gateways: 100, Databases: 100}, {Gateways: 200, Databases: 100}}
+	_, ok := Fit(line(Gateways, 3, three...), Gateways)
+	assert.False(t, ok, "three sizes")
+	_, ok = Fit(line(Gateways, 3, append(three, three...)...), Gateways)
+	assert.False(t, ok, "three sizes, each measured twice")
+	two := append(three[:2:2], Size{Gateways: 50, Databases: 200}, Size{Gateways: 100, Databases: 200})
+	_, ok = Fit(line(Gateways, 30, two...), Gateways)
+	assert.False(t, ok, "four sizes with two numbers of gateways")
+}
+
+func TestFitSaysWhatItCannotTellApart(t *testing.T) {
+	list := line(Databases, 30, Size{Gateways: 50, Databases: 100}, Size{Gateways: 100, Databases: 200}, Size{Gateways: 200, Databases: 400}, Size{Gateways: 400, Databases: 800})
+	l, ok := Fit(list, Gateways, Databases, Product)
+	assert.True(t, ok)
+	assert.Equal(t, Gateways, l.Of, "the first of equals")
+	assert.Equal(t, []Variable{Databases}, l.Like)
+	assert.InDelta(t, 60, l.Per, 1e-6)
+	for _, tt := range []struct {
+		s      Size
+		beyond bool
+	}{
+		{Size{Gateways: 300, Databases: 400}, false}, {Size{Gateways: 400, Databases: 800}, false}, {Size{Gateways: 401, Databases: 800}, true},
+		{Size{Gateways: 400, Databases: 810}, true}, {Size{Gateways: 49, Databases: 100}, true},
+	} {
+		_, beyond := l.At(tt.s)
+		assert.Equal(t, tt.beyond, beyond, "%+v", tt.s)
+	}
+}
--- /dev/null
+++ b/internal/capacity/page_test.go
@@ -0,0 +1,182 @@
+package capacity
+
+import (
+	"encoding/json"
+	"net/netip"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"testing/fstest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lilaccove/internal/fleet/audit"
+	"lilaccove/internal/fleet/membership"
+	fleetstate "lilaccove/internal/fleet/state"
+	"lilaccove/internal/peer"
+)
+
+const docs = "../../docs"
+
+// The page says what its runs come to, line by line.
+func TestCapacityPageMatchesItsRuns(t *testing.T) {
+	page, err := os.ReadFile(docs + "/CAPACITY.md")
+	require.NoError(t, err)
+	runs, err := Read(os.DirFS(docs + "/capacity"))
+	require.NoError(t, err, "docs/capacity; each file bears its command")
+	tables, err := runs.Tables()
+	require.NoError(t, err)
+	line, err := Differs(string(page), tables)
+	require.NoError(t, err, "docs/CAPACITY.md")
+	if line != "" {
+		t.Fatalf("docs/CAPACITY.md, %s\nrun go run ./cmd/lilacload capacity --write, and read what changed", line)
+	}
+}
+
+// A figure that is changed by hand is found, with its line.
+func TestCapacityPageDrift(t *testing.T) {
+	runs := madeUp(t)
+	tables, err := runs.Tables()
+	require.NoError(t, err)
+	page, err := Fill(skeleton(tables), tables)
+	require.NoError(t, err)
+	line, err := Differs(page, tables)
+	require.NoError(t, err)
+	assert.Empty(t, line)
+	again, err := Fill(page, tables)
+	require.NoError(t, err)
+	assert.Equal(t, page, again)
+
+	lines := strings.Split(page, "\n")
+	for i, l := range lines {
+		at := strings.IndexAny(l, "123456789")
+		if at < 0 || strings.HasPrefix(l, "<!--") {
+			continue
+		}
+		changed := append([]string{}, lines...)
+		changed[i] = l[:at] + "0" + l[at+1:]
+		found, err := Differs(strings.Join(changed, "\n"), tables)
+		require.NoError(t, err)
+		assert.True(t, strings.HasPrefix(found, "line "+number(float64(i+1))+":"), "%d: %q", i+1, found)
+	}
+	// Other runs come to other figures.
+	for i := range runs.Scale {
+		runs.Scale[i].ByRole["positions"] = RoleTraffic{BytesOut: 1}
+	}
+	other, err := runs.Tables()
+	require.NoError(t, err)
+	line, err = Differs(page, other)
+	require.NoError(t, err)
+	assert.Contains(t, line, "positions")
+}
+
+func skeleton(tables map[string]string) string {
+	b := "# Page\n\nWords.\n"
+	for name := range tables {
+		b += "\n<!-- capacity:" + name + " -->\n<!-- /capacity -->\n"
+	}
+	return b
+}
+
+func TestFillRefuses(t *testing.T) {
+	tables := map[string]string{"a": "x\n"}
+	open, end := "<!-- capacity:a -->\n", "<!-- /capacity -->\n"
+	for _, tt := range []struct{ page, says string }{
+		{"", "table a is nowhere"},
+		{open, "table a has no end"},
+		{end, "line 1: no table ends here"},
+		{open + open + end, "line 2: a begins within a"},
+		{open + end + open + end, "line 3: table a is there twice"},
+		{open + end + "<!-- capacity:b -->\n" + end, "line 3: no table is named b"},
+	} {
+		_, err := Fill(tt.page, tables)
+		assert.ErrorContains(t, err, tt.says)
+	}
+	got, err := Fill("before\n"+open+"old\n\nold\n"+end+"behind", tables)
+	assert.NoError(t, err)
+	assert.Equal(t, "before\n"+open+"x\n"+end+"behind", got)
+}
+
+func madeUp(t *testing.T) *Runs {
+	runs, err := Read(os.DirFS("testdata"))
+	require.NoError(t, err)
+	return runs
+}
+
+// Each file bears the command that made it, and is of a kind that is read.
+func TestReadRefuses(t *testing.T) {
+	for _, tt := range []struct{ name, text, says string }{
+		{"scale-a.json", `{"gateways":1,"databases":1,"regions":1}`, "scale-a.json: command: missing"},
+		{"scale-a.json", `{"command":" ","gateways":1,"databases":1,"regions":1}`, "command: missing"},
+		{"scale-a.json", `{"command":"x","gateways":1,"databases":1}`, "regions 0"},
+		{"scale-a.json", `{"command":"x","gateways":"many"}`, "cannot unmarshal"},
+		{"datapath-a.json", `{}`, "command: missing"},
+		{"calibration-a.json", `{}`, "command: missing"},
+		{"sim-a.json", `{}`, "command: missing"},
+		{"notes.json", `{}`, "no kind of run"},
+	} {
+		_, err := Read(fstest.MapFS{tt.name: {Data: []byte(tt.text)}})
+		assert.ErrorContains(t, err, tt.says)
+	}
+}
+
+// Constants that the formulas take from the program stand there as they do here.
+func TestInputsStandInTheCode(t *testing.T) {
+	for _, tt := range []struct{ file, line string }{
+		{"policy/policy.go", `seldom\s+= 2 \* time\.Second`},
+		{"policy/policy.go", `askPace\s+= 100 \* time\.Millisecond`},
+		{"policy/policy.go", `askMost\s+= 2500 \* time\.Millisecond`},
+		{"internal/peer/positions.go", `positionStep\s+= 200 \* time\.Millisecond`},
+		{"internal/peer/envelope.go", `headSize\s+= 12\b`},
+		{"internal/peer/envelope.go", `tailSize\s+= 8\b`},
+		{"internal/peer/envelope.go", `mostFrame\s+= 480 << 10`},
+		{"internal/fleet/state/positions.go", `Tick\s+= 100 \* time\.Millisecond`},
+		{"internal/fleet/state/positions.go", `fanout\s+= 3\b`},
+		{"internal/fleet/state/positions.go", `perSend\s+= 30\b`},
+		{"internal/fleet/audit/versions.go", `perSend\s+= 8\b`},
+		{"internal/fleet/audit/versions.go", `tellTo\s+= 2\b`},
+		{"internal/fleet/audit/versions.go", `tellEvery\s+= time\.Second`},
+		{"internal/fleet/audit/versions.go", `knownMost\s+= 4096\b`},
+		{"internal/fleet/budget/budget.go", `keysMost\s+= 4096\b`},
+		{"internal/fleet/file.go", `MostMembers = 4096\b`},
+		{"internal/front/front.go", `idle: 5 \* time\.Second`},
+		{"cmd/lilacctl/members.go", `mostAnswer = 8 << 20\b`},
+	} {
+		text, err := os.ReadFile("../../" + tt.file)
+		require.NoError(t, err)
+		assert.Regexp(t, regexp.MustCompile(tt.line), string(text), "%s; the formulas of internal/capacity/sizes.go are to follow", tt.file)
+	}
+}
+
+// What an entry takes is that of a typical one, within three hundredths.
+func TestBytesOfATypicalEntry(t *testing.T) {
+	addr := netip.MustParseAddrPort("10.20.30.40:7400")
+	known := peer.ReportMember{Name: "g217", Addr: addr.String(), Session: "9f3c5a1b2d4e6f70", State: "alive", Incarnation: 1764649406123456}
+	viewed := peer.ReportMember{Name: known.Name, Addr: known.Addr, Session: known.Session}
+	a, err := json.Marshal(known)
+	require.NoError(t, err)
+	b, err := json.Marshal(viewed)
+	require.NoError(t, err)
+	assert.InEpsilon(t, memberBytes, float64(len(a)+len(b)+2)/2, 0.03)
+
+	v := peer.VersionReport{Version: audit.Version{
+		Name: "g217", Session: 1 << 62, Count: 123456, List: 1234, Words: 1 << 62, View: 1 << 62, Config: "9f3c5a1b2d4e6f70", File: "9f3c5a1b2d4e6f70", Build: "9f3c5a1b2d4e",
+	}, HeardMS: 12345}
+	c, err := json.Marshal(v)
+	require.NoError(t, err)
+	assert.InEpsilon(t, versionBytes, float64(len(c)+1), 0.03)
+
+	full, err := cbor.Marshal(fleetstate.Message{Positions: slices.Repeat([]fleetstate.Position{{Host: "g101-db2", At: 1764649406 * time.Second}}, 30)})
+	require.NoError(t, err)
+	assert.InEpsilon(t, positionBytes, float64(len(full))/30, 0.03)
+
+	e := membership.Entry{Name: "g217", Addr: addr, Incarnation: 1764649406123456, Session: 1 << 62, Zone: "z11"}
+	d, err := cbor.Marshal(e)
+	require.NoError(t, err)
+	assert.InEpsilon(t, listEntryBytes, float64(len(d)), 0.03)
+}
--- /dev/null
+++ b/internal/capacity/parts.go
@@ -0,0 +1,237 @@
+package capacity
+
+import (
+	"cmp"
+	"slices"
+)
+
+// clients, statements and decisions of one gateway.
+func (st *state) gateway() Part {
+	front, pool := "`internal/front`, `internal/netloop`", "`internal/backend`, `internal/pgwire`"
+	return Part{"gateway", "One gateway", []Figure{
+		given("clients: connections", "", front, func(s Size) float64 { return s.Connections }),
+		computed("clients: descriptors that `limits.sockets` has to allow", "", "C / 0.5: clients have half of them", front, func(s Size) float64 { return s.Connections / clientsPart }, Connections),
+		st.data("clients: descriptors open", "", front, func(d *Datapath) float64 { return d.Gateway.Descriptors }),
+		computed("clients: come again after 5 s without a statement", "/s", "S x e^(-5 s x S / C)", front, clientsBack, Connections, Statements),
+		st.data("clients: connections accepted", "/s", front, func(d *Datapath) float64 { return d.Gateway.NewClient }),
+		st.data("clients: memory of the process", "MB", front, func(d *Datapath) float64 { return d.Gateway.RSS }),
+		given("statements: a second", "/s", pool, func(s Size) float64 { return s.Statements }),
+		st.data("statements: processor time", "% of a core", pool, func(d *Datapath) float64 { return d.Gateway.Core }),
+		st.data("statements: connections held to databases", "", pool, func(d *Datapath) float64 { return d.Gateway.DatabaseConnections }),
+		st.data("statements: connections opened to databases", "/s", pool, func(d *Datapath) float64 { return d.Gateway.NewDatabase }),
+		st.data("statements: refused", "% of all", "`policy`", refused),
+		computed("decisions: databases known", "", "D", "`policy`", func(s Size) float64 { return s.Databases }),
+		st.byList("decisions: processor time, by databases listed", "% of a core", "`policy`", func(d *Datapath) float64 { return d.Gateway.Core }),
+		st.byList("decisions: memory, by databases listed", "MB", "`policy`", func(d *Datapath) float64 { return d.Gateway.RSS }),
+	}}
+}
+
+func refused(d *Datapath) float64 {
+	g := d.Gateway
+	if all := g.Served + g.Refused + g.Failed; all > 0 {
+		return 100 * g.Refused / all
+	}
+	return 0
+}
+
+// control is what gateways tell each other.
+func (st *state) control() Part {
+	p := Part{Name: "control", Title: "Control of one gateway"}
+	add := func(f ...Figure) { p.Figures = append(p.Figures, f...) }
+	sum := "all of the below"
+	stat := func(name, unit string, allowance float64, get func(*Scale) *Stat) {
+		add(st.measured(name+", mean", unit, sum, overall(func(s *Scale) float64 { return get(s).Mean })).within(allowance),
+			st.measured(name+", the gateway with the most", unit, sum, overall(func(s *Scale) float64 { return get(s).Max })).within(allowance))
+	}
+	stat("sum: sent", "B/s", allowedBytes, func(s *Scale) *Stat { return &s.Control.BytesOut })
+	stat("sum: received", "B/s", allowedBytes, func(s *Scale) *Stat { return &s.Control.BytesIn })
+	add(st.measured("sum: messages sent, mean", "/s", sum, overall(func(s *Scale) float64 { return s.Control.Messages.Mean })))
+	stat("sum: processor time", "% of a core", allowedCore, func(s *Scale) *Stat { return &s.Control.Core })
+	stat("sum: memory", "MB", allowedMemory, func(s *Scale) *Stat { return &s.Control.Memory })
+	for _, n := range st.roleNames() {
+		if f, ok := states(n); ok {
+			add(f)
+		}
+		add(st.measured(n+": sent", "B/s", carrier(n), role(n, func(r RoleTraffic) float64 { return r.BytesOut })).within(allowedBytes),
+			st.measured(n+": received", "B/s", carrier(n), role(n, func(r RoleTraffic) float64 { return r.BytesIn })).within(allowedBytes),
+			st.measured(n+": messages sent", "/s", carrier(n), role(n, func(r RoleTraffic) float64 { return r.Messages })))
+		switch n {
+		case "membership":
+			add(computed("membership: a whole list", "B", "40 B x G", carrier(n), func(s Size) float64 { return listEntryBytes * s.Gateways }).within(listMost),
+				st.measured("membership: false deaths in a minute", "", carrier(n), overall(func(s *Scale) float64 { return perMinute(s.FalseDeaths, s.Seconds) })).within(0))
+		case "positions":
+			add(computed("positions: news", "/s", "D / 0.2 s", carrier(n), positionNews).within(positionRoom()),
+				computed("positions: sent, from the code", "B/s", "3 x (24 B / 0.1 s + 21 B x min(D / 0.2 s, 300/s))", carrier(n), positionBytesOut).within(allowedBytes),
+				st.measured("positions: age of what is known, p99", "s", carrier(n), stale(func(p *Stale) float64 { return p.P99 })))
+		case "versions":
+			add(computed("versions: time to hear of all, at the least", "s", "G / (8 x 2 / s)", carrier(n), versionsHeard))
+		case "budgets":
+			add(computed("budgets: holders for each of 100 connections", "", "G / 100", carrier(n), func(s Size) float64 { return s.Gateways / allowedAtOne }).within(holdersAtWhole1))
+		}
+	}
+	primary := spread(func(s *Scale) *Spread { return s.PrimaryChange }, func(p *Spread) float64 { return p.Max })
+	force := spread(func(s *Scale) *Spread { return s.InForce }, func(p *Spread) float64 { return p.Max })
+	add(st.measured("a change of primary: until all know it, the slowest", "s", carrier("primaries"), primary).within(allowedPrimary),
+		st.measured("a change of configuration: in force everywhere", "s", "none", force).within(allowedInForce),
+		computed("a change of configuration that waits for the restart of each gateway", "s", "day x G / (410 x G / 490)", "SIGHUP, else none", restartOfAll).within(allowedInForce))
+	return p
+}
+
+func stale(get func(*Stale) float64) func(*Scale) (float64, bool) {
+	return func(s *Scale) (float64, bool) {
+		if s.Positions == nil {
+			return 0, false
+		}
+		return get(s.Positions), true
+	}
+}
+
+func perMinute(n, seconds float64) float64 {
+	if seconds == 0 {
+		return n
+	}
+	return n * 60 / seconds
+}
+
+// database is one as it sees all gateways.
+func (st *state) database() Part {
+	pool := "`internal/backend`, `policy` (seldom)"
+	// each is a figure of one gateway's pool as one database sees it from all gateways.
+	each := func(name, unit, formula string, get func(*Datapath) float64) Figure {
+		one := st.fitData(get)
+		return Figure{Name: name, Unit: unit, Formula: formula, Mechanism: pool, At: func(s Size) Value {
+			v := one.at(s)
+			v.X *= s.Gateways / s.Databases
+			return v
+		}}
+	}
+	return Part{"database", "A database as it sees all gateways", []Figure{
+		computed("connections that gateways hold", "", "G x (1 - e^(-2 s x S / D))", pool, heldConnections, Statements).within(allowedAtOne),
+		each("connections that gateways hold, from one gateway's pool", "", "held by one gateway x G / D", func(d *Datapath) float64 { return d.Gateway.DatabaseConnections }).within(allowedAtOne),
+		computed("statements", "/s", "S x G / D", "`policy`", databaseStatements, Statements),
+		each("connections opened", "/s", "opened by one gateway x G / D", func(d *Datapath) float64 { return d.Gateway.NewDatabase }),
+		computed("connections opened by restarts of gateways", "/s", "410 x G / 490 / day", "`internal/backend`", func(s Size) float64 { return restartsADay * s.Gateways / Target.Gateways / day }),
+		unknown("processor time", "the database", NotKnown),
+		unknown("memory", "the database", NotKnown),
+	}}
+}
+
+// discovery is the service that has the list.
+func (st *state) discovery() Part {
+	by := carrier("discovery")
+	all := func(get func(RoleTraffic) float64) func(*Scale) (float64, bool) {
+		one := role("discovery", get)
+		return func(s *Scale) (float64, bool) {
+			y, ok := one(s)
+			return y * float64(s.Gateways), ok
+		}
+	}
+	return Part{"discovery", "Discovery", []Figure{
+		computed("watches held", "", "G", by, func(s Size) float64 { return s.Gateways }),
+		computed("signs of life sent", "/s", "G / 2 s", by, func(s Size) float64 { return s.Gateways / beatEvery }),
+		computed("changes sent, if each of the 860 is one of the list", "/s", "860 x G / day", by, func(s Size) float64 { return changesADay * s.Gateways / day }),
+		computed("calls by restarts", "/s", "410 x G / 490 / day", by, func(s Size) float64 { return restartsADay * s.Gateways / Target.Gateways / day }).within(discoveryMost),
+		computed("calls after an outage, before a crowd is noticed", "/s", "G / min(0.1 s x G, 2.5 s)", by, offeredCalls).within(discoveryMost),
+		computed("after an outage: until the last gateway has its list", "s", "G / (20 / s)", by, lastAnswered).within(allowedInForce),
+		st.measured("bytes sent to all gateways", "B/s", by, all(func(r RoleTraffic) float64 { return r.BytesIn })),
+		unknown("processor time", "not of this program", NotKnown),
+		unknown("memory", "not of this program", NotKnown),
+	}}
+}
+
+// machines are those set aside for control.
+func (st *state) machines() Part {
+	nothing := func(name, unit string) Figure {
+		return computed(name, unit, "nothing of this program runs there", "none", func(Size) float64 { return 0 })
+	}
+	return Part{"machines", "Each of the 8 machines set aside", []Figure{
+		computed("gateways for each machine", "", "G / 8", "none", func(s Size) float64 { return s.Gateways / machinesSet }),
+		nothing("state", ""), nothing("messages", "/s"), nothing("processor time", "% of a core"), nothing("memory", "MB"),
+	}}
+}
+
+// tool is the operators' command that asks all gateways.
+func (st *state) tool() Part {
+	by := "`cmd/lilacctl`, `internal/management`"
+	return Part{"tool", "The operators' tool that asks all", []Figure{
+		computed("calls, all at once (`lilacctl members`)", "", "G", by, func(s Size) float64 { return s.Gateways }),
+		computed("one gateway's answer to `lilacctl members`", "B", "95 B x 2 G: its view and whom it knows", by, func(s Size) float64 { return memberBytes * 2 * s.Gateways }).within(answerMost),
+		computed("all answers to `lilacctl members`", "MB", "95 B x 2 G x G", by, func(s Size) float64 { return memberBytes * 2 * s.Gateways * s.Gateways / 1e6 }),
+		computed("all answers to `lilacctl versions`", "MB", "226 B x G x G", by, func(s Size) float64 { return versionBytes * s.Gateways * s.Gateways / 1e6 }),
+		unknown("processor time", by, NotRun),
+		unknown("memory", by, NotRun),
+	}}
+}
+
+// controlAfter is what was measured of control with the mechanism.
+func (st *state) controlAfter() Part {
+	p := (&state{runs: st.runs, after: true}).control()
+	p.Name, p.Title = "control-after", "Control of one gateway, with the mechanism"
+	p.Figures = slices.DeleteFunc(p.Figures, func(f Figure) bool {
+		return f.Slope == nil || f.At(Target).Kind == NotRun && f.At(Worst).Kind == NotRun
+	})
+	return p
+}
+
+// parts are all tables of figures.
+func (st *state) parts() []Part {
+	return []Part{st.gateway(), st.control(), st.database(), st.discovery(), st.machines(), st.tool()}
+}
+
+// Break is a figure that outgrows its allowance.
+type Break struct {
+	Part   string
+	Figure Figure
+	At     Size // the first on the way at which it does
+	First  bool // the first size that is known at all: it may be earlier
+	Any    bool // at any size
+	Value  Value
+	u      float64
+}
+
+// steps in which the way is walked, for each of its two parts.
+const steps = 2000
+
+// breaks are those figures in the order in which growth meets them, and the names of those that are not known.
+func (st *state) breaks() (list []Break, open []string) {
+	for _, p := range st.parts() {
+		for _, f := range p.Figures {
+			if !f.Bounded {
+				continue
+			}
+			b, ok := f.meets()
+			b.Part = p.Title
+			switch {
+			case ok:
+				list = append(list, b)
+			case !f.At(Target).known():
+				open = append(open, p.Title+": "+f.Name)
+			}
+		}
+	}
+	slices.SortStableFunc(list, func(a, b Break) int { return cmp.Compare(a.u, b.u) })
+	return list, open
+}
+
+// meets walks the way from nothing to the target. Under the sizes that were measured nothing is concluded.
+func (f Figure) meets() (Break, bool) {
+	b := Break{Figure: f}
+	before := true
+	for i := 1; i <= 2*steps; i++ {
+		u := float64(i) / steps
+		s := growth(u)
+		if i == 2*steps {
+			s = Target
+		}
+		v := f.At(s)
+		if !v.known() || v.Under {
+			continue
+		}
+		if v.X > f.Allowance {
+			b.At, b.Value, b.u, b.Any, b.First = s, v, u, i == 1, before
+			return b, true
+		}
+		before = false
+	}
+	return b, false
+}
--- /dev/null
+++ b/internal/capacity/tables.go
@@ -0,0 +1,473 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// number writes a figure with four digits that count, three under 1,000.
+func number(x float64) string {
+	digits := 3
+	if math.Abs(x) >= 1000 {
+		digits = 4
+	}
+	if x == 0 {
+		return "0"
+	}
+	if r := math.Round(x); math.Abs(x-r) < 1e-9 && math.Abs(x) < 1e5 {
+		return thousands(strconv.FormatFloat(r, 'f', 0, 64))
+	}
+	s := strconv.FormatFloat(x, 'e', digits-1, 64)
+	y, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		return s
+	}
+	return thousands(strconv.FormatFloat(y, 'f', -1, 64))
+}
+
+func thousands(s string) string {
+	whole, rest, dot := strings.Cut(s, ".")
+	sign := ""
+	if strings.HasPrefix(whole, "-") {
+		sign, whole = "-", whole[1:]
+	}
+	for i := len(whole) - 3; i > 0; i -= 3 {
+		whole = whole[:i] + "," + whole[i:]
+	}
+	if dot {
+		whole += "." + rest
+	}
+	return sign + whole
+}
+
+func withUnit(x float64, unit string) string {
+	switch {
+	case unit == "":
+		return number(x)
+	case strings.HasPrefix(unit, "/"), strings.HasPrefix(unit, "%"):
+		return number(x) + unit
+	}
+	return number(x) + " " + unit
+}
+
+// cell is a value with where it is from.
+func (f Figure) cell(s Size) string {
+	v := f.At(s)
+	text := kinds[v.Kind]
+	if v.known() {
+		text = withUnit(v.X, f.Unit) + ", " + text
+	}
+	if v.Note != "" {
+		text += " (" + v.Note + ")"
+	}
+	return text
+}
+
+// per names the unit of a slope.
+func per(l Slope, unit string) string {
+	if l.Of == None {
+		return "flat: " + withUnit(l.Intercept, unit)
+	}
+	like := ""
+	for _, v := range l.Like {
+		like += " or " + string(v)
+	}
+	return fmt.Sprintf("%s for each %s%s, from %s", withUnit(l.Per, unit), l.Of, like, withUnit(l.Intercept, unit))
+}
+
+// slope is the column of that name: for three regions where there is one, or else for one; or the formula.
+func (f Figure) slope() string {
+	if f.Slope == nil {
+		if f.Formula == "" {
+			return "none"
+		}
+		return f.Formula
+	}
+	for _, n := range []int{Target.Regions, Today.Regions} {
+		if l, ok := f.Slope(n); ok {
+			return fmt.Sprintf("%s; residual %.1f%%", per(l, f.Unit), 100*l.Residual)
+		}
+	}
+	return "none fitted"
+}
+
+func (f Figure) allowance() string {
+	switch {
+	case f.Allowed != "":
+		return f.Allowed
+	case !f.Bounded:
+		return "none told"
+	}
+	return withUnit(f.Allowance, f.Unit)
+}
+
+// fits says in a word whether a value is within the allowance, and by how much.
+func (f Figure) fits(v Value) string {
+	switch {
+	case !f.Bounded:
+		return ""
+	case !v.known():
+		return kinds[v.Kind]
+	case v.X > f.Allowance && f.Allowance == 0:
+		return "does not fit"
+	case v.X > f.Allowance:
+		return "does not fit, " + number(v.X/f.Allowance) + " times"
+	case f.Allowance == 0 || v.X == 0:
+		return "fits"
+	}
+	return "fits, " + number(100*(1-v.X/f.Allowance)) + "% left"
+}
+
+func (f Figure) margin() string {
+	if !f.Bounded {
+		return "-"
+	}
+	at, worst := f.fits(f.At(Target)), f.fits(f.At(Worst))
+	if f.At(Worst).Else {
+		worst = "not run at its size"
+	}
+	if at == worst {
+		return at
+	}
+	return at + "; worst hour: " + worst
+}
+
+func row(b *strings.Builder, cells ...string) {
+	b.WriteString("| " + strings.Join(cells, " | ") + " |\n")
+}
+
+func head(b *strings.Builder, cells ...string) {
+	row(b, cells...)
+	row(b, slices.Repeat([]string{"---"}, len(cells))...)
+}
+
+func (p Part) table() string {
+	var b strings.Builder
+	head(&b, "what", "today", "target", "worst hour", "slope or formula", "allowance", "margin at the target", "mechanism")
+	for _, f := range p.Figures {
+		row(&b, f.Name, f.cell(Today), f.cell(Target), f.cell(Worst), f.slope(), f.allowance(), f.margin(), f.Mechanism)
+	}
+	return b.String()
+}
+
+func sizesTable() string {
+	var b strings.Builder
+	head(&b, "", "gateways G", "databases D", "regions", "connections a gateway C", "statements/s a gateway S")
+	for _, s := range append([]Size{Today, Target, Worst}, worstHours...) {
+		name := s.Name
+		if !slices.Contains([]string{Today.Name, Target.Name, Worst.Name}, name) {
+			name = "in it: " + name
+		}
+		clients, statements := number(math.Round(s.Connections)), number(math.Round(s.Statements))
+		if s.Connections == 0 {
+			clients, statements = "not known", "not known"
+		}
+		row(&b, name, number(s.Gateways), number(s.Databases), strconv.Itoa(s.Regions), clients, statements)
+	}
+	return b.String()
+}
+
+// slopesTable has every line that was fitted.
+func (st *state) slopesTable() string {
+	var b strings.Builder
+	head(&b, "figure", "runs", "slope", "variable", "intercept", "residual", "sizes, runs")
+	fitted := 0
+	add := func(name, unit, set string, l Slope) {
+		of := string(l.Of)
+		for _, v := range l.Like {
+			of += " (" + string(v) + " moved in step)"
+		}
+		unitPer := "-"
+		if l.Of != None {
+			unitPer = withUnit(l.Per, unit) + " for each"
+		}
+		row(&b, name, set, unitPer, of, withUnit(l.Intercept, unit), fmt.Sprintf("%.1f%%", 100*l.Residual), fmt.Sprintf("%d, %d", l.Sizes, l.Runs))
+		fitted++
+	}
+	for _, p := range st.parts() {
+		for _, f := range p.Figures {
+			if f.Slope == nil {
+				continue
+			}
+			if p.Name == "gateway" {
+				if l, ok := f.Slope(0); ok {
+					add(f.Name, f.Unit, "data path", l)
+				}
+				continue
+			}
+			for _, n := range []int{Today.Regions, Target.Regions} {
+				if l, ok := f.Slope(n); ok {
+					set := st.series(n)[0]
+					add(f.Name, f.Unit, fmt.Sprintf("`%s`, %s, %s ms", set.plan(), regions(n), number(set.RTT)), l)
+				}
+			}
+		}
+	}
+	if fitted == 0 {
+		return "No slope is fitted: not run over four sizes.\n"
+	}
+	return b.String()
+}
+
+// breaksTable is the order in which growth meets what does not fit.
+func (st *state) breaksTable() string {
+	list, open := st.breaks()
+	var b strings.Builder
+	if len(list) == 0 {
+		b.WriteString("Nothing that was measured or computed does not fit.\n")
+	} else {
+		head(&b, "", "breaks at", "what", "there", "allowance", "at the target", "mechanism")
+		for i, x := range list {
+			at := "any size"
+			switch {
+			case x.Any:
+			case x.First:
+				at = fmt.Sprintf("at or before %s gateways, %s databases, %s, the first size known", number(math.Ceil(x.At.Gateways)), number(math.Ceil(x.At.Databases)), regions(x.At.Regions))
+			default:
+				at = fmt.Sprintf("%s gateways, %s databases, %s", number(math.Ceil(x.At.Gateways)), number(math.Ceil(x.At.Databases)), regions(x.At.Regions))
+			}
+			if x.u < 1 {
+				at += "; before today's size"
+			}
+			row(&b, strconv.Itoa(i+1), at, x.Part+": "+x.Figure.Name, withUnit(x.Value.X, x.Figure.Unit)+", "+kinds[x.Value.Kind], x.Figure.allowance(),
+				x.Figure.cell(Target), x.Figure.Mechanism)
+		}
+	}
+	if len(open) > 0 {
+		b.WriteString("\nNot known or not run, so that they may stand anywhere in this order:\n\n")
+		for _, o := range open {
+			b.WriteString("- " + o + "\n")
+		}
+	}
+	return b.String()
+}
+
+// runsTable lists what everything is from.
+func (r *Runs) runsTable() string {
+	var b strings.Builder
+	head(&b, "file", "command", "size", "result")
+	result := func(valid, partial bool, why string) string {
+		switch {
+		case !valid:
+			return "INVALID: " + why + "; in no figure"
+		case partial:
+			return "PARTIAL; in no figure"
+		}
+		return "valid"
+	}
+	n := 0
+	add := func(file, command, size, result string) {
+		row(&b, "`"+file+"`", "`"+command+"`", size, strings.ReplaceAll(result, "|", "/"))
+		n++
+	}
+	for _, s := range r.Scale {
+		x := result(s.Valid, s.Partial, s.Why)
+		if len(s.Faults) > 0 {
+			x += "; " + strings.Join(s.Faults, "; ")
+		}
+		add(s.File, s.Command, fmt.Sprintf("%d by %d, %s, %s ms, %s s, %d real", s.Gateways, s.Databases, regions(s.Regions), number(s.RTT), number(s.Seconds), s.Real), x)
+	}
+	for _, d := range r.Datapath {
+		add(d.File, d.Command, fmt.Sprintf("%s clients, %s statements/s, %s databases", number(d.Clients), number(d.Statements), number(d.Databases)), result(d.Valid, false, d.Why))
+	}
+	for _, c := range r.Calibration {
+		add(c.File, c.Command, fmt.Sprintf("%d by %d", c.Hollow.Gateways, c.Hollow.Databases), result(c.Hollow.good() && c.Real.good(), false, strings.TrimSpace(c.Hollow.Why+" "+c.Real.Why)))
+	}
+	for _, s := range r.Sim {
+		add(s.File, s.Command, fmt.Sprintf("%d rows", len(s.Rows)), "a trial: simulated network; in no slope")
+	}
+	if n == 0 {
+		return "Not run.\n"
+	}
+	return b.String()
+}
+
+// calibrationTable sets hollow gateways beside real ones.
+func (r *Runs) calibrationTable() string {
+	var b strings.Builder
+	n := 0
+	for _, c := range r.Calibration {
+		if !c.Hollow.good() || !c.Real.good() {
+			continue
+		}
+		n++
+		fmt.Fprintf(&b, "`%s`, %d gateways, %d databases:\n\n", c.File, c.Hollow.Gateways, c.Hollow.Databases)
+		head(&b, "a gateway, mean", "hollow", "real", "hollow / real", "")
+		compare(&b, &c.Hollow, &c.Real, 0.15)
+		b.WriteString("\n")
+	}
+	if n == 0 {
+		return "Not run.\n"
+	}
+	return strings.TrimRight(b.String(), "\n") + "\n"
+}
+
+// compare writes a line for each figure of two reports; over limit a difference is said.
+func compare(b *strings.Builder, x, y *Scale, limit float64) {
+	line := func(name, unit string, p, q float64) {
+		ratio, said := "-", ""
+		if q != 0 {
+			ratio = number(p / q)
+			if limit > 0 && math.Abs(p/q-1) > limit {
+				said = fmt.Sprintf("over %s%%", number(100*limit))
+			}
+		} else if p != 0 && limit > 0 {
+			said = fmt.Sprintf("over %s%%", number(100*limit))
+		}
+		row(b, name, withUnit(p, unit), withUnit(q, unit), ratio, said)
+	}
+	for _, f := range overallFigures {
+		line(f.name, f.unit, f.get(x).Mean, f.get(y).Mean)
+	}
+	for _, n := range bothRoles(x, y) {
+		p, q := x.ByRole[n], y.ByRole[n]
+		line(n+": sent", "B/s", p.BytesOut, q.BytesOut)
+		line(n+": received", "B/s", p.BytesIn, q.BytesIn)
+		line(n+": messages sent", "/s", p.Messages, q.Messages)
+	}
+}
+
+var overallFigures = []struct {
+	name, unit string
+	get        func(*Scale) *Stat
+}{
+	{"sent", "B/s", func(s *Scale) *Stat { return &s.Control.BytesOut }},
+	{"received", "B/s", func(s *Scale) *Stat { return &s.Control.BytesIn }},
+	{"messages sent", "/s", func(s *Scale) *Stat { return &s.Control.Messages }},
+	{"processor time", "% of a core", func(s *Scale) *Stat { return &s.Control.Core }},
+	{"memory", "MB", func(s *Scale) *Stat { return &s.Control.Memory }},
+}
+
+func bothRoles(x, y *Scale) (names []string) {
+	for _, r := range roles {
+		_, p := x.ByRole[r.name]
+		_, q := y.ByRole[r.name]
+		if p || q {
+			names = append(names, r.name)
+		}
+	}
+	var more []string
+	for _, s := range []*Scale{x, y} {
+		for n := range s.ByRole {
+			if !slices.Contains(names, n) && !slices.Contains(more, n) {
+				more = append(more, n)
+			}
+		}
+	}
+	slices.Sort(more)
+	return append(names, more...)
+}
+
+// trialsTable has the rows of simulated networks.
+func (r *Runs) trialsTable() string {
+	var b strings.Builder
+	head(&b, "part", "gateways", "databases", "one way", "loss", "sent", "messages sent", "false deaths", "file")
+	n := 0
+	opt := func(x *float64, unit string) string {
+		if x == nil {
+			return "not known"
+		}
+		return withUnit(*x, unit)
+	}
+	for _, s := range r.Sim {
+		for _, t := range s.Rows {
+			row(&b, t.Part, number(t.Gateways), number(t.Databases), withUnit(t.OneWay, "ms"), number(100*t.Loss)+"%", opt(t.BytesOut, "B/s"), opt(t.Messages, "/s"), opt(t.FalseDeaths, ""), "`"+s.File+"`")
+			n++
+		}
+	}
+	if n == 0 {
+		return "Not run.\n"
+	}
+	return b.String()
+}
+
+// comparison sets runs with the mechanism beside those before it: the same plan, seed and size.
+func (r *Runs) comparison() (string, error) {
+	var b strings.Builder
+	for i := range r.Scale {
+		y := &r.Scale[i]
+		if !y.after() {
+			continue
+		}
+		name := strings.TrimSuffix(y.File, "-after.json") + ".json"
+		k := slices.IndexFunc(r.Scale, func(s Scale) bool { return s.File == name })
+		if k < 0 {
+			return "", fmt.Errorf("%s: %s is missing, which it is to be set beside; put it in, or name the run otherwise", y.File, name)
+		}
+		x := &r.Scale[k]
+		if x.Seed != y.Seed || x.Gateways != y.Gateways || x.Databases != y.Databases || x.Regions != y.Regions || x.RTT != y.RTT || x.plan() != y.plan() {
+			return "", fmt.Errorf("%s and %s differ in plan, seed or size; play both with the same", x.File, y.File)
+		}
+		if b.Len() > 0 {
+			b.WriteString("\n")
+		}
+		fmt.Fprintf(&b, "`%s`, seed %d, %d gateways, %d databases, %s, %s ms:\n\n", x.plan(), x.Seed, x.Gateways, x.Databases, regions(x.Regions), number(x.RTT))
+		if !x.good() || !y.good() {
+			b.WriteString("INVALID: not compared.\n")
+			continue
+		}
+		head(&b, "a gateway", "before", "after", "after / before")
+		line := func(name, unit string, p, q float64, has, had bool) {
+			side := func(v float64, ok bool) string {
+				if !ok {
+					return "not run"
+				}
+				return withUnit(v, unit)
+			}
+			ratio := "-"
+			if has && had && p != 0 {
+				ratio = number(q / p)
+			}
+			row(&b, name, side(p, has), side(q, had), ratio)
+		}
+		for _, f := range overallFigures {
+			p, q := f.get(x), f.get(y)
+			line(f.name+", mean", f.unit, p.Mean, q.Mean, true, true)
+			line(f.name+", p99", f.unit, p.P99, q.P99, true, true)
+			line(f.name+", most", f.unit, p.Max, q.Max, true, true)
+		}
+		for _, n := range bothRoles(x, y) {
+			p, has := x.ByRole[n]
+			q, had := y.ByRole[n]
+			line(n+": sent", "B/s", p.BytesOut, q.BytesOut, has, had)
+			line(n+": received", "B/s", p.BytesIn, q.BytesIn, has, had)
+			line(n+": messages sent", "/s", p.Messages, q.Messages, has, had)
+		}
+		pair := func(name string, get func(*Scale) (float64, bool)) {
+			p, has := get(x)
+			q, had := get(y)
+			line(name, "s", p, q, has, had)
+		}
+		pair("positions: age of what is known, p50", stale(func(p *Stale) float64 { return p.P50 }))
+		pair("positions: age of what is known, p99", stale(func(p *Stale) float64 { return p.P99 }))
+		pair("a change of configuration in force, most", spread(func(s *Scale) *Spread { return s.InForce }, func(p *Spread) float64 { return p.Max }))
+		pair("a change of primary, most", spread(func(s *Scale) *Spread { return s.PrimaryChange }, func(p *Spread) float64 { return p.Max }))
+		line("false deaths", "", x.FalseDeaths, y.FalseDeaths, true, true)
+	}
+	if b.Len() == 0 {
+		return "Not run.\n", nil
+	}
+	return b.String(), nil
+}
+
+// Tables are all of the page, by the names of their markers.
+func (r *Runs) Tables() (map[string]string, error) {
+	t := map[string]string{
+		"sizes": sizesTable(), "runs": r.runsTable(), "calibration": r.calibrationTable(), "trials": r.trialsTable(),
+	}
+	st := &state{runs: r}
+	for _, p := range st.parts() {
+		t[p.Name] = p.table()
+	}
+	t["control-after"] = "Not run.\n"
+	if p := st.controlAfter(); len(p.Figures) > 0 {
+		t[p.Name] = p.table()
+	}
+	t["slopes"], t["breaks"] = st.slopesTable(), st.breaksTable()
+	var err error
+	t["before-after"], err = r.comparison()
+	return t, err
+}
