Keep runs of one gateway made with other settings out of its slopes; tell connections by role

The data path's report tells how many connections a gateway holds to a primary and to a replica; a database sees 490 times that. Runs with another setting (arrivals, pauses, gateways told) are listed and in no figure, or the mean of two settings would stand for one. Trials tell their mode, the one that sends most and ages. in_force_s is of the list at discovery, so its row says that.

Mutant: settings not compared fails TestFiguresOfMadeUpRuns.

--- a/internal/capacity/figures.go
+++ b/internal/capacity/figures.go
@@ -261,10 +261,27 @@
 	listed, loaded bool
 }
 
+// setting is the one that most good runs of the data path were made with, the first of equals; others are in no figure.
+func (r *Runs) setting() (most string) {
+	n := map[string]int{}
+	for i := range r.Datapath {
+		if d := &r.Datapath[i]; d.good() {
+			n[d.setting()]++
+		}
+	}
+	for i := range r.Datapath {
+		if s := r.Datapath[i].setting(); n[s] > n[most] {
+			most = s
+		}
+	}
+	return most
+}
+
 func (st *state) fitData(get func(*Datapath) float64) *dataFit {
 	f := &dataFit{}
+	setting := st.runs.setting()
 	for i := range st.runs.Datapath {
-		if d := &st.runs.Datapath[i]; d.Valid {
+		if d := &st.runs.Datapath[i]; d.good() && d.setting() == setting {
 			f.points = append(f.points, Point{Size{Gateways: 1, Databases: d.Databases, Connections: d.Clients, Statements: d.Statements}, get(d)})
 		}
 	}
--- a/internal/capacity/figures_test.go
+++ b/internal/capacity/figures_test.go
@@ -40,14 +40,16 @@
 		{"control", "sum: memory, mean", big, 4 + 0.00001*367*405, Fitted},
 		{"control", "sum: processor time, mean", Today, 0.7, Measured},
 		{"control", "words: sent", Target, 0, NotRun},
-		{"control", "a change of configuration: in force everywhere", Today, 0, NotRun},
+		{"control", "a change of the list at discovery: in force everywhere", Today, 0, NotRun},
 		{"control", "a change of primary: until all know it, the slowest", big, 5.5, Fitted},
 		{"gateway", "clients: memory of the process", Target, 12 + 0.006*5102 + 0.01*810, Measured},
 		{"gateway", "clients: memory of the process", Worst, 12 + 0.006*7653 + 0.01*810, Beyond}, // the run of that size is invalid
 		{"gateway", "clients: memory of the process", Size{Databases: 405, Connections: 2000, Statements: 800}, 12 + 0.006*2000 + 0.01*405, Fitted},
 		{"gateway", "clients: memory of the process", Today, 0, NotKnown},
 		{"gateway", "clients: connections", Worst, 7653, Given},
-		{"database", "connections that gateways hold, from one gateway's pool", Target, 729.0 * 490 / 810, Measured},
+		{"database", "connections that gateways hold, the mean database", Target, 729.0 * 490 / 810, Measured},
+		{"database", "connections that gateways hold, a primary", Target, 0.8 * 490, Measured},
+		{"gateway", "clients: memory of the process", Size{Databases: 1000, Connections: 5102, Statements: 2041}, 12 + 0.006*5102 + 10, Beyond},
 		{"discovery", "bytes sent to all gateways", Target, 0.5 * 490 * 810, Beyond},
 		{"tool", "memory", Target, 0, NotRun},
 	} {
@@ -152,6 +154,7 @@
 	for name, text := range tables {
 		assert.NotContains(t, text, "999,9", name)
 	}
+	assert.Contains(t, tables["runs"], "valid, made with other settings; in no figure")
 	assert.Contains(t, tables["calibration"], "| 0.769 | over 15% |")
 	assert.Contains(t, tables["control"], "does not fit")
 	assert.Contains(t, tables["trials"], "5,780 B/s")
--- a/internal/capacity/parts.go
+++ b/internal/capacity/parts.go
@@ -15,8 +15,10 @@
 		computed("clients: come again after 5 s without a statement", "/s", "S x e^(-5 s x S / C)", front, clientsBack, Connections, Statements),
 		st.data("clients: connections accepted", "/s", front, func(d *Datapath) float64 { return d.Gateway.NewClient }),
 		st.data("clients: memory of the process", "MB", front, func(d *Datapath) float64 { return d.Gateway.RSS }),
+		st.data("clients: memory for each, none asking", "B", front, func(d *Datapath) float64 { return d.Gateway.PerClient }),
 		given("statements: a second", "/s", pool, func(s Size) float64 { return s.Statements }),
 		st.data("statements: processor time", "% of a core", pool, func(d *Datapath) float64 { return d.Gateway.Core }),
+		st.data("statements: processor time for each, all of the process", "µs", pool, func(d *Datapath) float64 { return d.Gateway.PerStatement }),
 		st.data("statements: connections held to databases", "", pool, func(d *Datapath) float64 { return d.Gateway.DatabaseConnections }),
 		st.data("statements: connections opened to databases", "/s", pool, func(d *Datapath) float64 { return d.Gateway.NewDatabase }),
 		st.data("statements: refused", "% of all", "`policy`", refused),
@@ -72,7 +74,7 @@
 	primary := spread(func(s *Scale) *Spread { return s.PrimaryChange }, func(p *Spread) float64 { return p.Max })
 	force := spread(func(s *Scale) *Spread { return s.InForce }, func(p *Spread) float64 { return p.Max })
 	add(st.measured("a change of primary: until all know it, the slowest", "s", carrier("primaries"), primary).within(allowedPrimary),
-		st.measured("a change of configuration: in force everywhere", "s", "none", force).within(allowedInForce),
+		st.measured("a change of the list at discovery: in force everywhere", "s", carrier("discovery"), force).within(allowedInForce),
 		computed("a change of configuration that waits for the restart of each gateway", "s", "day x G / (410 x G / 490)", "SIGHUP, else none", restartOfAll).within(allowedInForce))
 	return p
 }
@@ -105,9 +107,20 @@
 			return v
 		}}
 	}
+	// role is what all gateways together hold to one database of a role.
+	role := func(name string) Figure {
+		one := st.fitData(func(d *Datapath) float64 { return d.StandIn.Per[name].Mean })
+		return Figure{Name: "connections that gateways hold, a " + name, Formula: "held by one gateway x G", Mechanism: pool, At: func(s Size) Value {
+			v := one.at(s)
+			v.X *= s.Gateways
+			return v
+		}}
+	}
 	return Part{"database", "A database as it sees all gateways", []Figure{
 		computed("connections that gateways hold", "", "G x (1 - e^(-2 s x S / D))", pool, heldConnections, Statements).within(allowedAtOne),
-		each("connections that gateways hold, from one gateway's pool", "", "held by one gateway x G / D", func(d *Datapath) float64 { return d.Gateway.DatabaseConnections }).within(allowedAtOne),
+		each("connections that gateways hold, the mean database", "", "held by one gateway x G / D", func(d *Datapath) float64 { return d.Gateway.DatabaseConnections }).within(allowedAtOne),
+		role("primary").within(allowedAtOne),
+		role("replica").within(allowedAtOne),
 		computed("statements", "/s", "S x G / D", "`policy`", databaseStatements, Statements),
 		each("connections opened", "/s", "opened by one gateway x G / D", func(d *Datapath) float64 { return d.Gateway.NewDatabase }),
 		computed("connections opened by restarts of gateways", "/s", "410 x G / 490 / day", "`internal/backend`", func(s Size) float64 { return restartsADay * s.Gateways / Target.Gateways / day }),
--- a/internal/capacity/runs.go
+++ b/internal/capacity/runs.go
@@ -85,13 +85,20 @@
 	Databases  float64 `json:"databases"`
 	Seconds    float64 `json:"seconds"`
 
-	Valid bool   `json:"valid"`
-	Why   string `json:"invalid_because"`
-
+	Valid   bool     `json:"valid"`
+	Why     string   `json:"invalid_because"`
+	Partial bool     `json:"partial"`
+	Faults  []string `json:"faults"`
+
+	StandIn struct {
+		Per map[string]PerDatabase `json:"connections_per_database"`
+	} `json:"standin"`
 	Gateway struct {
 		RSSIdle             float64 `json:"rss_mb_idle"`
 		RSS                 float64 `json:"rss_mb"`
 		Core                float64 `json:"core_percent"`
+		PerClient           float64 `json:"bytes_per_client_idle"`
+		PerStatement        float64 `json:"cpu_us_per_statement"`
 		Descriptors         float64 `json:"descriptors"`
 		ClientConnections   float64 `json:"client_connections"`
 		DatabaseConnections float64 `json:"database_connections"`
@@ -104,6 +111,12 @@
 	} `json:"gateway"`
 }
 
+// PerDatabase is how many connections one gateway has to a database of a role, over all of them and all moments.
+type PerDatabase struct {
+	Mean float64 `json:"mean"`
+	Max  float64 `json:"max"`
+}
+
 // Calibration sets hollow gateways beside real ones.
 type Calibration struct {
 	File    string `json:"-"`
@@ -115,13 +128,18 @@
 // Trial is one row of a simulated network.
 type Trial struct {
 	Part        string   `json:"part"`
+	Mode        string   `json:"mode"`
 	Gateways    float64  `json:"gateways"`
 	Databases   float64  `json:"databases"`
+	Regions     int      `json:"regions"`
+	Answers     string   `json:"answers"`
 	OneWay      float64  `json:"one_way_ms"`
 	Loss        float64  `json:"loss"`
 	BytesOut    *float64 `json:"bytes_out_per_s"`
+	BytesMost   *float64 `json:"bytes_out_per_s_max"`
 	Messages    *float64 `json:"messages_per_s"`
 	FalseDeaths *float64 `json:"false_deaths"`
+	AgeP99      *float64 `json:"age_p99_ms"`
 }
 
 // Sim is a file of trials.
@@ -204,6 +222,25 @@
 	return ""
 }
 
+// setting is what a run was made with besides its size: the command without the options that say that, or how long.
+func (d *Datapath) setting() string {
+	var kept []string
+	f := strings.Fields(d.Command)
+	for i := 0; i < len(f); i++ {
+		name, _, whole := strings.Cut(strings.TrimLeft(f[i], "-"), "=")
+		if strings.HasPrefix(f[i], "--") && slices.Contains([]string{"clients", "statements", "databases", "for", "idle", "warm", "seed", "json", "logs", "gateway"}, name) {
+			if !whole {
+				i++
+			}
+			continue
+		}
+		kept = append(kept, f[i])
+	}
+	return strings.Join(kept, " ")
+}
+
+func (d *Datapath) good() bool { return d.Valid && !d.Partial }
+
 // good tells whether a run is a result.
 func (s *Scale) good() bool { return s.Valid && !s.Partial }
 
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -270,8 +270,16 @@
 		}
 		add(s.File, s.Command, fmt.Sprintf("%d by %d, %s, %s ms, %s s, %d real", s.Gateways, s.Databases, regions(s.Regions), number(s.RTT), number(s.Seconds), s.Real), x)
 	}
+	setting := r.setting()
 	for _, d := range r.Datapath {
-		add(d.File, d.Command, fmt.Sprintf("%s clients, %s statements/s, %s databases", number(d.Clients), number(d.Statements), number(d.Databases)), result(d.Valid, false, d.Why))
+		x := result(d.Valid, d.Partial, d.Why)
+		if d.good() && d.setting() != setting {
+			x += ", made with other settings; in no figure"
+		}
+		if len(d.Faults) > 0 {
+			x += "; " + strings.Join(d.Faults, "; ")
+		}
+		add(d.File, d.Command, fmt.Sprintf("%s clients, %s statements/s, %s databases", number(d.Clients), number(d.Statements), number(d.Databases)), x)
 	}
 	for _, c := range r.Calibration {
 		add(c.File, c.Command, fmt.Sprintf("%d by %d", c.Hollow.Gateways, c.Hollow.Databases), result(c.Hollow.good() && c.Real.good(), false, strings.TrimSpace(c.Hollow.Why+" "+c.Real.Why)))
@@ -364,17 +372,27 @@
 // trialsTable has the rows of simulated networks.
 func (r *Runs) trialsTable() string {
 	var b strings.Builder
-	head(&b, "part", "gateways", "databases", "one way", "loss", "sent", "messages sent", "false deaths", "file")
+	head(&b, "part", "gateways", "databases", "regions", "one way", "loss", "sent", "sent, most", "messages sent", "false deaths", "age p99", "file")
 	n := 0
 	opt := func(x *float64, unit string) string {
 		if x == nil {
-			return "not known"
+			return "-"
 		}
 		return withUnit(*x, unit)
 	}
 	for _, s := range r.Sim {
 		for _, t := range s.Rows {
-			row(&b, t.Part, number(t.Gateways), number(t.Databases), withUnit(t.OneWay, "ms"), number(100*t.Loss)+"%", opt(t.BytesOut, "B/s"), opt(t.Messages, "/s"), opt(t.FalseDeaths, ""), "`"+s.File+"`")
+			part := t.Part
+			for _, more := range []string{t.Mode, t.Answers} {
+				if more != "" {
+					part += ", " + more
+				}
+			}
+			regions := "-"
+			if t.Regions > 0 {
+				regions = strconv.Itoa(t.Regions)
+			}
+			row(&b, part, number(t.Gateways), number(t.Databases), regions, withUnit(t.OneWay, "ms"), number(100*t.Loss)+"%", opt(t.BytesOut, "B/s"), opt(t.BytesMost, "B/s"), opt(t.Messages, "/s"), opt(t.FalseDeaths, ""), opt(t.AgeP99, "ms"), "`"+s.File+"`")
 			n++
 		}
 	}
