--- a/internal/capacity/figures.go
+++ b/internal/capacity/figures.go
@@ -360,6 +360,36 @@
 	return Figure{Name: name, Unit: unit, Mechanism: mechanism, At: f.at, Slope: func(int) (Slope, bool) { return f.list, f.listed }}
 }
 
+// asked makes a figure of calls of the operators' tool, which see gateways only.
+func (st *state) asked(what, name, unit, mechanism string, get func(ToolRow) float64) Figure {
+	var points []Point
+	for _, t := range st.runs.Tool {
+		for _, r := range t.Rows {
+			if r.What == what {
+				points = append(points, Point{Size{Gateways: r.Gateways}, get(r)})
+			}
+		}
+	}
+	l, ok := Fit(points, Gateways, Square)
+	return Figure{Name: "`lilacctl " + what + "`: " + name, Unit: unit, Mechanism: mechanism, Slope: func(int) (Slope, bool) { return l, ok }, At: func(s Size) Value {
+		sum, n := 0.0, 0.0
+		for _, p := range points {
+			if p.Gateways == s.Gateways {
+				sum, n = sum+p.Y, n+1
+			}
+		}
+		switch {
+		case n > 0:
+			return Value{X: sum / n, Kind: Measured}
+		case len(points) == 0:
+			return Value{Kind: NotRun}
+		case !ok:
+			return Value{Kind: NotKnown, Note: "too few sizes"}
+		}
+		return l.value(Size{Gateways: s.Gateways})
+	}}
+}
+
 // roles are the parts of control, in the order of the page, and by what they are carried.
 var roles = []struct{ name, mechanism string }{
 	{"membership", "`internal/fleet/membership`, `internal/peer`"},
--- a/internal/capacity/figures_test.go
+++ b/internal/capacity/figures_test.go
@@ -51,7 +51,10 @@
 		{"database", "connections that gateways hold, a primary", Target, 0.8 * 490, Measured},
 		{"gateway", "clients: memory of the process", Size{Databases: 1000, Connections: 5102, Statements: 2041}, 12 + 0.006*5102 + 10, Beyond},
 		{"discovery", "bytes sent to all gateways", Target, 0.5 * 490 * 810, Beyond},
-		{"tool", "memory", Target, 0, NotRun},
+		{"tool", "`lilacctl members`: memory", Today, 10 + 0.001*300*300, Measured},
+		{"tool", "`lilacctl members`: memory", Target, 10 + 0.001*490*490, Beyond},
+		{"tool", "`lilacctl members`: memory", Size{Gateways: 200}, 10 + 0.001*200*200, Fitted},
+		{"tool", "`lilacctl versions`: memory", Target, 0, NotRun},
 	} {
 		v := figure(t, st, tt.part, tt.name).At(tt.at)
 		assert.Equal(t, kinds[tt.kind], kinds[v.Kind], "%s at %+v", tt.name, tt.at)
--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -29,6 +29,7 @@
 	Gateways    Variable = "G"
 	Databases   Variable = "D"
 	Product     Variable = "G x D"
+	Square      Variable = "G x G"
 	Connections Variable = "connections"
 	Statements  Variable = "statements/s"
 )
@@ -42,6 +43,8 @@
 		return s.Databases
 	case Product:
 		return s.Gateways * s.Databases
+	case Square:
+		return s.Gateways * s.Gateways
 	case Connections:
 		return s.Connections
 	case Statements:
--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -117,6 +117,7 @@
 		{"scale-a.json", `{"command":"x","gateways":"many"}`, "cannot unmarshal"},
 		{"datapath-a.json", `{}`, "command: missing"},
 		{"calibration-a.json", `{}`, "command: missing"},
+		{"tool-a.json", `{}`, "command: missing"},
 		{"sim-a.json", `{}`, "command: missing"},
 		{"notes.json", `{}`, "no kind of run"},
 	} {
@@ -145,6 +146,7 @@
 		{"internal/fleet/budget/budget.go", `keysMost\s+= 4096\b`},
 		{"internal/fleet/file.go", `MostMembers = 4096\b`},
 		{"internal/front/front.go", `idle: 5 \* time\.Second`},
+		{"cmd/lilacctl/main.go", `"timeout", 2\*time\.Second`},
 		{"cmd/lilacctl/members.go", `mostAnswer = 8 << 20\b`},
 	} {
 		text, err := os.ReadFile("../../" + tt.file)
--- a/internal/capacity/parts.go
+++ b/internal/capacity/parts.go
@@ -166,14 +166,21 @@
 // tool is the operators' command that asks all gateways.
 func (st *state) tool() Part {
 	by := "`cmd/lilacctl`, `internal/management`"
-	return Part{"tool", "The operators' tool that asks all", []Figure{
-		computed("calls, all at once (`lilacctl members`)", "", "G", by, func(s Size) float64 { return s.Gateways }),
+	p := Part{Name: "tool", Title: "The operators' tool that asks all"}
+	p.Figures = append(p.Figures,
+		computed("calls of `lilacctl members`, all at once", "", "G", by, func(s Size) float64 { return s.Gateways }),
 		computed("one gateway's answer to `lilacctl members`", "B", "95 B x 2 G: its view and whom it knows", by, func(s Size) float64 { return memberBytes * 2 * s.Gateways }).within(answerMost),
-		computed("all answers to `lilacctl members`", "MB", "95 B x 2 G x G", by, func(s Size) float64 { return memberBytes * 2 * s.Gateways * s.Gateways / 1e6 }),
-		computed("all answers to `lilacctl versions`", "MB", "226 B x G x G", by, func(s Size) float64 { return versionBytes * s.Gateways * s.Gateways / 1e6 }),
-		unknown("processor time", by, NotRun),
-		unknown("memory", by, NotRun),
-	}}
+		computed("one gateway's answer to `lilacctl versions`", "B", "226 B x G", by, func(s Size) float64 { return versionBytes * s.Gateways }).within(answerMost))
+	for _, what := range []string{"members", "versions"} {
+		p.Figures = append(p.Figures,
+			st.asked(what, "answers of all", "MB", by, func(r ToolRow) float64 { return r.Read / 1e6 }),
+			st.asked(what, "time, where each gateway answers at once", "s", by, func(r ToolRow) float64 { return r.Seconds }),
+			st.asked(what, "processor time", "ms", by, func(r ToolRow) float64 { return r.Processor }),
+			st.asked(what, "memory", "MB", by, func(r ToolRow) float64 { return r.Memory }))
+	}
+	silent := computed("`lilacctl versions` and `state`: added while the gateways of a zone are silent", "s", "45 x 2 s: one after the other", by, silentZone)
+	p.Figures = append(p.Figures, silent, unknown("a gateway's processor time for its answer", "`internal/peer`, `internal/management`", NotRun))
+	return p
 }
 
 // controlAfter is what was measured of control with the mechanism.
--- a/internal/capacity/runs.go
+++ b/internal/capacity/runs.go
@@ -150,12 +150,30 @@
 	Rows    []Trial `json:"rows"`
 }
 
+// ToolRow is one call of the operators' tool that asked all gateways.
+type ToolRow struct {
+	What      string  `json:"what"`
+	Gateways  float64 `json:"gateways"`
+	Read      float64 `json:"bytes_read"`
+	Processor float64 `json:"cpu_ms"`
+	Memory    float64 `json:"rss_mb"`
+	Seconds   float64 `json:"seconds"`
+}
+
+// Tool is a file of such calls.
+type Tool struct {
+	File    string    `json:"-"`
+	Command string    `json:"command"`
+	Rows    []ToolRow `json:"rows"`
+}
+
 // Runs are all that was measured, in the order of their files' names.
 type Runs struct {
 	Scale       []Scale
 	Datapath    []Datapath
 	Calibration []Calibration
 	Sim         []Sim
+	Tool        []Tool
 }
 
 // Read takes in the files of a directory. Each bears the command that made it.
@@ -201,8 +219,12 @@
 		x := Sim{File: base}
 		err, command = json.Unmarshal(text, &x), x.Command
 		r.Sim = append(r.Sim, x)
+	case "tool":
+		x := Tool{File: base}
+		err, command = json.Unmarshal(text, &x), x.Command
+		r.Tool = append(r.Tool, x)
 	default:
-		return fmt.Errorf("no kind of run is named so; call it scale-, datapath-, calibration- or sim-NAME.json")
+		return fmt.Errorf("no kind of run is named so; call it scale-, datapath-, calibration-, tool- or sim-NAME.json")
 	}
 	if err == nil && strings.TrimSpace(command) == "" {
 		err = fmt.Errorf("command: missing; put in how the run was started")
--- a/internal/capacity/sizes.go
+++ b/internal/capacity/sizes.go
@@ -35,8 +35,10 @@
 	restartsADay    = 410.0 // one each 210 s
 	changesADay     = 860.0 // of the configuration, one each 100 s
 	beatEvery       = 2.0   // s between two signs of life of a watch
-	idleAfter       = 5.0   // s after which a client's connection that asks nothing is closed
-	holdersAtWhole1 = 1.0   // holders of a budget for each unit that its home parts can be
+	zoneGateways    = 45.0
+	toolWaits       = 2.0 // s, --timeout of lilacctl
+	idleAfter       = 5.0 // s after which a client's connection that asks nothing is closed
+	holdersAtWhole1 = 1.0 // holders of a budget for each unit that its home parts can be
 )
 
 // What stands in the code as well. TestInputsStandInTheCode holds these against it.
@@ -127,6 +129,9 @@
 	return day * s.Gateways / (restartsADay * s.Gateways / Target.Gateways)
 }
 
+// silentZone is how long, in s, the tool waits for the gateways of a zone that is gone where it asks one after the other.
+func silentZone(Size) float64 { return zoneGateways * toolWaits }
+
 // versionsHeard is the least time, in s, in which one gateway hears the versions of all.
 func versionsHeard(s Size) float64 {
 	return s.Gateways / (versionsSend * versionsTo / seconds(versionsEvery))
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -192,9 +192,9 @@
 			if f.Slope == nil {
 				continue
 			}
-			if p.Name == "gateway" {
+			if set := map[string]string{"gateway": "data path", "tool": "the tool"}[p.Name]; set != "" {
 				if l, ok := f.Slope(0); ok {
-					add(f.Name, f.Unit, "data path", l)
+					add(f.Name, f.Unit, set, l)
 				}
 				continue
 			}
@@ -284,6 +284,9 @@
 	for _, c := range r.Calibration {
 		add(c.File, c.Command, fmt.Sprintf("%d by %d", c.Hollow.Gateways, c.Hollow.Databases), result(c.Hollow.good() && c.Real.good(), false, strings.TrimSpace(c.Hollow.Why+" "+c.Real.Why)))
 	}
+	for _, t := range r.Tool {
+		add(t.File, t.Command, fmt.Sprintf("%d rows", len(t.Rows)), "valid")
+	}
 	for _, s := range r.Sim {
 		add(s.File, s.Command, fmt.Sprintf("%d rows", len(s.Rows)), "a trial: simulated network; in no slope")
 	}
