Read what scale runs tell beside the contract: windows, discovery, settling, faults

The page has a table of the faults that are wanted at size, each `not run` until it was. The most that a gateway sends in 10 s and the most that discovery is asked in a second have rows. What a report has as null is not run, not 0.

Mutant: calm by the plan's name alone fails TestOnlyCalmRunsAreFitted.

--- a/internal/capacity/figures.go
+++ b/internal/capacity/figures.go
@@ -60,9 +60,9 @@
 	sets  map[int][]Scale // see series
 }
 
-// calm tells whether a plan plays no faults: slopes are fitted on such alone. Those that do have it in their names.
+// calm tells whether nothing befell the fleet: slopes are fitted on such runs alone.
 func calm(s *Scale) bool {
-	return !slices.ContainsFunc(strings.Split(s.plan(), "-"), func(w string) bool { return w == "worst" || w == "faults" || w == "fault" })
+	return len(s.ViewsEqual) == 0 && !slices.ContainsFunc(strings.Split(s.plan(), "-"), func(w string) bool { return w == "worst" || w == "faults" || w == "fault" })
 }
 
 // series are the runs of one plan and one round-trip time with so many regions that have the most sizes.
@@ -441,8 +441,8 @@
 	return func(s *Scale) (float64, bool) { return get(s), true }
 }
 
-// spread takes from what not every run carries.
-func spread(which func(*Scale) *Spread, get func(*Spread) float64) func(*Scale) (float64, bool) {
+// some takes from what may be absent.
+func some[T any](which func(*Scale) *T, get func(*T) float64) func(*Scale) (float64, bool) {
 	return func(s *Scale) (float64, bool) {
 		if p := which(s); p != nil {
 			return get(p), true
--- a/internal/capacity/figures_test.go
+++ b/internal/capacity/figures_test.go
@@ -41,7 +41,7 @@
 		{"control", "sum: processor time, mean", Today, 0.7, Measured},
 		{"control", "words: sent", Target, 0, NotRun},
 		{"control", "a change of the list at discovery: in force everywhere", Today, 0, NotRun},
-		{"control", "a change of primary: until all know it, the slowest", big, 5.5, Fitted},
+		{"control", "a change of primary: to the first write that all serve", big, 5.5, Fitted},
 		{"gateway", "clients: memory of the process", Target, 12 + 0.006*5102 + 0.01*810, Measured},
 		{"gateway", "clients: memory of the process", Worst, 12 + 0.006*7653 + 0.01*810, Beyond}, // the run of that size is invalid
 		{"gateway", "clients: memory of the process", Size{Databases: 405, Connections: 2000, Statements: 800}, 12 + 0.006*2000 + 0.01*405, Fitted},
@@ -192,6 +192,28 @@
 	assert.Equal(t, "Not run.\n", text)
 }
 
+func TestFaultsTable(t *testing.T) {
+	text := madeUp(t).faultsTable()
+	assert.Contains(t, text, "| a zone gone: loss of zone z1: 20 gateways, 30 databases | `scale-worst.json` | 245 by 400, 3 regions | 4.5 s | 3 | 30,000 B/s | 25/s | broke a rule, see the run |")
+	assert.Contains(t, text, "| a zone back: return of zone z1 | `scale-worst.json` | 245 by 400, 3 regions | not before the next thing or the end |")
+	assert.Contains(t, text, "| a rack at once | not run |")
+	assert.Contains(t, text, "| a change of configuration while a gateway starts | not run |")
+	assert.Contains(t, text, "| a change of primary: in force everywhere after 5.5 s at most | `scale-one-122.json` |")
+}
+
+// Something that befell a fleet keeps its run out of the slopes, whatever the plan is called.
+func TestOnlyCalmRunsAreFitted(t *testing.T) {
+	runs := madeUp(t)
+	n := len((&state{runs: runs}).series(1))
+	assert.Equal(t, 5, n)
+	for i := range runs.Scale {
+		if runs.Scale[i].File == "scale-one-122.json" {
+			runs.Scale[i].ViewsEqual = []Settled{{After: "kill of 2 gateways"}}
+		}
+	}
+	assert.Len(t, (&state{runs: runs}).series(1), 4)
+}
+
 func TestNumber(t *testing.T) {
 	for x, s := range map[float64]string{
 		0: "0", 1: "1", 0.1234: "0.123", 999.96: "1,000", 1234: "1,234", 7653: "7,653", 18936.2: "18,940", 1e6: "1,000,000", -1234.56: "-1,235", 0.00001: "0.00001",
--- a/internal/capacity/parts.go
+++ b/internal/capacity/parts.go
@@ -42,14 +42,15 @@
 	add := func(f ...Figure) { p.Figures = append(p.Figures, f...) }
 	sum := "all of the below"
 	stat := func(name, unit string, allowance float64, get func(*Scale) *Stat) {
-		add(st.measured(name+", mean", unit, sum, overall(func(s *Scale) float64 { return get(s).Mean })).within(allowance),
-			st.measured(name+", the gateway with the most", unit, sum, overall(func(s *Scale) float64 { return get(s).Max })).within(allowance))
+		add(st.measured(name+", mean", unit, sum, some(get, func(x *Stat) float64 { return x.Mean })).within(allowance),
+			st.measured(name+", the gateway with the most", unit, sum, some(get, func(x *Stat) float64 { return x.Max })).within(allowance))
 	}
-	stat("sum: sent", "B/s", allowedBytes, func(s *Scale) *Stat { return &s.Control.BytesOut })
-	stat("sum: received", "B/s", allowedBytes, func(s *Scale) *Stat { return &s.Control.BytesIn })
-	add(st.measured("sum: messages sent, mean", "/s", sum, overall(func(s *Scale) float64 { return s.Control.Messages.Mean })))
-	stat("sum: processor time", "% of a core", allowedCore, func(s *Scale) *Stat { return &s.Control.Core })
-	stat("sum: memory", "MB", allowedMemory, func(s *Scale) *Stat { return &s.Control.Memory })
+	stat("sum: sent", "B/s", allowedBytes, func(s *Scale) *Stat { return s.Control.BytesOut })
+	stat("sum: received", "B/s", allowedBytes, func(s *Scale) *Stat { return s.Control.BytesIn })
+	add(st.measured("sum: sent, the most of any gateway in 10 s", "B/s", sum, some(func(s *Scale) *Window { return s.Window }, func(w *Window) float64 { return w.BytesOut })).within(allowedBytes))
+	add(st.measured("sum: messages sent, mean", "/s", sum, some(func(s *Scale) *Stat { return s.Control.Messages }, func(x *Stat) float64 { return x.Mean })))
+	stat("sum: processor time", "% of a core", allowedCore, func(s *Scale) *Stat { return s.Control.Core })
+	stat("sum: memory", "MB", allowedMemory, func(s *Scale) *Stat { return s.Control.Memory })
 	for _, n := range st.roleNames() {
 		if f, ok := states(n); ok {
 			add(f)
@@ -64,27 +65,27 @@
 		case "positions":
 			add(computed("positions: news", "/s", "D / 0.2 s", carrier(n), positionNews).within(positionRoom()),
 				computed("positions: sent, from the code", "B/s", "3 x (24 B / 0.1 s + 21 B x min(D / 0.2 s, 300/s))", carrier(n), positionBytesOut).within(allowedBytes),
-				st.measured("positions: age of what is known, p99", "s", carrier(n), stale(func(p *Stale) float64 { return p.P99 })))
+				st.measured("positions: age of what is known, p99", "s", carrier(n), stale(func(p *Stale) *float64 { return p.P99 })))
 		case "versions":
 			add(computed("versions: time to hear of all, at the least", "s", "G / (8 x 2 / s)", carrier(n), versionsHeard))
 		case "budgets":
 			add(computed("budgets: holders for each of 100 connections", "", "G / 100", carrier(n), func(s Size) float64 { return s.Gateways / allowedAtOne }).within(holdersAtWhole1))
 		}
 	}
-	primary := spread(func(s *Scale) *Spread { return s.PrimaryChange }, func(p *Spread) float64 { return p.Max })
-	force := spread(func(s *Scale) *Spread { return s.InForce }, func(p *Spread) float64 { return p.Max })
-	add(st.measured("a change of primary: until all know it, the slowest", "s", carrier("primaries"), primary).within(allowedPrimary),
-		st.measured("a change of the list at discovery: in force everywhere", "s", carrier("discovery"), force).within(allowedInForce),
+	most := func(p *Spread) float64 { return p.Max }
+	add(st.measured("a change of primary: to the first write that all serve", "s", carrier("primaries"), some(func(s *Scale) *Spread { return s.PrimaryChange }, most)).within(allowedPrimary),
+		st.measured("a change of the list at discovery: in force everywhere", "s", carrier("discovery"), some(func(s *Scale) *Spread { return s.ListInForce }, most)).within(allowedInForce),
+		st.measured("a change of configuration: in force everywhere", "s", "none", some(func(s *Scale) *Spread { return s.InForce }, most)).within(allowedInForce),
 		computed("a change of configuration that waits for the restart of each gateway", "s", "day x G / (410 x G / 490)", "SIGHUP, else none", restartOfAll).within(allowedInForce))
 	return p
 }
 
-func stale(get func(*Stale) float64) func(*Scale) (float64, bool) {
+func stale(get func(*Stale) *float64) func(*Scale) (float64, bool) {
 	return func(s *Scale) (float64, bool) {
-		if s.Positions == nil {
+		if s.Positions == nil || get(s.Positions) == nil {
 			return 0, false
 		}
-		return get(s.Positions), true
+		return *get(s.Positions), true
 	}
 }
 
@@ -146,6 +147,8 @@
 		computed("calls by restarts", "/s", "410 x G / 490 / day", by, func(s Size) float64 { return restartsADay * s.Gateways / Target.Gateways / day }).within(discoveryMost),
 		computed("calls after an outage, before a crowd is noticed", "/s", "G / min(0.1 s x G, 2.5 s)", by, offeredCalls).within(discoveryMost),
 		computed("after an outage: until the last gateway has its list", "s", "G / (20 / s)", by, lastAnswered).within(allowedInForce),
+		st.measured("calls, the most in a second", "/s", by, some(func(s *Scale) *Asked { return s.Discovery }, func(a *Asked) float64 { return a.Calls })).within(discoveryMost),
+		st.measured("calls, the most in a second while all start", "/s", by, some(func(s *Scale) *Asked { return s.Discovery }, func(a *Asked) float64 { return a.Early })).within(discoveryMost),
 		st.measured("bytes sent to all gateways", "B/s", by, all(func(r RoleTraffic) float64 { return r.BytesIn })),
 		unknown("processor time", "not of this program", NotKnown),
 		unknown("memory", "not of this program", NotKnown),
--- a/internal/capacity/runs.go
+++ b/internal/capacity/runs.go
@@ -27,11 +27,11 @@
 
 // Control is the control traffic and its cost for a gateway, all roles together.
 type Control struct {
-	BytesOut Stat `json:"bytes_out_per_s"`
-	BytesIn  Stat `json:"bytes_in_per_s"`
-	Messages Stat `json:"messages_per_s"`
-	Core     Stat `json:"core_percent"`
-	Memory   Stat `json:"memory_mb"`
+	BytesOut *Stat `json:"bytes_out_per_s"`
+	BytesIn  *Stat `json:"bytes_in_per_s"`
+	Messages *Stat `json:"messages_per_s"`
+	Core     *Stat `json:"core_percent"`
+	Memory   *Stat `json:"memory_mb"`
 }
 
 // RoleTraffic is one role's, a gateway in the mean.
@@ -43,9 +43,29 @@
 
 // Stale is how old the positions were that gateways knew.
 type Stale struct {
-	Known float64 `json:"known_mean"`
-	P50   float64 `json:"stale_p50_s"`
-	P99   float64 `json:"stale_p99_s"`
+	Known float64  `json:"known_mean"`
+	P50   *float64 `json:"stale_p50_s"`
+	P99   *float64 `json:"stale_p99_s"`
+}
+
+// Settled is how long all views took to be equal again behind something that happened; nil: they were not in time.
+type Settled struct {
+	After string   `json:"after"`
+	At    float64  `json:"at_s"`
+	Took  *float64 `json:"took_s"`
+}
+
+// Window is the most that one gateway sent in any 10 s.
+type Window struct {
+	BytesOut float64 `json:"bytes_out_per_s"`
+	Role     string  `json:"most_by"`
+	Over     int     `json:"gateways_over"`
+}
+
+// Asked is the most that discovery was asked in a second, and before the fleet had settled.
+type Asked struct {
+	Calls float64 `json:"calls_per_s_max"`
+	Early float64 `json:"calls_per_s_max_settling"`
 }
 
 // Scale is a report of lilacload scale.
@@ -67,12 +87,16 @@
 
 	Control       Control                `json:"control"`
 	ByRole        map[string]RoleTraffic `json:"by_role"`
+	Window        *Window                `json:"window"`
 	InForce       *Spread                `json:"in_force_s"`
+	ListInForce   *Spread                `json:"list_in_force_s"`
 	PrimaryChange *Spread                `json:"primary_change_s"`
+	ViewsEqual    []Settled              `json:"views_equal"`
 	FalseDeaths   float64                `json:"false_deaths"`
+	EarlyDeaths   float64                `json:"false_deaths_settling"`
 	Faults        []string               `json:"faults"`
-	Lateness      Stat                   `json:"lateness_ms"`
 	Positions     *Stale                 `json:"positions"`
+	Discovery     *Asked                 `json:"discovery"`
 }
 
 // Datapath is one gateway with its clients before one stand-in.
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -296,6 +296,82 @@
 	return b.String()
 }
 
+// befalls are the faults that are wanted at size, by what a run says it settled after.
+var befalls = []struct{ name, after string }{
+	{"two machines killed", "kill of "},
+	{"restarts one after another", "restart of "},
+	{"a rack at once", "rack of "},
+	{"a zone gone", "loss of zone "},
+	{"a zone back", "return of zone "},
+	{"regions cut and healed", "heal of the cut "},
+}
+
+// faultsTable tells what each fault did, and which was not run.
+func (r *Runs) faultsTable() string {
+	var b strings.Builder
+	head(&b, "fault", "run", "size", "views equal again after", "false deaths", "most sent in 10 s", "most calls at discovery", "result")
+	line := func(name, what, took string, s *Scale) {
+		sent, calls, result := "not known", "not known", "valid"
+		if s.Window != nil {
+			sent = withUnit(s.Window.BytesOut, "B/s")
+		}
+		if s.Discovery != nil {
+			calls = withUnit(s.Discovery.Calls, "/s")
+		}
+		switch {
+		case !s.Valid:
+			result = "INVALID"
+		case s.Partial:
+			result = "PARTIAL"
+		case len(s.Faults) > 0:
+			result = "broke a rule, see the run"
+		}
+		if what != "" {
+			name += ": " + what
+		}
+		row(&b, name, "`"+s.File+"`", fmt.Sprintf("%d by %d, %s", s.Gateways, s.Databases, regions(s.Regions)), took, number(s.FalseDeaths), sent, calls, result)
+	}
+	none := func(name string) { row(&b, name, "not run", "-", "-", "-", "-", "-", "-") }
+	for _, f := range befalls {
+		found := false
+		for i := range r.Scale {
+			for _, v := range r.Scale[i].ViewsEqual {
+				if strings.HasPrefix(v.After, f.after) {
+					took := "not before the next thing or the end"
+					if v.Took != nil {
+						took = withUnit(*v.Took, "s")
+					}
+					line(f.name, v.After, took, &r.Scale[i])
+					found = true
+				}
+			}
+		}
+		if !found {
+			none(f.name)
+		}
+	}
+	for _, f := range []struct {
+		name string
+		get  func(*Scale) *Spread
+	}{
+		{"a change of primary", func(s *Scale) *Spread { return s.PrimaryChange }},
+		{"a change of the list", func(s *Scale) *Spread { return s.ListInForce }},
+		{"a change of configuration while a gateway starts", func(s *Scale) *Spread { return s.InForce }},
+	} {
+		found := false
+		for i := range r.Scale {
+			if p := f.get(&r.Scale[i]); p != nil {
+				line(f.name, "in force everywhere after "+withUnit(p.Max, "s")+" at most", "-", &r.Scale[i])
+				found = true
+			}
+		}
+		if !found {
+			none(f.name)
+		}
+	}
+	return b.String()
+}
+
 // calibrationTable sets hollow gateways beside real ones.
 func (r *Runs) calibrationTable() string {
 	var b strings.Builder
@@ -331,7 +407,9 @@
 		row(b, name, withUnit(p, unit), withUnit(q, unit), ratio, said)
 	}
 	for _, f := range overallFigures {
-		line(f.name, f.unit, f.get(x).Mean, f.get(y).Mean)
+		if p, q := f.get(x), f.get(y); p != nil && q != nil {
+			line(f.name, f.unit, p.Mean, q.Mean)
+		}
 	}
 	for _, n := range bothRoles(x, y) {
 		p, q := x.ByRole[n], y.ByRole[n]
@@ -345,11 +423,11 @@
 	name, unit string
 	get        func(*Scale) *Stat
 }{
-	{"sent", "B/s", func(s *Scale) *Stat { return &s.Control.BytesOut }},
-	{"received", "B/s", func(s *Scale) *Stat { return &s.Control.BytesIn }},
-	{"messages sent", "/s", func(s *Scale) *Stat { return &s.Control.Messages }},
-	{"processor time", "% of a core", func(s *Scale) *Stat { return &s.Control.Core }},
-	{"memory", "MB", func(s *Scale) *Stat { return &s.Control.Memory }},
+	{"sent", "B/s", func(s *Scale) *Stat { return s.Control.BytesOut }},
+	{"received", "B/s", func(s *Scale) *Stat { return s.Control.BytesIn }},
+	{"messages sent", "/s", func(s *Scale) *Stat { return s.Control.Messages }},
+	{"processor time", "% of a core", func(s *Scale) *Stat { return s.Control.Core }},
+	{"memory", "MB", func(s *Scale) *Stat { return s.Control.Memory }},
 }
 
 func bothRoles(x, y *Scale) (names []string) {
@@ -446,9 +524,16 @@
 		}
 		for _, f := range overallFigures {
 			p, q := f.get(x), f.get(y)
-			line(f.name+", mean", f.unit, p.Mean, q.Mean, true, true)
-			line(f.name+", p99", f.unit, p.P99, q.P99, true, true)
-			line(f.name+", most", f.unit, p.Max, q.Max, true, true)
+			has, had := p != nil, q != nil
+			if !has {
+				p = &Stat{}
+			}
+			if !had {
+				q = &Stat{}
+			}
+			line(f.name+", mean", f.unit, p.Mean, q.Mean, has, had)
+			line(f.name+", p99", f.unit, p.P99, q.P99, has, had)
+			line(f.name+", most", f.unit, p.Max, q.Max, has, had)
 		}
 		for _, n := range bothRoles(x, y) {
 			p, has := x.ByRole[n]
@@ -457,15 +542,19 @@
 			line(n+": received", "B/s", p.BytesIn, q.BytesIn, has, had)
 			line(n+": messages sent", "/s", p.Messages, q.Messages, has, had)
 		}
-		pair := func(name string, get func(*Scale) (float64, bool)) {
+		pair := func(name, unit string, get func(*Scale) (float64, bool)) {
 			p, has := get(x)
 			q, had := get(y)
-			line(name, "s", p, q, has, had)
+			line(name, unit, p, q, has, had)
 		}
-		pair("positions: age of what is known, p50", stale(func(p *Stale) float64 { return p.P50 }))
-		pair("positions: age of what is known, p99", stale(func(p *Stale) float64 { return p.P99 }))
-		pair("a change of configuration in force, most", spread(func(s *Scale) *Spread { return s.InForce }, func(p *Spread) float64 { return p.Max }))
-		pair("a change of primary, most", spread(func(s *Scale) *Spread { return s.PrimaryChange }, func(p *Spread) float64 { return p.Max }))
+		most := func(p *Spread) float64 { return p.Max }
+		pair("sent, the most of any gateway in 10 s", "B/s", some(func(s *Scale) *Window { return s.Window }, func(w *Window) float64 { return w.BytesOut }))
+		pair("positions: known", "", some(func(s *Scale) *Stale { return s.Positions }, func(p *Stale) float64 { return p.Known }))
+		pair("positions: age of what is known, p50", "s", stale(func(p *Stale) *float64 { return p.P50 }))
+		pair("positions: age of what is known, p99", "s", stale(func(p *Stale) *float64 { return p.P99 }))
+		pair("a change of configuration in force, most", "s", some(func(s *Scale) *Spread { return s.InForce }, most))
+		pair("a change of the list in force, most", "s", some(func(s *Scale) *Spread { return s.ListInForce }, most))
+		pair("a change of primary, most", "s", some(func(s *Scale) *Spread { return s.PrimaryChange }, most))
 		line("false deaths", "", x.FalseDeaths, y.FalseDeaths, true, true)
 	}
 	if b.Len() == 0 {
@@ -477,7 +566,7 @@
 // Tables are all of the page, by the names of their markers.
 func (r *Runs) Tables() (map[string]string, error) {
 	t := map[string]string{
-		"sizes": sizesTable(), "runs": r.runsTable(), "calibration": r.calibrationTable(), "trials": r.trialsTable(),
+		"sizes": sizesTable(), "faults": r.faultsTable(), "runs": r.runsTable(), "calibration": r.calibrationTable(), "trials": r.trialsTable(),
 	}
 	st := &state{runs: r}
 	for _, p := range st.parts() {
