--- a/internal/capacity/figures_test.go
+++ b/internal/capacity/figures_test.go
@@ -159,6 +159,7 @@
 	}
 	assert.Contains(t, tables["runs"], "valid, made with other settings; in no figure")
 	assert.Contains(t, tables["calibration"], "| 0.769 | over 15% |")
+	assert.Contains(t, tables["calibration"], "| processor time that the fleet costs (with it, less without) | 0.5% of a core | 0.8% of a core | 0.625 | over 15% |")
 	assert.Contains(t, tables["control"], "does not fit")
 	assert.Contains(t, tables["trials"], "5,780 B/s")
 }
--- a/internal/capacity/runs.go
+++ b/internal/capacity/runs.go
@@ -145,10 +145,25 @@
 type Calibration struct {
 	File    string `json:"-"`
 	Command string `json:"command"`
-	Hollow  Scale  `json:"hollow"`
-	Real    Scale  `json:"real"`
+	State   string `json:"state"` // idle, or loaded
+	Valid   *bool  `json:"valid"` // nil: it is
+	Why     string `json:"invalid_because"`
+	Hollow  Side   `json:"hollow"`
+	Real    Side   `json:"real"`
+}
+
+// Side is one kind of gateways.
+type Side struct {
+	Scale
+	Statements    float64 `json:"statements_per_s"` // of a gateway
+	CoreWith      float64 `json:"core_percent_with_fleet"`
+	CoreWithout   float64 `json:"core_percent_without_fleet"`
+	MemoryWith    float64 `json:"memory_mb_with_fleet"`
+	MemoryWithout float64 `json:"memory_mb_without_fleet"`
 }
 
+func (c *Calibration) good() bool { return c.Valid == nil || *c.Valid }
+
 // Trial is one row of a simulated network.
 type Trial struct {
 	Part        string   `json:"part"`
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -282,7 +282,7 @@
 		add(d.File, d.Command, fmt.Sprintf("%s clients, %s statements/s, %s databases", number(d.Clients), number(d.Statements), number(d.Databases)), x)
 	}
 	for _, c := range r.Calibration {
-		add(c.File, c.Command, fmt.Sprintf("%d by %d", c.Hollow.Gateways, c.Hollow.Databases), result(c.Hollow.good() && c.Real.good(), false, strings.TrimSpace(c.Hollow.Why+" "+c.Real.Why)))
+		add(c.File, c.Command, fmt.Sprintf("%d by %d, %s", c.Hollow.Gateways, c.Hollow.Databases, c.State), result(c.good(), false, c.Why))
 	}
 	for _, t := range r.Tool {
 		add(t.File, t.Command, fmt.Sprintf("%d rows", len(t.Rows)), "valid")
@@ -377,11 +377,11 @@
 	var b strings.Builder
 	n := 0
 	for _, c := range r.Calibration {
-		if !c.Hollow.good() || !c.Real.good() {
+		if !c.good() {
 			continue
 		}
 		n++
-		fmt.Fprintf(&b, "`%s`, %d gateways, %d databases:\n\n", c.File, c.Hollow.Gateways, c.Hollow.Databases)
+		fmt.Fprintf(&b, "`%s`, %d gateways, %d databases, %s:\n\n", c.File, c.Hollow.Gateways, c.Hollow.Databases, c.State)
 		head(&b, "a gateway, mean", "hollow", "real", "hollow / real", "")
 		compare(&b, &c.Hollow, &c.Real, 0.15)
 		b.WriteString("\n")
@@ -393,7 +393,7 @@
 }
 
 // compare writes a line for each figure of two reports; over limit a difference is said.
-func compare(b *strings.Builder, x, y *Scale, limit float64) {
+func compare(b *strings.Builder, x, y *Side, limit float64) {
 	line := func(name, unit string, p, q float64) {
 		ratio, said := "-", ""
 		if q != 0 {
@@ -407,11 +407,13 @@
 		row(b, name, withUnit(p, unit), withUnit(q, unit), ratio, said)
 	}
 	for _, f := range overallFigures {
-		if p, q := f.get(x), f.get(y); p != nil && q != nil {
+		if p, q := f.get(&x.Scale), f.get(&y.Scale); p != nil && q != nil {
 			line(f.name, f.unit, p.Mean, q.Mean)
 		}
 	}
-	for _, n := range bothRoles(x, y) {
+	line("processor time that the fleet costs (with it, less without)", "% of a core", x.CoreWith-x.CoreWithout, y.CoreWith-y.CoreWithout)
+	line("memory that the fleet costs (with it, less without)", "MB", x.MemoryWith-x.MemoryWithout, y.MemoryWith-y.MemoryWithout)
+	for _, n := range bothRoles(&x.Scale, &y.Scale) {
 		p, q := x.ByRole[n], y.ByRole[n]
 		line(n+": sent", "B/s", p.BytesOut, q.BytesOut)
 		line(n+": received", "B/s", p.BytesIn, q.BytesIn)
