Add a relay between many gateways, by zones

This one has one socket for all: a gateway is told by its source address, whom a datagram is for and from which zone by the relay's own, all in 127.0.0.0/8 and bound to the loopback interface. It reads and writes by batches on one thread, delays by the kernel's time of arrival, loses by its seed, cuts by ordered pair of zones, and measures by how much it is late itself.

--- /dev/null
+++ b/internal/wan/wan_test.go
@@ -0,0 +1,284 @@
+package wan
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// socket stands for a gateway.
+type socket struct {
+	t *testing.T
+	*net.UDPConn
+}
+
+func open(t *testing.T, zones int, of []int, seed uint64) (*Relay, []socket) {
+	r, err := Open(zones, of, seed)
+	require.NoError(t, err)
+	t.Cleanup(r.Close)
+	var list []socket
+	for g := range of {
+		c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(r.Listen(g)))
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		_ = c.SetReadBuffer(4 << 20)
+		list = append(list, socket{t, c})
+	}
+	return r, list
+}
+
+func (s socket) say(to netip.AddrPort, text string) {
+	_, err := s.WriteToUDPAddrPort([]byte(text), to)
+	require.NoError(s.t, err)
+}
+
+// hear returns what comes next; empty: nothing does for so long.
+func (s socket) hear(patience time.Duration) (string, netip.AddrPort) {
+	var b [most]byte
+	_ = s.SetReadDeadline(time.Now().Add(patience))
+	n, from, err := s.ReadFromUDPAddrPort(b[:])
+	if err != nil {
+		return "", netip.AddrPort{}
+	}
+	return string(b[:n]), from
+}
+
+const (
+	soon  = 5 * time.Second // by when what has to come comes, on a busy machine too
+	quiet = 150 * time.Millisecond
+)
+
+func TestScaleRelayNamesTheSender(t *testing.T) {
+	r, s := open(t, 2, []int{0, 0, 1}, 1)
+	for round := range 3 {
+		for g := range 2 {
+			s[g].say(r.Dial(0, 2), fmt.Sprint(g, round))
+			text, from := s[2].hear(soon)
+			assert.Equal(t, fmt.Sprint(g, round), text)
+			assert.Equal(t, r.Listen(g).Addr(), from.Addr(), "the source tells who sent it")
+		}
+	}
+	s[0].say(r.Advertise(2), "any")
+	text, from := s[2].hear(soon)
+	assert.Equal(t, "any", text)
+	assert.Equal(t, r.Listen(0).Addr(), from.Addr())
+	// Who names the address of another zone, or is none of the gateways, is not passed on.
+	s[0].say(r.Dial(1, 2), "wrong zone")
+	c, err := net.Dial("udp4", r.Dial(0, 2).String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = c.Write([]byte("stranger"))
+	require.NoError(t, err)
+	text, _ = s[2].hear(quiet)
+	assert.Empty(t, text)
+	assert.Equal(t, uint64(2), r.Counts().Foreign)
+	assert.Equal(t, uint64(7), r.Counts().Passed)
+}
+
+// Each ordered pair has its own delay, and what goes the other way or elsewhere has none of it.
+func TestScaleRelayDelays(t *testing.T) {
+	r, s := open(t, 2, []int{0, 1, 0}, 1)
+	const delay, jitter = 200 * time.Millisecond, 50 * time.Millisecond
+	r.Set(0, 1, Link{Delay: delay})
+	begun := time.Now()
+	for i := range 50 {
+		s[0].say(r.Dial(0, 1), fmt.Sprint(i))
+	}
+	s[1].say(r.Dial(1, 0), "back")
+	s[0].say(r.Dial(0, 2), "beside")
+	text, _ := s[0].hear(soon)
+	assert.Equal(t, "back", text)
+	text, _ = s[2].hear(soon)
+	assert.Equal(t, "beside", text)
+	assert.Less(t, time.Since(begun), delay, "neither waits for the pair that is slow")
+	for i := range 50 {
+		text, _ = s[1].hear(soon)
+		require.Equal(t, fmt.Sprint(i), text, "equal delays keep the order")
+		require.GreaterOrEqual(t, time.Since(begun), delay)
+	}
+	r.Set(0, 1, Link{Delay: delay, Jitter: jitter})
+	begun = time.Now()
+	for i := range 200 {
+		s[0].say(r.Dial(0, 1), fmt.Sprint(i))
+	}
+	sent, order, last := time.Now(), true, -1
+	for range 200 {
+		text, _ = s[1].hear(soon)
+		var i int
+		_, err := fmt.Sscan(text, &i)
+		require.NoError(t, err)
+		order, last = order && i > last, i
+		require.GreaterOrEqual(t, time.Since(begun), delay)
+	}
+	assert.False(t, order, "each has a jitter of its own")
+	late := r.Lateness(Lateness{})
+	assert.Equal(t, uint64(252), late.N)
+	assert.Less(t, time.Since(sent), delay+jitter+late.Most+soon/10, "and none waits for longer than it and what the relay owns to")
+}
+
+// lose sends so many numbers and returns those that come.
+func lose(t *testing.T, seed uint64, n int) (there, back []uint32, lost uint64) {
+	r, s := open(t, 2, []int{0, 1}, seed)
+	r.Set(0, 1, Link{Loss: 0.3})
+	var b [4]byte
+	read := func(s socket) (got []uint32) {
+		for {
+			text, _ := s.hear(quiet)
+			if text == "" {
+				return got
+			}
+			got = append(got, binary.BigEndian.Uint32([]byte(text)))
+		}
+	}
+	for i := range n {
+		binary.BigEndian.PutUint32(b[:], uint32(i))
+		s[0].say(r.Dial(0, 1), string(b[:]))
+	}
+	there = read(s[1])
+	for i := range n {
+		binary.BigEndian.PutUint32(b[:], uint32(i))
+		s[1].say(r.Dial(1, 0), string(b[:]))
+	}
+	return there, read(s[0]), r.Counts().Lost
+}
+
+func TestScaleRelayLosesByItsSeed(t *testing.T) {
+	const n = 1000
+	there, back, lost := lose(t, 7, n)
+	assert.Len(t, back, n, "the other direction loses nothing")
+	assert.Equal(t, n-len(there), int(lost))
+	assert.InDelta(t, 0.3*n, float64(lost), 0.06*n) // four times its spread
+	again, _, _ := lose(t, 7, n)
+	assert.Equal(t, there, again)
+	other, _, _ := lose(t, 8, n)
+	assert.NotEqual(t, there, other)
+}
+
+func TestScaleRelayCuts(t *testing.T) {
+	r, s := open(t, 3, []int{0, 1, 2}, 1)
+	r.Set(0, 1, Link{Delay: time.Millisecond})
+	r.Cut(0, 1, true)
+	s[0].say(r.Dial(0, 1), "lost")
+	s[1].say(r.Dial(1, 0), "back")
+	s[0].say(r.Dial(0, 2), "beside")
+	text, _ := s[0].hear(soon)
+	assert.Equal(t, "back", text)
+	text, _ = s[2].hear(soon)
+	assert.Equal(t, "beside", text)
+	text, _ = s[1].hear(quiet)
+	assert.Empty(t, text)
+	r.Cut(0, 1, false)
+	s[0].say(r.Dial(0, 1), "healed")
+	text, _ = s[1].hear(soon)
+	assert.Equal(t, "healed", text, "and what came during the cut does not come after it")
+	assert.Equal(t, time.Millisecond, r.Link(0, 1).Delay)
+	assert.Equal(t, uint64(1), r.Counts().Cut)
+}
+
+// A connection has the delays of both directions, stands still while it is cut, and goes on with all its bytes.
+func TestScaleRelayStreams(t *testing.T) {
+	r, _ := open(t, 2, []int{0, 1}, 1)
+	const there, back = 100 * time.Millisecond, 50 * time.Millisecond
+	r.Set(0, 1, Link{Delay: there})
+	r.Set(1, 0, Link{Delay: back})
+	ln, err := net.Listen("tcp4", r.Listen(1).String())
+	require.NoError(t, err)
+	defer ln.Close()
+	begun := time.Now()
+	c, err := net.Dial("tcp4", r.Dial(0, 1).String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = c.Write([]byte("hello"))
+	require.NoError(t, err)
+	d, err := ln.Accept()
+	require.NoError(t, err)
+	defer d.Close()
+	b := make([]byte, 5)
+	_, err = io.ReadFull(d, b)
+	require.NoError(t, err)
+	assert.Equal(t, "hello", string(b))
+	assert.GreaterOrEqual(t, time.Since(begun), 2*there+back, "a round trip to open it, and the way")
+	begun = time.Now()
+	_, err = d.Write([]byte("world"))
+	require.NoError(t, err)
+	_, err = io.ReadFull(c, b)
+	require.NoError(t, err)
+	assert.Equal(t, "world", string(b))
+	assert.GreaterOrEqual(t, time.Since(begun), back)
+
+	r.Cut(0, 1, true)
+	_, err = c.Write([]byte("still"))
+	require.NoError(t, err)
+	require.NoError(t, d.SetReadDeadline(time.Now().Add(there+quiet)))
+	_, err = io.ReadFull(d, b)
+	assert.Error(t, err, "cut")
+	r.Cut(0, 1, false)
+	require.NoError(t, d.SetReadDeadline(time.Now().Add(soon)))
+	_, err = io.ReadFull(d, b)
+	require.NoError(t, err)
+	assert.Equal(t, "still", string(b))
+	require.NoError(t, c.(*net.TCPConn).CloseWrite())
+	_, err = io.ReadFull(d, b[:1])
+	assert.Equal(t, io.EOF, err, "its end is passed on")
+}
+
+func TestScaleRelayRefusesNonsense(t *testing.T) {
+	for _, of := range [][]int{{0, 2}, {-1}} {
+		_, err := Open(2, of, 1)
+		assert.ErrorContains(t, err, "is in zone")
+	}
+	_, err := Open(0, nil, 1)
+	assert.ErrorContains(t, err, "0 zones")
+}
+
+// BenchmarkScaleRelay is one datagram passed on between eleven zones, 60 ms each way, by 110 gateways.
+func BenchmarkScaleRelay(b *testing.B) {
+	of := make([]int, 110)
+	for g := range of {
+		of[g] = g % 11
+	}
+	r, err := Open(11, of, 1)
+	require.NoError(b, err)
+	defer r.Close()
+	for i := range 11 * 11 {
+		r.Set(i/11, i%11, Link{Delay: 60 * time.Millisecond})
+	}
+	var list []*net.UDPConn
+	for g := range of {
+		c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(r.Listen(g)))
+		require.NoError(b, err)
+		defer c.Close()
+		go func() {
+			var buf [most]byte
+			for {
+				if _, _, err := c.ReadFromUDPAddrPort(buf[:]); err != nil {
+					return
+				}
+			}
+		}()
+		list = append(list, c)
+	}
+	text := make([]byte, 500)
+	const rate = 60_000
+	b.ResetTimer()
+	begun := time.Now()
+	for i := range b.N {
+		if i%600 == 0 {
+			time.Sleep(time.Until(begun.Add(time.Duration(i) * time.Second / rate)))
+		}
+		_, _ = list[i%110].WriteToUDPAddrPort(text, r.Dial(i%11, (i*7+i/110)%110))
+	}
+	time.Sleep(100 * time.Millisecond)
+	late, c := r.Lateness(Lateness{}), r.Counts()
+	b.ReportMetric(float64(late.P99.Microseconds()), "p99-late-us")
+	b.ReportMetric(float64(late.Most.Microseconds()), "most-late-us")
+	b.ReportMetric(float64(c.Overflowed), "dropped")
+	b.ReportMetric(float64(c.Passed), "passed")
+}
