--- /dev/null
+++ b/internal/wan/loop_test.go
@@ -0,0 +1,23 @@
+package wan
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// What is due at one moment goes out in the order in which it came, all else by when it is due.
+func TestScaleRelayQueueKeepsTheOrder(t *testing.T) {
+	l, rnd := &loop{}, rand.New(rand.NewPCG(1, 1))
+	for i := range 1000 {
+		l.push(parcel{due: rnd.Int64N(20), number: uint64(i)})
+	}
+	last := l.pop()
+	for range 999 {
+		p := l.pop()
+		assert.True(t, last.due < p.due || last.due == p.due && last.number < p.number)
+		last = p
+	}
+	assert.Empty(t, l.queue)
+}
