--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -41,7 +40,11 @@
 }
 
 func (h *Host) entry() entry {
-	e := entry{Host: h.ID, Dial: cmp.Or(h.dial, h.ln.Addr().String()), Site: "a", Class: "m", Block: h.Group, Health: h.health, Share: 1, Role: "replica"}
+	dial := h.dial
+	if dial == "" {
+		dial = h.ln.Addr().String()
+	}
+	e := entry{Host: h.ID, Dial: dial, Site: h.Site, Class: "m", Block: h.Group, Health: h.health, Share: 1, Role: "replica"}
 	if h.primary {
 		e.Role = "primary"
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -19,6 +19,8 @@
 	StartCapacity = 0.25 // of its speed
 	fallMore      = 2    // times what it can do
 	fallTime      = time.Second
+
+	unheard = "127.0.0.1:9" // where databases are said to be that listen nowhere
 )
 
 // Options are the world.
@@ -26,6 +28,9 @@
 	Groups, Members int
 	Group           int           // the number of the first group
 	Names           []string      // of the databases, group by group; those beyond are numbered
+	Sites           []string      // their zones, likewise; "a" for those beyond
+	Most            int           // databases at most: the last group is smaller; 0: all groups are whole
+	Unheard         bool          // they are listed and listen nowhere: for gateways that call none
 	Cores, Queue    int           // of a database: statements at work, and those that wait
 	Service         time.Duration // mean time of a statement
 	Exponential     bool          // drawn, else always the mean
@@ -88,7 +93,8 @@
 	w       *World
 	ID      string
 	Group   int
-	ln      net.Listener
+	Site    string       // its zone
+	ln      net.Listener // nil: it listens nowhere
 	primary bool
 	health  string
 	told    time.Time // when it was to get nothing new
@@ -116,6 +122,9 @@
 	w := &World{opt: opt, rnd: rand.New(rand.NewPCG(opt.Seed, 0x73746e64)), watch: map[chan []byte]*Discovery{}, muted: map[chan []byte]bool{}, tried: map[string]bool{}, ran: map[string]int{}, seq: 1, done: make(chan struct{})}
 	for g := range opt.Groups {
 		for m := range opt.Members {
+			if opt.Most > 0 && len(w.hosts) == opt.Most {
+				break
+			}
 			if _, err := w.add(opt.Group+g, m == 0, time.Time{}); err != nil {
 				w.Close()
 				return nil, err
@@ -131,9 +140,12 @@
 
 // add starts a database.
 func (w *World) add(group int, primary bool, born time.Time) (*Host, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, fmt.Errorf("stand-in: %w", err)
+	var ln net.Listener
+	if !w.opt.Unheard {
+		var err error
+		if ln, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			return nil, fmt.Errorf("stand-in: %w", err)
+		}
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -141,12 +153,20 @@
 	if w.named < len(w.opt.Names) {
 		id = w.opt.Names[w.named]
 	}
+	site := "a"
+	if w.named < len(w.opt.Sites) {
+		site = w.opt.Sites[w.named]
+	}
 	w.named++
 	h := &Host{
-		w: w, ID: id, Group: group, ln: ln, primary: primary, health: "in_service", born: born, lag: w.opt.Lag,
+		w: w, ID: id, Group: group, Site: site, ln: ln, primary: primary, health: "in_service", born: born, lag: w.opt.Lag,
 		slots: make(chan struct{}, w.opt.Cores), conns: map[net.Conn]time.Time{},
 	}
 	w.hosts = append(w.hosts, h)
+	if ln == nil {
+		h.dial = unheard
+		return h, nil
+	}
 	w.wg.Add(1)
 	go h.accept()
 	return h, nil
@@ -271,6 +291,21 @@
 	return nil
 }
 
+// ChangePrimary has a group's primary hand over to a replica, and discovery tell so. False: the group has no other member.
+func (w *World) ChangePrimary(group int) bool {
+	for _, h := range w.Members() {
+		w.mu.Lock()
+		primary := h.primary
+		w.mu.Unlock()
+		if h.Group == group && primary {
+			before := w.Version()
+			w.handOver(h)
+			return w.Version() != before
+		}
+	}
+	return false
+}
+
 // handOver makes the replica that has most of the log the primary in h's place.
 func (w *World) handOver(h *Host) {
 	w.mu.Lock()
@@ -375,7 +410,9 @@
 }
 
 func (h *Host) close() {
-	h.ln.Close()
+	if h.ln != nil {
+		h.ln.Close()
+	}
 	h.w.mu.Lock()
 	defer h.w.mu.Unlock()
 	for c := range h.conns {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -62,3 +62,24 @@
 	assert.Equal(t, 1, primaries)
 	assert.Len(t, w.Members(), 3)
 }
+
+// A world can list databases that listen nowhere, in zones of their own, and change a primary so that discovery tells it.
+func TestScaleListWithoutListeners(t *testing.T) {
+	w, err := New(Options{Groups: 2, Members: 4, Most: 5, Unheard: true, Sites: []string{"x", "y"}})
+	require.NoError(t, err)
+	defer w.Close()
+	list := w.Members()
+	require.Len(t, list, 5)
+	assert.Equal(t, []string{"x", "y", "a"}, []string{list[0].Site, list[1].Site, list[2].Site})
+	assert.Equal(t, 1, list[4].Group)
+	for _, h := range list {
+		assert.Nil(t, h.ln)
+	}
+	assert.Contains(t, string(w.List()), `"dial":"127.0.0.1:9","site":"y"`)
+	before := w.Version()
+	assert.True(t, w.ChangePrimary(0))
+	assert.Equal(t, before+1, w.Version())
+	assert.False(t, w.ChangePrimary(1), "it has one member")
+	assert.False(t, list[0].primary)
+	assert.Equal(t, before+1, w.Version())
+}
