--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -25,6 +25,9 @@
 	return &Process{cmd: cmd, end: make(chan struct{}), started: make(chan string, 1)}
 }
 
+// Setenv gives it variables besides those of this process.
+func (p *Process) Setenv(list ...string) { p.cmd.Env = append(os.Environ(), list...) }
+
 // Launch starts it. Each line of its log is handed to each, on a goroutine of its own; ended is called when it is over.
 func (p *Process) Launch(each func(line string), ended func()) error {
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/internal/scale/files.go
+++ b/internal/scale/files.go
@@ -48,6 +48,7 @@
 		return b.Bytes(), nil
 	}
 	part := *p.fleet
+	part.Style &^= yaml.FlowStyle
 	part.Content = slices.Clone(part.Content)
 	for i := 0; i+1 < len(part.Content); i += 2 {
 		if part.Content[i].Value == "budgets" {
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -6,6 +6,9 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"lilaccove/internal/hollow"
+	"lilaccove/internal/stats"
 )
 
 // gate is one gateway as the run knows it. The run's lock guards it.
@@ -18,8 +21,8 @@
 	began   time.Time // when it was last started
 	ready   bool      // it has told of itself since
 	downs   []span
-	past    map[string]Count // of its processes before this one
-	now     map[string]Count // of this one
+	past    map[string]stats.Traffic // of its processes before this one
+	now     map[string]stats.Traffic // of this one
 	cpuPast float64
 	cpuNow  float64
 	samples []sample
@@ -37,46 +40,50 @@
 type sample struct {
 	at      time.Time
 	cpuMS   float64
+	share   float64 // of cpuMS, what is not its own alone
 	rss     float64
 	lateMS  float64
 	members int
 	digest  uint64
-	seq     int
+	seq     int64
 	known   int
-	stale   [2]*float64
-	roles   map[string]Count
+	age     [2]float64 // of the positions it knows, in ms: p50, p99
+	roles   map[string]stats.Traffic
 }
 
-func (s *sample) total() (c Count) {
+func (s *sample) total() (c stats.Traffic) {
 	for _, r := range s.roles {
-		c = c.plus(r)
+		c = plus(c, r)
 	}
 	return c
 }
 
-// take adds a report to what is known of a gateway.
-func (g *gate) take(at time.Time, r *gatewayReport, rss, cpuShare float64) {
+// take adds a report to what is known of a gateway; cpuShare is its part of what its process spends besides the gateways.
+func (g *gate) take(at time.Time, r *hollow.State, rss, cpuShare float64) {
 	for role, c := range r.Roles {
-		if c.less(g.now[role]) { // another process counts from zero
+		if was := g.now[role]; c.OutBytes < was.OutBytes || c.InBytes < was.InBytes { // another process counts from zero
 			for role, c := range g.now {
-				g.past[role] = g.past[role].plus(c)
+				g.past[role] = plus(g.past[role], c)
 			}
 			clear(g.now)
 			break
 		}
 	}
-	if r.CPUMS < g.cpuNow {
+	cpu := r.CPUMS - r.FeedCPUMS
+	if cpu < g.cpuNow {
 		g.cpuPast += g.cpuNow
 	}
-	g.cpuNow = r.CPUMS
-	s := sample{at: at, cpuMS: g.cpuPast + g.cpuNow + cpuShare, rss: rss, lateMS: r.LateMS, members: r.Members, seq: r.ListSeq, known: r.Known,
-		stale: [2]*float64{r.StaleP50MS, r.StaleP99MS}, roles: map[string]Count{}}
-	s.digest, _ = strconv.ParseUint(cmp.Or(r.Digest, "0"), 16, 64)
+	g.cpuNow = cpu
+	s := sample{
+		at: at, cpuMS: g.cpuPast + g.cpuNow + cpuShare, share: cpuShare, rss: rss, lateMS: r.LateMSMax, members: r.ViewMembers, seq: r.ListSeq,
+		known: r.KnownPositions, age: [2]float64{r.AgeP50, r.AgeP99}, roles: map[string]stats.Traffic{},
+	}
+	s.digest, _ = strconv.ParseUint(cmp.Or(r.ViewDigest, "0"), 16, 64)
 	for role, c := range r.Roles {
 		g.now[role] = c
 	}
 	for role, c := range g.now {
-		s.roles[role] = c.plus(g.past[role])
+		s.roles[role] = plus(c, g.past[role])
 	}
 	for role, c := range g.past {
 		if _, on := g.now[role]; !on {
@@ -86,6 +93,14 @@
 	g.samples = append(g.samples, s)
 }
 
+func plus(c, d stats.Traffic) stats.Traffic {
+	return stats.Traffic{OutBytes: c.OutBytes + d.OutBytes, OutMessages: c.OutMessages + d.OutMessages, InBytes: c.InBytes + d.InBytes, InMessages: c.InMessages + d.InMessages}
+}
+
+func minus(c, d stats.Traffic) stats.Traffic {
+	return stats.Traffic{OutBytes: c.OutBytes - d.OutBytes, OutMessages: c.OutMessages - d.OutMessages, InBytes: c.InBytes - d.InBytes, InMessages: c.InMessages - d.InMessages}
+}
+
 // last is the newest sample; nil: there is none.
 func (g *gate) last() *sample {
 	if n := len(g.samples); n > 0 {
@@ -124,9 +139,10 @@
 
 // settling is a wait for all views to be equal again after something has happened.
 type settling struct {
-	what  string
-	since time.Time
-	took  time.Duration // 0: not yet
+	what   string
+	since  time.Time
+	took   time.Duration // 0: not yet
+	passed bool          // the next thing had happened before
 }
 
 // equal tells whether all gateways that live have the same view of just those, in reports from after a moment.
@@ -155,7 +171,7 @@
 
 // change is one of the list at discovery, until all have it.
 type change struct {
-	seq   int
+	seq   int64
 	at    time.Time
 	had   map[string]bool
 	took  []float64 // s
@@ -211,14 +227,14 @@
 				break
 			}
 			b := &g.samples[j]
-			sent := b.total().minus(a.total()).OutBytes
+			sent := minus(b.total(), a.total()).OutBytes
 			rate := float64(sent) / b.at.Sub(a.at).Seconds()
 			over = over || rate > allowed
 			if rate > w.rate {
 				w.rate, w.gateway, w.from, w.to = rate, g.name, a.at, b.at
 				most := uint64(0)
 				for role, c := range b.roles {
-					if d := c.minus(a.roles[role]).OutBytes; d > most {
+					if d := minus(c, a.roles[role]).OutBytes; d > most {
 						most, w.role = d, role
 					}
 				}
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -11,73 +11,12 @@
 	"sync"
 	"syscall"
 	"time"
-)
 
-// What is said to a process of hollow gateways, and what it says, a JSON object a line.
-type (
-	hollowStart struct {
-		Gateways []hollowGateway `json:"gateways"`
-		ReportMS int             `json:"report_ms"`
-	}
-	hollowGateway struct {
-		Name       string  `json:"name"`
-		Config     string  `json:"config"`
-		Fleet      string  `json:"fleet"`
-		Zone       string  `json:"zone"`
-		Statements float64 `json:"statements_per_s"`
-		Skew       float64 `json:"skew"`
-	}
-	hollowOrder struct {
-		Do    string   `json:"do"`
-		Names []string `json:"names,omitempty"`
-	}
-	hollowReport struct {
-		AtMS    int64 `json:"at_ms"`
-		Process struct {
-			CPUMS  float64 `json:"cpu_ms"`
-			RSS    float64 `json:"rss_bytes"`
-			LateMS float64 `json:"late_ms_max"`
-		} `json:"process"`
-		Gateways []gatewayReport `json:"gateways"`
-	}
-	gatewayReport struct {
-		Name       string           `json:"name"`
-		Up         bool             `json:"up"`
-		CPUMS      float64          `json:"cpu_ms"`
-		LateMS     float64          `json:"late_ms_max"`
-		Members    int              `json:"view_members"`
-		Digest     string           `json:"view_digest"`
-		DeadNames  []string         `json:"dead_names"`
-		ListSeq    int              `json:"list_seq"`
-		Known      int              `json:"known_positions"`
-		StaleP50MS *float64         `json:"stale_p50_ms"`
-		StaleP99MS *float64         `json:"stale_p99_ms"`
-		Roles      map[string]Count `json:"roles"`
-	}
+	"lilaccove/internal/hollow"
 )
 
-// Count is what one role of a gateway sent and took in.
-type Count struct {
-	OutBytes    uint64 `json:"out_bytes"`
-	OutMessages uint64 `json:"out_messages"`
-	InBytes     uint64 `json:"in_bytes"`
-	InMessages  uint64 `json:"in_messages"`
-}
-
-func (c Count) plus(d Count) Count {
-	return Count{c.OutBytes + d.OutBytes, c.OutMessages + d.OutMessages, c.InBytes + d.InBytes, c.InMessages + d.InMessages}
-}
-
-// minus is the difference to what was counted before.
-func (c Count) minus(d Count) Count {
-	return Count{c.OutBytes - d.OutBytes, c.OutMessages - d.OutMessages, c.InBytes - d.InBytes, c.InMessages - d.InMessages}
-}
-
-// less tells that it was counted from anew.
-func (c Count) less(d Count) bool { return c.OutBytes < d.OutBytes || c.InBytes < d.InBytes }
-
-// hollow is a process of hollow gateways.
-type hollow struct {
+// process is one of hollow gateways.
+type process struct {
 	cmd  *exec.Cmd
 	mu   sync.Mutex // of in
 	in   io.WriteCloser
@@ -87,8 +26,8 @@
 }
 
 // startHollow starts a process; each report is handed to take, on a goroutine of its own.
-func startHollow(command []string, log func(line string), first hollowStart, take func(*hollowReport)) (*hollow, error) {
-	h := &hollow{cmd: exec.Command(command[0], command[1:]...), end: make(chan struct{})}
+func startHollow(command []string, log func(line string), first hollow.Start, take func(*hollow.Report)) (*process, error) {
+	h := &process{cmd: exec.Command(command[0], command[1:]...), end: make(chan struct{})}
 	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true} // an interrupt is for the run alone
 	var err error
 	if h.in, err = h.cmd.StdinPipe(); err != nil {
@@ -120,7 +59,7 @@
 		defer both.Done()
 		in := json.NewDecoder(out)
 		for {
-			r := &hollowReport{}
+			r := &hollow.Report{}
 			if err := in.Decode(r); err != nil {
 				break
 			}
@@ -137,7 +76,7 @@
 }
 
 // say writes an order.
-func (h *hollow) say(v any) error {
+func (h *process) say(v any) error {
 	text, err := json.Marshal(v)
 	if err != nil {
 		return err
@@ -150,7 +89,7 @@
 	return nil
 }
 
-func (h *hollow) ended() bool {
+func (h *process) ended() bool {
 	select {
 	case <-h.end:
 		return true
@@ -160,8 +99,8 @@
 }
 
 // quit ends it, in order if it does so in time.
-func (h *hollow) quit() {
-	_ = h.say(hollowOrder{Do: "quit"})
+func (h *process) quit() {
+	_ = h.say(hollow.Order{Do: "quit"})
 	h.mu.Lock()
 	h.in.Close()
 	h.mu.Unlock()
