--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -519,4 +520,4 @@
 	}
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+func seconds(s float64) time.Duration { return time.Duration(math.Round(s * float64(time.Second))) }
--- a/internal/yamlfile/yamlfile.go
+++ b/internal/yamlfile/yamlfile.go
@@ -130,7 +130,7 @@
 		r.Fail(n, key, "longer than a day")
 		return 0
 	}
-	return time.Duration(x * float64(time.Second))
+	return time.Duration(math.Round(x * float64(time.Second)))
 }
 
 // Share reads a figure in percent, as a part of 1.
