--- /dev/null
+++ b/internal/scale/run_test.go
@@ -0,0 +1,157 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lilaccove/internal/load/run"
+)
+
+// programs builds what a run starts.
+func programs(t *testing.T) (tool, gateway string) {
+	dir := t.TempDir()
+	out, err := exec.Command("go", "build", "-o", dir+"/", "lilaccove/cmd/lilacload", "lilaccove/cmd/lilaccove").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	return filepath.Join(dir, "lilacload"), filepath.Join(dir, "lilaccove")
+}
+
+// lateness is wide here: a test must not fail because the machine has something else to do.
+const faulty = `seed: 11
+gateways: 33
+databases: 24
+real: 3
+hollow_per_process: 10
+regions:
+  north: [n1, n2]
+  south: [s1, s2]
+rtt: {between: 20 ms, within: 500 us, jitter: 1 ms}
+loss: {between: 1%%}
+load: {statements: 50/s}
+clients: 15/s
+fleet: {positions: true, primaries: true, subsets: true}
+settle: 10 s
+for: 28 s
+events:
+  - {at: 1 s, do: kill, gateways: [g002, g010, g020], back: 4 s}
+  - {at: 9 s, do: list-change, gateways: [g017]}
+  - {at: 12 s, do: restart, gateways: [g001, g015], every: 2 s}
+  - {at: 14 s, do: primary-change}
+  - {at: 17 s, do: cut, sides: [[north], [south]], for: 4 s}
+allowance: {bytes_out: %s, core: 100%%, memory: 256 MB, discovery: 33/s}
+limits: {lateness: 5 s}
+`
+
+// calm is the same without events.
+func calm(bytes string) string {
+	text := fmt.Sprintf(faulty, bytes)
+	from, to := strings.Index(text, "events:"), strings.Index(text, "allowance:")
+	return text[:from] + text[to:]
+}
+
+// Hollow gateways and real ones, between them a relay with two regions, and what can befall them: no gateway is told dead that
+// lives, all views are equal again after each thing, all have each list in time, clients get their answers, and nothing is left over.
+func TestScaleFaultsBetweenHollowAndRealGateways(t *testing.T) {
+	t.Parallel()
+	tool, gateway := programs(t)
+	p := parse(t, fmt.Sprintf(faulty, "40 kB/s"), NoOverride())
+	r := &Run{Plan: p, Command: "test", Hollow: []string{tool, "hollow"}, Gateway: []string{gateway}}
+	got, err := r.Play(context.Background())
+	require.NoError(t, err)
+	text := &bytes.Buffer{}
+	require.NoError(t, got.Text(text))
+	t.Log(text)
+	assert.NoError(t, got.Verdict())
+	assert.Zero(t, got.FalseDeaths)
+	assert.Len(t, got.ViewsEqual, 4)
+	for _, s := range got.ViewsEqual {
+		assert.NotNil(t, s.Took, s.After)
+	}
+	require.NotNil(t, got.ListInForce)
+	assert.LessOrEqual(t, got.ListInForce.Max, (inForce + reportEvery).Seconds())
+	require.Len(t, r.changes, 2)
+	assert.Len(t, r.changes[0].took, p.Gateways, "each gateway has it, that which was just starting too")
+	assert.GreaterOrEqual(t, len(r.changes[1].took), p.Gateways-1, "one may be on its way down")
+	for _, role := range []string{"membership", "positions", "primaries", "versions", "words", "discovery"} {
+		assert.Positive(t, got.ByRole[role].BytesIn, role)
+	}
+	assert.Positive(t, got.Relay.Cut)
+	assert.Positive(t, got.Relay.Lost)
+	assert.Zero(t, got.Relay.Foreign)
+	assert.Equal(t, 1+3+3, got.Processes)
+	require.NotNil(t, got.RealOnes)
+	assert.Greater(t, got.Clients.Total.Counts[run.InAim], got.Clients.Total.Count*3/4, "though three of three gateways went away for a while")
+	assert.Greater(t, got.Clients.Total.Count, 1000)
+
+	path := filepath.Join(t.TempDir(), "r.json")
+	require.NoError(t, got.JSON(path))
+	b, err := os.ReadFile(path)
+	require.NoError(t, err)
+	var top map[string]any
+	require.NoError(t, json.Unmarshal(b, &top))
+	for _, key := range []string{"command", "gateways", "databases", "regions", "rtt_ms", "seed", "seconds", "real", "valid", "partial", "control", "by_role",
+		"in_force_s", "primary_change_s", "false_deaths", "faults", "lateness_ms", "positions"} {
+		assert.Contains(t, top, key)
+	}
+	assert.Nil(t, top["in_force_s"])
+	require.NoError(t, got.Plots(filepath.Join(t.TempDir(), "r")))
+	for _, h := range r.procs {
+		assert.NotNil(t, h.cmd.ProcessState, "it has ended")
+	}
+	for _, n := range r.reals {
+		assert.False(t, n.p.Alive())
+	}
+	_, err = os.Stat(r.dir)
+	assert.ErrorIs(t, err, os.ErrNotExist)
+}
+
+// What is over an allowance is a fault, and an interrupt gives a report of what there is.
+func TestScaleAllowanceAndInterrupt(t *testing.T) {
+	t.Parallel()
+	tool, _ := programs(t)
+	p := parse(t, calm("10 B/s"), Override{Gateways: 8, Seed: -1, Real: 0})
+	p.Settle = 2 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	r := &Run{Plan: p, Hollow: []string{tool, "hollow"}}
+	got, err := r.Play(ctx)
+	require.NoError(t, err)
+	assert.True(t, got.Partial)
+	assert.Less(t, got.Seconds, 20.0)
+	assert.Equal(t, 8, got.Window.Over)
+	assert.ErrorContains(t, got.Verdict(), "8 of 8 gateways sent over 10 B/s in a window of 10 s")
+	assert.Nil(t, got.ListInForce)
+	assert.Nil(t, got.RealOnes)
+}
+
+// A run stops that would pass its bounds.
+func TestScaleStopsOverItsBounds(t *testing.T) {
+	tool, _ := programs(t)
+	p := parse(t, calm("1 MB/s"), Override{Gateways: 4, Seed: -1, Real: 0})
+	p.Limits.Memory = 1e-6
+	begun := time.Now()
+	got, err := (&Run{Plan: p, Hollow: []string{tool, "hollow"}}).Play(context.Background())
+	require.NoError(t, err)
+	assert.Less(t, time.Since(begun), p.Settle)
+	assert.False(t, got.Valid)
+	assert.Contains(t, got.Invalid, "over 0% of the machine's")
+	assert.True(t, got.Partial)
+}
+
+func TestScaleHollowProcessThatEnds(t *testing.T) {
+	p := parse(t, calm("1 MB/s"), Override{Gateways: 4, Seed: -1, Real: 0})
+	_, err := (&Run{Plan: p, Hollow: []string{"false"}}).Play(context.Background())
+	assert.Error(t, err)
+	_, err = (&Run{Plan: p, Hollow: []string{"/nonexistent"}}).Play(context.Background())
+	assert.Error(t, err)
+}
