--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -123,7 +123,7 @@
 // falseDeath judges a death that one gateway tells of another: it is false where that one lived, unless the relay had cut the two off
 // from each other, or a cut or a process of that name ended a short while ago, of which word may still go round.
 func falseDeath(by, of *gate, at time.Time, cuts []cutting) bool {
-	if !of.live || slices.ContainsFunc(of.downs, func(s span) bool { return s.touches(at, grace) }) {
+	if slices.ContainsFunc(of.downs, func(s span) bool { return s.touches(at, grace) }) {
 		return false
 	}
 	return !slices.ContainsFunc(cuts, func(c cutting) bool {
