--- a/cmd/lilacload/scale.go
+++ b/cmd/lilacload/scale.go
@@ -85,6 +85,7 @@
 	f.Int64Var(&o.Seed, "seed", -1, "seed instead of the plan's")
 	f.DurationVar(&o.For, "for", time.Duration(0), "measure for so long instead of the plan's time, like 30s")
 	f.IntVar(&o.Real, "real", -1, "so many of the gateways are processes of their own, with clients")
+	f.Float64Var(&o.Statements, "statements", -1, "so many statements a second at each hollow gateway")
 	f.BoolVar(&check, "check", false, "read the plan, tell what it comes to and end")
 	f.StringVar(&json, "json", "", "write the report to this file as well")
 	f.StringVar(&plots, "plots", "", "draw PREFIX-bytes.png and PREFIX-lateness.png")
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -108,11 +108,12 @@
 	RTT                          time.Duration
 	Seed                         int64 // -1: nothing
 	For                          time.Duration
-	Real                         int // -1: nothing
+	Real                         int     // -1: nothing
+	Statements                   float64 // a second; below 0: nothing
 }
 
 // NoOverride leaves a plan as it is.
-func NoOverride() Override { return Override{Seed: -1, Real: -1} }
+func NoOverride() Override { return Override{Seed: -1, Real: -1, Statements: -1} }
 
 const (
 	grace     = 20 * time.Second // after a fault for which a death that is told may come from it
@@ -207,6 +208,9 @@
 	if o.Real >= 0 {
 		p.Real = o.Real
 	}
+	if o.Statements >= 0 {
+		p.Load.Statements = o.Statements
+	}
 }
 
 // redivide spreads all zones evenly over another number of regions, of which the first keep their names. More regions than zones
--- a/internal/scale/plan_test.go
+++ b/internal/scale/plan_test.go
@@ -53,15 +53,16 @@
 
 func TestScaleFlagsGoBeforeThePlan(t *testing.T) {
 	text := strings.ReplaceAll(small, "  - {at: 2 s, do: cut, sides: [[north], [south]], for: 5 s}\n", "")
-	p := parse(t, text, Override{Gateways: 20, Databases: 8, Regions: 3, RTT: 120 * time.Millisecond, Seed: 9, For: 20 * time.Second, Real: 0})
+	p := parse(t, text, Override{Gateways: 20, Databases: 8, Regions: 3, RTT: 120 * time.Millisecond, Seed: 9, For: 20 * time.Second, Real: 0, Statements: 70})
 	assert.Equal(t, []any{20, 8, 0, uint64(9), 0.12, 20 * time.Second}, []any{p.Gateways, p.Databases, p.Real, p.Seed, p.RTT.Between, p.For})
+	assert.Equal(t, 70.0, p.Load.Statements)
 	assert.Equal(t, []Region{{"north", []string{"n1"}}, {"south", []string{"n2"}}, {"region3", []string{"s1"}}}, p.Regions)
-	p = parse(t, text, Override{Regions: 1, Seed: -1, Real: -1})
+	p = parse(t, text, Override{Regions: 1, Seed: -1, Real: -1, Statements: -1})
 	assert.Equal(t, []Region{{"north", []string{"n1", "n2", "s1"}}}, p.Regions)
 	assert.Equal(t, uint64(3), p.Seed)
 	assert.Equal(t, 2, p.Real)
 	// What the flags leave no room for is told where it stands.
-	_, err := Parse("p", []byte(small), Override{Gateways: 2, Regions: 1, Seed: -1, Real: -1})
+	_, err := Parse("p", []byte(small), Override{Gateways: 2, Regions: 1, Seed: -1, Real: -1, Statements: -1})
 	assert.ErrorContains(t, err, "p:2:11: gateways: 2 for 3 zones")
 	assert.ErrorContains(t, err, `p:17:42: sides: region "south" is unknown; the plan has north`)
 	assert.ErrorContains(t, err, `p:16:36: gateways: "g003" is unknown; they are named g000 to g001`)
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -43,12 +43,14 @@
 	Databases int     `json:"databases"`
 	Regions   int     `json:"regions"`
 	Zones     int     `json:"zones"`
-	RTT       float64 `json:"rtt_ms"` // between regions
+	RTT       float64 `json:"rtt_ms"` // between regions; within, where there is one
 	RTTWithin float64 `json:"rtt_within_ms"`
 	Seed      uint64  `json:"seed"`
 	Seconds   float64 `json:"seconds"`
 	Settled   float64 `json:"settle_seconds"`
 	Real      int     `json:"real"`
+	Load      float64 `json:"statements_per_s"` // at a hollow gateway
+	Skew      float64 `json:"skew"`
 	Valid     bool    `json:"valid"`
 	Invalid   string  `json:"invalid_because,omitempty"`
 	Partial   bool    `json:"partial"`
@@ -132,9 +134,12 @@
 	p := r.Plan
 	out := &Report{
 		Command: r.Command, Gateways: p.Gateways, Databases: p.Databases, Regions: len(p.Regions), Zones: len(p.Zones()), RTT: round(p.RTT.Between * 1000),
-		RTTWithin: round(p.RTT.Within * 1000), Seed: p.Seed, Seconds: round(r.ended.Sub(r.begun).Seconds()), Settled: p.Settle.Seconds(), Real: p.Real,
+		RTTWithin: round(p.RTT.Within * 1000), Seed: p.Seed, Seconds: round(r.ended.Sub(r.begun).Seconds()), Settled: p.Settle.Seconds(), Real: p.Real, Load: p.Load.Statements, Skew: p.Load.Skew,
 		Partial: partial, ByRole: map[string]Role{}, Faults: slices.Clone(r.failed), EarlyDeaths: r.early, begun: r.begun, run: r,
 	}
+	if len(p.Regions) == 1 {
+		out.RTT = out.RTTWithin
+	}
 	r.rates(out)
 	w := worst(r.gates, r.begun, p.Allowance.BytesOut)
 	if w.gateway != "" {
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -119,7 +119,7 @@
 func TestScaleAllowanceAndInterrupt(t *testing.T) {
 	t.Parallel()
 	tool, _ := programs(t)
-	p := parse(t, calm("10 B/s"), Override{Gateways: 8, Seed: -1, Real: 0})
+	p := parse(t, calm("10 B/s"), Override{Gateways: 8, Seed: -1, Real: 0, Statements: 70})
 	p.Settle = 2 * time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
 	defer cancel()
@@ -137,7 +137,7 @@
 // A run stops that would pass its bounds.
 func TestScaleStopsOverItsBounds(t *testing.T) {
 	tool, _ := programs(t)
-	p := parse(t, calm("1 MB/s"), Override{Gateways: 4, Seed: -1, Real: 0})
+	p := parse(t, calm("1 MB/s"), Override{Gateways: 4, Seed: -1, Real: 0, Statements: 70})
 	p.Limits.Memory = 1e-6
 	begun := time.Now()
 	got, err := (&Run{Plan: p, Hollow: []string{tool, "hollow"}}).Play(context.Background())
@@ -149,7 +149,7 @@
 }
 
 func TestScaleHollowProcessThatEnds(t *testing.T) {
-	p := parse(t, calm("1 MB/s"), Override{Gateways: 4, Seed: -1, Real: 0})
+	p := parse(t, calm("1 MB/s"), Override{Gateways: 4, Seed: -1, Real: 0, Statements: 70})
 	_, err := (&Run{Plan: p, Hollow: []string{"false"}}).Play(context.Background())
 	assert.Error(t, err)
 	_, err = (&Run{Plan: p, Hollow: []string{"/nonexistent"}}).Play(context.Background())
