Hear out attempts that are given up: their answer may be first to tell of a new role

Cause: a primary ends, and its database comes back at 13.4 s as a replica whose log stood since 10 s; no new primary until 15.6 s. The breaker is open, so one read at a time is tried on the old primary (mayTry), with a quarter of its aim, 44 ms, as its limit. The first read of a gateway there is excused. Traced: gateway n27 gave such a trial up at 14.851 s and closed without having read the answer that was on its way, and sent the next trial at 15.06 s. What an answer tells counts as known 100 ms after it was written, so this second read had no excuse.

Without descriptors to spare the connection is closed at once, as before. That it is a replica is told to the module as a result of no attempt; that it was a primary is not, as others may have told more since.

Tests, each seen to fail without the mend: TestAnswerCrossesTheEndOfItsAttempt and TestAnswerToAnAttemptGivenUpIsNotWaitedForLong (closing at once), TestLateAnswerUnseatsThePrimary (the role learned behind the look for the attempt).

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -27,6 +27,7 @@
 	dropped bool
 	body    [][]byte // of a large statement, what is still to be written
 	job     *job
+	late    bool // its attempt was given up; what is still read is the answer to that
 	answer  answer
 }
 
@@ -83,6 +84,21 @@
 	}
 }
 
+// crossing is how long an answer may be on its way after its attempt was given up.
+const crossing = 100 * time.Millisecond
+
+// hearOut ends the sending, which tells the database that an attempt was given up, and reads what is on its way. That
+// answer counts as told, and it may be the only one to tell that the host is no primary any more.
+func (c *conn) hearOut(j *job) {
+	if j.attempt == nil || c.answer.passed || c.pool.loop.Spare() <= c.pool.opt.Reserve {
+		c.drop()
+		return
+	}
+	c.late = true
+	c.nc.CloseWrite()
+	c.timer = c.pool.loop.At(c.pool.loop.Now()+crossing, c.drop)
+}
+
 // start writes a job. Of a statement only the digits of d are new; the rest goes out
 // from where it was read.
 func (c *conn) start(j *job) {
@@ -222,7 +238,7 @@
 func (c *conn) fits(kind byte) bool {
 	a := &c.answer
 	switch {
-	case c.up && c.job == nil:
+	case c.up && c.job == nil && !c.late:
 		return false // nothing was asked
 	case kind == pgwire.ParameterStatus, kind == pgwire.Notice:
 		return true
@@ -252,6 +268,8 @@
 		a.shape = append(a.shape, kind)
 		if a.passed {
 			c.hand(whole)
+		} else if c.late {
+			// nobody waits for the value
 		} else if c.job.attempt != nil {
 			a.value = append(a.value, whole...)
 		} else if kind == pgwire.DataRow {
@@ -329,6 +347,11 @@
 // ready handles ReadyForQuery: the end of the greeting or of an answer.
 func (c *conn) ready() {
 	j := c.job
+	if c.late {
+		c.pool.core.Late(c.host.id, c.answer.reply)
+		c.drop()
+		return
+	}
 	if !c.up {
 		c.up = true
 		c.timer.Stop()
@@ -380,6 +403,10 @@
 // Ended settles what the connection carried.
 func (c *conn) Ended(error) {
 	switch j := c.job; {
+	case c.late:
+		if c.drop(); c.answer.whole() {
+			c.pool.core.Late(c.host.id, c.answer.reply)
+		}
 	case !c.up:
 		o := policy.ConnectFailed
 		if a := &c.answer; a.code == pgwire.CodeTooManyConnections {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -17,6 +17,7 @@
 // Core hears how attempts and probes end.
 type Core interface {
 	Resolved(a *gateway.Attempt, o policy.Outcome, r gateway.Reply)
+	Late(host policy.HostID, r gateway.Reply) // what was answered to an attempt that was given up meanwhile
 	Probed(host policy.HostID, o policy.Outcome, r gateway.Reply)
 	Written(a *gateway.Attempt) // its last byte was taken by the kernel
 	Began(a *gateway.Attempt) bool
@@ -414,8 +415,11 @@
 		if c.owes() && o != policy.Moot {
 			o = policy.ConnectFailed
 		}
-		c.job = nil
-		c.drop()
+		if c.job = nil; o == policy.Timeout || o == policy.Cancelled {
+			c.hearOut(j)
+		} else {
+			c.drop()
+		}
 	} else if i := slices.Index(j.host.waiting, j); i >= 0 {
 		j.host.waiting = slices.Delete(j.host.waiting, i, i+1)
 	}
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -18,11 +18,15 @@
 )
 
 // ends takes what becomes of attempts.
-type ends struct{ outcomes []policy.Outcome }
+type ends struct {
+	outcomes []policy.Outcome
+	late     []policy.Role
+}
 
 func (e *ends) Resolved(_ *gateway.Attempt, o policy.Outcome, _ gateway.Reply) {
 	e.outcomes = append(e.outcomes, o)
 }
+func (e *ends) Late(_ policy.HostID, r gateway.Reply)             { e.late = append(e.late, r.Role) }
 func (*ends) Probed(policy.HostID, policy.Outcome, gateway.Reply) {}
 func (*ends) Written(*gateway.Attempt)                            {}
 func (*ends) Began(*gateway.Attempt) bool                         { return true }
@@ -114,3 +118,95 @@
 		})
 	}
 }
+
+// An attempt is given up while the database's answer is on its way. That answer was written, so it counts as told; the
+// database sees no more than an end behind the statement.
+func TestAnswerCrossesTheEndOfItsAttempt(t *testing.T) {
+	const role = "S\x00\x00\x00\x11role\x00replica\x00"
+	for name, c := range map[string]struct {
+		answer string
+		late   []policy.Role
+	}{
+		"whole":                 {role + row, []policy.Role{policy.Replica}},
+		"but for what ends it":  {role + row[:len(row)-6], []policy.Role{policy.Replica}},
+		"turned away":           {role + string(pgwire.AppendError(nil, "ERROR", pgwire.CodeTooManyConnections, "over", "")), []policy.Role{policy.Replica}},
+		"cut off":               {role + row[:len(row)-20], nil},
+		"with noise":            {role + "?\x00\x00\x00\x04" + row, nil},
+		"of which nothing came": {"", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer ln.Close()
+			rest := make(chan []byte, 1)
+			go func() {
+				c1, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = c1.Write(pgwire.AppendWelcome(nil, 0))
+				_, _ = io.CopyN(io.Discard, c1, int64(len(pgwire.Startup("api", "ledger"))))
+				all, _ := io.ReadAll(c1) // to the end of the sending
+				rest <- all
+				_, _ = c1.Write([]byte(c.answer))
+				c1.Close()
+			}()
+
+			loop, err := netloop.New(64, 10, 1<<20)
+			require.NoError(t, err)
+			defer loop.Close()
+			core := &ends{}
+			pool := New(loop, core, Options{DialTimeout: 5 * time.Second})
+			pool.Listed(policy.ListFull, []gateway.Entry{{Member: policy.Member{Host: "h"}, Dial: netip.MustParseAddrPort(ln.Addr().String())}})
+			text := []byte("/* id=1,c=x,d=900,cluster=2 */ SELECT 1")
+			head, err := pgwire.ParseHead(text)
+			require.NoError(t, err)
+			until := loop.Now() + 300*time.Millisecond
+			pool.Send(&gateway.Attempt{Host: "h", Statement: &pgwire.Statement{Text: text, Head: head}, Deadline: until, Begin: until})
+			loop.At(until+2*crossing, loop.Stop)
+			require.NoError(t, loop.Run(func() bool { return false }))
+			assert.Equal(t, []policy.Outcome{policy.Timeout}, core.outcomes)
+			assert.Equal(t, c.late, core.late)
+			assert.Contains(t, string(<-rest), "SELECT 1")
+			assert.Zero(t, pool.hosts["h"].open, "its connection is closed")
+			assert.Empty(t, pool.hosts["h"].idle)
+		})
+	}
+}
+
+// A database that neither answers nor ends is left to itself soon, and at once where descriptors are short.
+func TestAnswerToAnAttemptGivenUpIsNotWaitedForLong(t *testing.T) {
+	for name, reserve := range map[string]int{"soon": 0, "at once": 1000} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer ln.Close()
+			go func() {
+				c, err := ln.Accept()
+				if err == nil {
+					_, _ = c.Write(pgwire.AppendWelcome(nil, 0))
+					time.Sleep(5 * time.Second)
+				}
+			}()
+			loop, err := netloop.New(64, 10, 1<<20)
+			require.NoError(t, err)
+			defer loop.Close()
+			core := &ends{}
+			pool := New(loop, core, Options{DialTimeout: 5 * time.Second})
+			pool.Listed(policy.ListFull, []gateway.Entry{{Member: policy.Member{Host: "h"}, Dial: netip.MustParseAddrPort(ln.Addr().String())}})
+			text := []byte("/* id=1,c=x,d=900,cluster=2 */ SELECT 1")
+			head, err := pgwire.ParseHead(text)
+			require.NoError(t, err)
+			until := loop.Now() + 300*time.Millisecond
+			pool.Send(&gateway.Attempt{Host: "h", Statement: &pgwire.Statement{Text: text, Head: head}, Deadline: until, Begin: until})
+			loop.At(until-50*time.Millisecond, func() { pool.opt.Reserve = reserve })
+			open := -1
+			loop.At(until+crossing/2, func() { open = pool.hosts["h"].open })
+			loop.At(until+2*crossing, loop.Stop)
+			require.NoError(t, loop.Run(func() bool { return false }))
+			assert.Equal(t, map[string]int{"soon": 1, "at once": 0}[name], open)
+			assert.Zero(t, pool.hosts["h"].open)
+			assert.Equal(t, []policy.Outcome{policy.Timeout}, core.outcomes)
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -355,6 +355,14 @@
 	g.release(q)
 }
 
+// Late takes what a database answered to an attempt that was given up: that it is a replica counts as told. That it was
+// a primary may be older than what others have told since.
+func (g *Gateway) Late(host policy.HostID, r Reply) {
+	if r.Role == policy.Replica {
+		g.events = append(g.events, policy.Result{Host: host, Attempt: -1, Outcome: policy.Moot, Finished: true, Role: r.Role})
+	}
+}
+
 // took is how long something has taken since it was sent, without the time for which what came may have waited for this
 // process: an answer is not late for its reader's sake.
 func (g *Gateway) took(sent time.Duration) time.Duration {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -183,3 +183,15 @@
 	}))
 	assert.Equal(t, policy.Elapsed{Timer: 7}, r.heard[len(r.heard)-1])
 }
+
+// What was answered to an attempt that was given up unseats a primary; it seats none, for others may have told more since.
+func TestLateAnswers(t *testing.T) {
+	_, g, r, _ := newWorld(t)
+	g.Late("p", Reply{Role: policy.Primary})
+	g.Late("h", Reply{})
+	g.Step()
+	assert.Empty(t, r.heard)
+	g.Late("p", Reply{Role: policy.Replica})
+	g.Step()
+	assert.Equal(t, []policy.Event{policy.Result{Host: "p", Attempt: -1, Outcome: policy.Moot, Finished: true, Role: policy.Replica}}, r.heard)
+}
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -421,6 +421,13 @@
 	c.want()
 }
 
+// CloseWrite ends the sending: the peer finds an end behind what was written. What it says is still read.
+func (c *Conn) CloseWrite() {
+	if c.fd >= 0 {
+		_ = unix.Shutdown(c.fd, unix.SHUT_WR)
+	}
+}
+
 type ended struct{}
 
 func (ended) Connected()  {}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -799,6 +799,7 @@
 		return
 	}
 	r.onReport(h, e.Report)
+	r.learnRole(h, e.Role, r.now)
 	q := r.requests[e.Request]
 	if q == nil || e.Attempt < 0 || e.Attempt >= len(q.attempts) || q.attempts[e.Attempt].resolved {
 		return
@@ -815,7 +816,6 @@
 		})
 	}
 	r.stir(h.group)
-	r.learnRole(h, e.Role, r.now)
 	if e.Outcome == OK && e.Role == Primary {
 		// It stood at the present then. A hung primary turns work away as primary: no word on its log.
 		r.learnPosition(h, a.sentAt)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -180,6 +180,21 @@
 	g.wantFinal("x", 1, 0)
 }
 
+// What a database answered to an attempt that was given up meanwhile counts as told: that it is no primary any more holds
+// for the reads behind it, of which the first such answer excused one at most.
+func TestLateAnswerUnseatsThePrimary(t *testing.T) {
+	g := newRig(t, base())
+	g.failWrites(breakerThreshold, ConnectFailed)
+	g.at(300*ms, Probed{Host: "p"}).ask("r", recent)
+	g.wantSend("p")
+	g.at(125*ms, Result{Request: "r", Host: "p", Outcome: Timeout, Latency: 125 * ms})
+	g.at(10*ms, Result{Host: "p", Attempt: -1, Outcome: Moot, Finished: true, Role: Replica})
+	g.at(5*probeSoon, Probed{Host: "p"}).ask("s", recent)
+	g.wantSend()
+	g.at(10*probeSoon, Probed{Host: "p"}).ask("t", latest)
+	g.wantSend()
+}
+
 // A read held for a fresher replica is refused before half of its time is gone, so that
 // its client can still turn elsewhere.
 func TestHeldReadIsRefusedInTheFirstHalf(t *testing.T) {
--- a/policy/types.go
+++ b/policy/types.go
@@ -196,10 +196,10 @@
 		Budget   time.Duration // until the client gives up on this try
 		TokenAge time.Duration // since the session's last commit; 0: none
 	}
-	// Result is the end of one attempt.
+	// Result is the end of one attempt, or what the host of one that had ended tells besides.
 	Result struct {
 		Request  RequestID
-		Attempt  int
+		Attempt  int // negative: of one that had ended
 		Host     HostID
 		Outcome  Outcome
 		Latency  time.Duration
