--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -146,6 +146,14 @@
 	return s.positions.Ages()
 }
 
+// PositionNews is how many positions were news so far, from databases and from other gateways.
+func (s *Side) PositionNews() (learned, heard uint64) {
+	if s.positions == nil {
+		return 0, 0
+	}
+	return s.positions.News()
+}
+
 // Preferred are the databases that this gateway uses first; none: the settings say which.
 func (s *Side) Preferred() []policy.HostID {
 	if s.subsets == nil {
--- a/internal/hollow/gateway.go
+++ b/internal/hollow/gateway.go
@@ -44,29 +44,31 @@
 // State is one gateway in a report. Figures are sums since its start, but for late_ms_max and dead_names, which are since the
 // last report, and what holds at the moment.
 type State struct {
-	Name           string                   `json:"name"`
-	Up             bool                     `json:"up"`
-	Error          string                   `json:"error,omitempty"` // why it is not
-	Member         bool                     `json:"member"`
-	Addr           string                   `json:"addr,omitempty"`
-	Session        string                   `json:"session,omitempty"`
-	CPUMS          float64                  `json:"cpu_ms"`
-	FeedCPUMS      float64                  `json:"feed_cpu_ms"` // of cpu_ms, for what no real gateway does
-	LateMSMax      float64                  `json:"late_ms_max"`
-	ViewMembers    int                      `json:"view_members"`
-	ViewDigest     string                   `json:"view_digest"`
-	Deaths         uint64                   `json:"deaths"`
-	DeadNames      []string                 `json:"dead_names"`
-	ListSeq        int64                    `json:"list_seq"`
-	ListDatabases  int                      `json:"list_databases"`
-	KnownPositions int                      `json:"known_positions"`
-	AgeP50         float64                  `json:"position_age_ms_p50"` // how old they are
-	AgeP99         float64                  `json:"position_age_ms_p99"`
-	Learned        uint64                   `json:"learned"` // statements whose answers were fed in
-	LearnedPrimary uint64                   `json:"learned_primary"`
-	Short          uint64                   `json:"budget_short"` // that found no connection in the budget
-	Roles          map[string]stats.Traffic `json:"roles"`
-	Totals         stats.Traffic            `json:"totals"` // of all links, discovery not among them
+	Name             string                   `json:"name"`
+	Up               bool                     `json:"up"`
+	Error            string                   `json:"error,omitempty"` // why it is not
+	Member           bool                     `json:"member"`
+	Addr             string                   `json:"addr,omitempty"`
+	Session          string                   `json:"session,omitempty"`
+	CPUMS            float64                  `json:"cpu_ms"`
+	FeedCPUMS        float64                  `json:"feed_cpu_ms"` // of cpu_ms, for what no real gateway does
+	LateMSMax        float64                  `json:"late_ms_max"`
+	ViewMembers      int                      `json:"view_members"`
+	ViewDigest       string                   `json:"view_digest"`
+	Deaths           uint64                   `json:"deaths"`
+	DeadNames        []string                 `json:"dead_names"`
+	ListSeq          int64                    `json:"list_seq"`
+	ListDatabases    int                      `json:"list_databases"`
+	KnownPositions   int                      `json:"known_positions"`
+	AgeP50           float64                  `json:"position_age_ms_p50"` // how old they are
+	AgeP99           float64                  `json:"position_age_ms_p99"`
+	PositionsLearned uint64                   `json:"positions_learned"` // of what databases told: what was news
+	PositionsHeard   uint64                   `json:"positions_heard"`   // of what other gateways told
+	Learned          uint64                   `json:"learned"`           // statements whose answers were fed in
+	LearnedPrimary   uint64                   `json:"learned_primary"`
+	Short            uint64                   `json:"budget_short"` // that found no connection in the budget
+	Roles            map[string]stats.Traffic `json:"roles"`
+	Totals           stats.Traffic            `json:"totals"` // of all links, discovery not among them
 }
 
 // hollow is one gateway: it may be started again and again, each time as a new process would be.
@@ -298,6 +300,7 @@
 		s.ViewMembers, s.ViewDigest, s.Deaths = len(v.Members), strconv.FormatUint(v.Digest, 16), l.Deaths()
 		s.Totals = stats.Traffic{OutBytes: c.OutBytes, OutMessages: c.Out, InBytes: c.InBytes, InMessages: c.In}
 	}
+	s.PositionsLearned, s.PositionsHeard = r.side.PositionNews()
 	if ages := r.side.PositionAges(); len(ages) > 0 {
 		slices.Sort(ages)
 		s.KnownPositions = len(ages)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -286,8 +286,8 @@
 	return nil
 }
 
-// config is what the platform would tell a gateway of this plan.
-func (l *Lab) config(i int) map[string]any {
+// Config is what the platform would tell a gateway of this plan.
+func (l *Lab) Config(i int) map[string]any {
 	p := l.Plan
 	var lanes []any
 	var levels []string
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	text, err := json.Marshal(l.config(i))
+	text, err := json.Marshal(l.Config(i))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/positions.go
+++ b/internal/peer/positions.go
@@ -56,6 +56,12 @@
 // Ages are how old the positions are that are known, in no order.
 func (s *Positions) Ages() []time.Duration { return s.p.Ages(s.l.loop.Now()) }
 
+// News is how many positions were news so far, from databases and from other gateways.
+func (s *Positions) News() (learned, heard uint64) {
+	n := s.p.Counts()
+	return n.Learned, n.Heard
+}
+
 // Forget drops what left the list.
 func (s *Positions) Forget() { s.p.Forget() }
 
