--- a/cmd/lilacload/hollow.go
+++ b/cmd/lilacload/hollow.go
@@ -15,7 +15,7 @@
 	c := &cobra.Command{
 		Use: "hollow", Short: "Run the control sides of many gateways, as the lines of stdin say", Args: cobra.NoArgs,
 		Long: "Runs gateways without clients and connections to databases in one process; what answers would tell is fed in. The first line\n" +
-			"of stdin names them, each further one has them do something; reports go to stdout, a line each. docs/load.md has the form.",
+			"of stdin names them, each further one has them do something; reports go to stdout, a line each. docs/hollow.md has the form.",
 		RunE: func(c *cobra.Command, _ []string) error {
 			var out io.Writer
 			if logs != "" {
--- a/internal/hollow/gateway.go
+++ b/internal/hollow/gateway.go
@@ -183,7 +183,7 @@
 		loop.Close()
 		return nil, err
 	}
-	r := &run{h: h, loop: loop, side: side, asked: make(chan func(), 64), gone: make(chan struct{})}
+	r := &run{h: h, loop: loop, side: side, asked: make(chan func(), 64), gone: make(chan struct{}), dead: []string{}}
 	options := backend.Options{ConnIdle: set.ConnIdle, DialTimeout: set.DialTimeout, ProbeReport: set.ProbeReport, Reserve: sockets / 16}
 	budgets := side.Budgets()
 	if budgets != nil {
@@ -266,11 +266,25 @@
 
 // kill closes all that it has, without a word to anybody.
 func (h *hollow) kill() {
-	if r := h.ask((*run).stop); r != nil {
-		<-r.gone
+	for {
+		r := h.ask((*run).stop)
+		if r == nil && !h.runs() {
+			return
+		}
+		if r != nil {
+			<-r.gone
+			return
+		}
+		time.Sleep(latePeriod) // starved: it has not done what it was asked before
 	}
 }
 
+func (h *hollow) runs() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cur != nil
+}
+
 // end is what SIGTERM leads to.
 func (h *hollow) end() {
 	h.ask(func(r *run) {
@@ -292,7 +306,7 @@
 		Name: r.h.spec.Name, Up: true, LateMSMax: millis(r.late), DeadNames: r.dead, ListSeq: r.side.Watch.Seq(), ListDatabases: r.side.Core.Members(),
 		Learned: r.feed.learned, LearnedPrimary: r.feed.learnedPrimary, Short: r.feed.short, Roles: r.side.Traffic(),
 	}
-	r.late, r.dead = 0, nil
+	r.late, r.dead = 0, []string{}
 	if l := r.side.Links; l != nil {
 		own, member := l.Own()
 		v, c := l.View(), l.Totals()
