--- a/cmd/lilacload/calibrate.go
+++ b/cmd/lilacload/calibrate.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -40,12 +41,7 @@
 				return err
 			}
 			r.Command = "lilacload " + strings.Join(os.Args[1:], " ")
-			names := make([]string, 0, len(r.Ratio))
-			for name := range r.Ratio {
-				names = append(names, name)
-			}
-			slices.Sort(names)
-			for _, name := range names {
+			for _, name := range slices.Sorted(maps.Keys(r.Ratio)) {
 				fmt.Fprintf(cmd.OutOrStdout(), "%-32s %.3f\n", name, r.Ratio[name])
 			}
 			for _, d := range r.Differ {
--- a/internal/calibrate/calibrate.go
+++ b/internal/calibrate/calibrate.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"os"
 	"path/filepath"
@@ -169,7 +170,7 @@
 	for _, name := range []string{"bytes_out_per_s", "bytes_in_per_s", "messages_per_s", "core_percent", "memory_mb"} {
 		note(name, r.Hollow.Control[name].Mean, r.Real.Control[name].Mean)
 	}
-	for _, role := range slices.Sorted(keys(r.Real.ByRole)) {
+	for _, role := range slices.Sorted(maps.Keys(r.Real.ByRole)) {
 		h, x := r.Hollow.ByRole[role], r.Real.ByRole[role]
 		note(role+".bytes_out_per_s", h.BytesOut, x.BytesOut)
 		note(role+".bytes_in_per_s", h.BytesIn, x.BytesIn)
@@ -185,16 +186,6 @@
 	}
 }
 
-func keys[V any](m map[string]V) func(func(string) bool) {
-	return func(yield func(string) bool) {
-		for k := range m {
-			if !yield(k) {
-				return
-			}
-		}
-	}
-}
-
 // both plays real and hollow gateways side by side, before the same databases and discovery and on the same machine.
 func (o Options) both(ctx context.Context, fleet bool) (real, hollow Side, err error) {
 	shares := ""
--- a/internal/hollow/gateway.go
+++ b/internal/hollow/gateway.go
@@ -103,11 +103,14 @@
 
 // start runs it until told otherwise, on a thread that nobody else uses meanwhile.
 func (h *hollow) start() error {
+	if h.runs() && !h.ends() {
+		return errors.New("it runs already")
+	}
 	if h.over != nil {
 		select {
 		case <-h.over:
 		case <-time.After(startTime):
-			return fmt.Errorf("gateway %s: its last run has not ended", h.spec.Name)
+			return errors.New("its last run has not ended")
 		}
 	}
 	over, begun := make(chan struct{}), make(chan error, 1)
@@ -279,6 +282,21 @@
 	}
 }
 
+// ends tells whether the run that is on was told to end.
+func (h *hollow) ends() bool {
+	answer := make(chan bool, 1)
+	r := h.ask(func(r *run) { answer <- r.ending })
+	if r == nil {
+		return false
+	}
+	select {
+	case on := <-answer:
+		return on
+	case <-r.gone:
+		return true
+	}
+}
+
 func (h *hollow) runs() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
