--- a/cmd/lilaccove/hollow_test.go
+++ b/cmd/lilaccove/hollow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -17,6 +18,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"lilaccove/internal/calibrate"
 	"lilaccove/internal/hollow"
 	"lilaccove/internal/lab"
 	"lilaccove/internal/peer"
@@ -297,3 +299,24 @@
 		assert.Less(t, s.AgeP50, 500.0, "positions are news")
 	}
 }
+
+// Beside each other under the same load, hollow gateways and real ones send and hear the same, role by role. That is a trial in
+// small of the calibration, whose figures stand with the page on capacity.
+func TestHollowGatewaysSendWhatRealOnesDo(t *testing.T) {
+	if testing.Short() {
+		t.Skip("several processes and real time")
+	}
+	r, err := calibrate.Run(context.Background(), calibrate.Options{
+		Gateways: 4, Databases: 12, For: 5 * time.Second, Statements: 50, Settle: 2 * time.Second, Seed: 1,
+		Program: []string{os.Args[0]}, Env: []string{"LILACCOVE_RUN=1"}, Hollow: []string{os.Args[0]}, HollowEnv: []string{"LILACCOVE_RUN=hollow"},
+	})
+	require.NoError(t, err)
+	for _, name := range []string{
+		"statements_per_s", "positions_learned_per_s", "membership.bytes_out_per_s", "membership.messages_per_s", "positions.bytes_out_per_s",
+		"positions.messages_per_s", "primaries.bytes_out_per_s", "versions.bytes_out_per_s",
+	} {
+		assert.InDelta(t, 1, r.Ratio[name], 0.25, "%s: %v", name, r.Differ)
+	}
+	assert.Greater(t, r.Real.Served, 0.95)
+	assert.Positive(t, r.Real.Control["core_percent"].Mean, "a fleet file costs something")
+}
--- a/cmd/lilaccove/rig_test.go
+++ b/cmd/lilaccove/rig_test.go
@@ -21,6 +21,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"lilaccove/internal/hollow"
 	"lilaccove/internal/lab"
 	"lilaccove/internal/pgwire"
 	"lilaccove/internal/standin"
@@ -32,6 +33,13 @@
 		main()
 		return
 	}
+	if os.Getenv("LILACCOVE_RUN") == "hollow" {
+		if err := hollow.Run(os.Stdin, os.Stdout, nil); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	keepOwnDescriptors()
 	os.Exit(m.Run())
 }
--- a/cmd/lilacload/calibrate.go
+++ b/cmd/lilacload/calibrate.go
@@ -16,7 +16,7 @@
 
 // calibration is the command that tells how far hollow gateways can be trusted.
 func calibration() *cobra.Command {
-	o := calibrate.Options{}
+	o := calibrate.Options{Settle: 8 * time.Second}
 	var program, file, logs string
 	c := &cobra.Command{
 		Use: "calibrate --json FILE", Short: "Set hollow gateways beside real ones under the same traffic", Args: cobra.NoArgs,
--- a/internal/calibrate/calibrate.go
+++ b/internal/calibrate/calibrate.go
@@ -25,8 +25,7 @@
 
 const (
 	members   = 4               // of a group
-	settle    = 8 * time.Second // after all have one view, before anything is measured
-	warm      = 4 * time.Second // of load, likewise
+	warm      = 4 * time.Second // of load, before anything is measured
 	agreeTime = 30 * time.Second
 	within    = 0.15 // that hollow ones may differ by
 )
@@ -35,9 +34,12 @@
 type Options struct {
 	Gateways, Databases int
 	For                 time.Duration
-	Statements          float64  // a second, of each gateway; 0: idle
-	Program             []string // a real gateway
-	Hollow              []string // the process of hollow ones
+	Statements          float64       // a second, of each gateway; 0: idle
+	Program             []string      // a real gateway
+	Hollow              []string      // the process of hollow ones
+	Env                 []string      // more of the real ones' environment
+	HollowEnv           []string      // and of the process of hollow ones
+	Settle              time.Duration // after all have one view, before anything is measured
 	Seed                uint64
 	Budget              int // connections of all gateways to each database; 0: not divided
 	Logs                *os.File
@@ -206,7 +208,7 @@
 	if err != nil {
 		return real, hollow, err
 	}
-	l := &lab.Lab{Plan: p, Arrivals: list, Gateway: o.Program}
+	l := &lab.Lab{Plan: p, Arrivals: list, Gateway: o.Program, Env: o.Env}
 	if o.Logs != nil {
 		l.Log = o.Logs
 	}
@@ -264,7 +266,7 @@
 			}
 		}
 	}
-	if err := pause(ctx, settle); err != nil {
+	if err := pause(ctx, o.Settle); err != nil {
 		return Side{}, err
 	}
 	var report *run.Report
--- a/internal/calibrate/hollow.go
+++ b/internal/calibrate/hollow.go
@@ -25,9 +25,9 @@
 	reports chan hollow.Report
 }
 
-func startProcess(command []string, first hollow.Start) (*process, error) {
+func startProcess(command, env []string, first hollow.Start) (*process, error) {
 	p := &process{cmd: exec.Command(command[0], command[1:]...), reports: make(chan hollow.Report, 1)}
-	p.cmd.Stderr = os.Stderr
+	p.cmd.Env, p.cmd.Stderr = append(os.Environ(), env...), os.Stderr
 	var err error
 	if p.in, err = p.cmd.StdinPipe(); err != nil {
 		return nil, err
@@ -116,7 +116,7 @@
 		}
 		first.Gateways = append(first.Gateways, spec)
 	}
-	p, err := startProcess(o.Hollow, first)
+	p, err := startProcess(o.Hollow, o.HollowEnv, first)
 	if err != nil {
 		return Side{}, err
 	}
@@ -137,7 +137,7 @@
 			return Side{}, fmt.Errorf("%d of %d see all in %v", agreed, o.Gateways, agreeTime)
 		}
 	}
-	wait := settle
+	wait := o.Settle
 	if o.Statements > 0 {
 		wait += warm
 	}
