Calibrate with and without a fleet file in the same seconds

Cause: trials one after the other gave core ratios of 0.57 to 1.72 under load and 0.74 to 0.95 idle: the difference of two figures of 6% moves with what else the machine does. Traffic agreed within 4% each time. Change: all four sides wait for each other and are measured at once.

--- a/cmd/lilacload/calibrate.go
+++ b/cmd/lilacload/calibrate.go
@@ -57,7 +57,7 @@
 	f := c.Flags()
 	f.IntVar(&o.Gateways, "gateways", 16, "gateways of each kind")
 	f.IntVar(&o.Databases, "databases", 96, "in groups of four")
-	f.DurationVar(&o.For, "for", 20*time.Second, "how long is measured, four times")
+	f.DurationVar(&o.For, "for", 20*time.Second, "how long is measured")
 	f.Float64Var(&o.Statements, "statements", 200, "a second, of each gateway; 0: idle")
 	f.IntVar(&o.Budget, "budget", 0, "connections of all gateways to each database; 0: not divided")
 	f.Uint64Var(&o.Seed, "seed", 1, "of the load")
--- a/internal/calibrate/calibrate.go
+++ b/internal/calibrate/calibrate.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"lilaccove/internal/lab"
@@ -43,6 +44,8 @@
 	Seed                uint64
 	Budget              int // connections of all gateways to each database; 0: not divided
 	Logs                *os.File
+
+	line *line // before anything is measured
 }
 
 // Spread is a figure over all gateways.
@@ -128,12 +131,24 @@
 	if o.Statements > 0 {
 		r.State = "loaded"
 	}
+	// All four at once: what differs between them is then not what else the machine did.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	o.line = newLine(4)
+	var real, hollow Side
+	ended := make(chan error, 1)
+	go func() {
+		var err error
+		if real, hollow, err = o.both(ctx, false); err != nil {
+			cancel()
+		}
+		ended <- err
+	}()
 	var err error
 	if r.Real, r.Hollow, err = o.both(ctx, true); err != nil {
-		return nil, err
+		cancel()
 	}
-	real, hollow, err := o.both(ctx, false)
-	if err != nil {
+	if err = first(err, <-ended); err != nil {
 		return nil, err
 	}
 	r.Real.without(real)
@@ -222,20 +237,48 @@
 	go func() {
 		var err error
 		if hollow, err = o.hollow(ctx, l, fleet); err != nil {
+			err = fmt.Errorf("hollow gateways: %w", err)
 			cancel()
 		}
 		ended <- err
 	}()
 	if real, err = o.real(ctx, l, fleet); err != nil {
+		err = fmt.Errorf("real gateways: %w", err)
 		cancel()
 	}
-	if err2 := <-ended; err2 != nil && !(err != nil && errors.Is(err2, context.Canceled)) {
-		return real, hollow, fmt.Errorf("hollow gateways: %w", err2)
+	return real, hollow, first(err, <-ended)
+}
+
+// first is the error that ended both; the other one was told to end.
+func first(a, b error) error {
+	if a == nil || errors.Is(a, context.Canceled) && b != nil {
+		return b
 	}
-	if err != nil {
-		return real, hollow, fmt.Errorf("real gateways: %w", err)
+	return a
+}
+
+// line is where all wait until the last is there.
+type line struct {
+	left atomic.Int32
+	all  chan struct{}
+}
+
+func newLine(n int32) *line {
+	l := &line{all: make(chan struct{})}
+	l.left.Store(n)
+	return l
+}
+
+func (l *line) wait(ctx context.Context) error {
+	if l.left.Add(-1) == 0 {
+		close(l.all)
+	}
+	select {
+	case <-l.all:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return real, hollow, nil
 }
 
 // pause waits; an error: ctx ended first.
@@ -266,6 +309,9 @@
 			}
 		}
 	}
+	if err := o.line.wait(ctx); err != nil {
+		return Side{}, err
+	}
 	if err := pause(ctx, o.Settle); err != nil {
 		return Side{}, err
 	}
--- a/internal/calibrate/hollow.go
+++ b/internal/calibrate/hollow.go
@@ -137,6 +137,9 @@
 			return Side{}, fmt.Errorf("%d of %d see all in %v", agreed, o.Gateways, agreeTime)
 		}
 	}
+	if err := o.line.wait(ctx); err != nil {
+		return Side{}, err
+	}
 	wait := o.Settle
 	if o.Statements > 0 {
 		wait += warm
