--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -286,8 +286,8 @@
 	return nil
 }
 
-// config is what the platform would tell a gateway of this plan.
-func (l *Lab) config(i int) map[string]any {
+// Config is what the platform would tell a gateway of this plan.
+func (l *Lab) Config(i int) map[string]any {
 	return Config(l.Plan, l.name(i), l.Discovery(i).Addr, l.Plan.Seed+uint64(i)+1, l.world.List())
 }
 
