Measure membership over lengths of links, in bytes as they go out

Cause: docs/fleet-membership.md counts 60 + 40 bytes a piece of news and one length of link. Ran: the package's tests.

--- a/internal/fleet/membership/sim_test.go
+++ b/internal/fleet/membership/sim_test.go
@@ -24,7 +24,9 @@
 	streak uint64
 	conns  map[uint64]int
 	deaths []death
-	mutate func(*Machine) // what tests of the tests break
+	mutate func(*Machine)                   // what tests of the tests break
+	size   func(*Send) int                  // in bytes; nil: about
+	far    func(from, to int) time.Duration // one way; nil: delay
 }
 
 type death struct {
@@ -191,10 +193,18 @@
 		}
 	}
 	for _, s := range out {
-		w.bytes[n.index] += 60 + 40*len(s.Message.News)
+		if w.size != nil {
+			w.bytes[n.index] += w.size(&s)
+		} else {
+			w.bytes[n.index] += 60 + 40*len(s.Message.News)
+		}
 		w.sent[n.index]++
 		to := index(s.Addr)
-		e := event{at: w.now + w.delay/2 + time.Duration(w.rnd.Int64N(int64(w.delay)+1)), to: to, msg: &s.Message}
+		delay := w.delay
+		if w.far != nil {
+			delay = w.far(n.index, to)
+		}
+		e := event{at: w.now + delay/2 + time.Duration(w.rnd.Int64N(int64(delay)+1)), to: to, msg: &s.Message}
 		if s.Via != 0 {
 			to = w.conns[s.Via]
 			e.to = to
