Let a fleet file give positions and primaries a budget of bytes

Cause: rumours send up to 17,820 B/s whatever the fleet can bear. Change: positions: {bytes: 1500/s} and primaries: {bytes: 500/s} run internal/fleet/antientropy on channels 7 and 8; true goes on as rumours, with the digest of the file that it had. A gateway with a budget takes rumours in; one without refuses what it cannot read and says why. Figures fleet_positions.* and fleet_primaries.* tell budget, bytes, asks, answers, refusals, and how old what is known is. The lab has bytes: in its plan.

--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -181,13 +181,13 @@
 		s.stir()
 	}
 	if links != nil && party.Positions {
-		s := links.SharePositions(core.InList, core.Fleet)
+		s := links.SharePositions(core.InList, core.Hosts, core.Fleet)
 		grain := set.Policy.PositionGrain // a write's position is rounded up
 		core.OnPosition(func(host policy.HostID, at time.Duration) { s.Learned(host, at-grain) })
 		changed = append(changed, s.Forget)
 	}
 	if links != nil && party.Primaries {
-		s := links.SharePrimaries(core.InList, core.Fleet)
+		s := links.SharePrimaries(core.InList, core.Hosts, core.Fleet)
 		core.OnPrimary(s.Learned)
 		changed = append(changed, s.Forget)
 	}
--- a/internal/fleet/antientropy/machine.go
+++ b/internal/fleet/antientropy/machine.go
@@ -27,7 +27,7 @@
 	paceLeast   = 100 * time.Millisecond
 	paceMost    = time.Second
 	again       = 500 * time.Millisecond // after which a database is asked for again; doubled while that brings nothing
-	againMost   = 8 * time.Second
+	againMost   = 4 * time.Second
 	settled     = 5                // steps; of what is older the digest tells each moment, and any gain is news
 	ahead       = time.Second      // a moment so far past the own clock is not believed
 	byName      = 10 * time.Second // one whose list is another is asked by name for so long
@@ -107,7 +107,7 @@
 	others   map[string]time.Duration // whose list is another, until when that is taken for so
 	retry    string                   // who is asked next, by name
 	last     []int                    // what the last ask by index wanted
-	newcomer bool                     // of many databases nothing is known: that they are new here tells nothing of others
+	newcomer bool                     // of many databases nothing is known: that what others tell is new here does not mean that it is to them
 	order    []int
 	counts   Counts
 }
@@ -171,18 +171,18 @@
 
 // Learned takes in what a database told this gateway.
 func (m *Machine) Learned(host string, at time.Duration) {
-	if i, ok := m.index[host]; ok && m.raise(i, at) {
+	if i, ok := m.index[host]; ok && m.raise(i, at, true) {
 		m.counts.Learned++
 	}
 }
 
 // raise keeps the greatest. A rise far over what is usual here is told unasked: others will hardly know of it.
-func (m *Machine) raise(i int, at time.Duration) bool {
+func (m *Machine) raise(i int, at time.Duration, learned bool) bool {
 	d := &m.list[i]
 	if at <= d.at {
 		return false
 	}
-	if rose := at - d.at; rose >= max(settled*m.cfg.Step, 2*m.horizon) && !(m.newcomer && d.at == 0) {
+	if rose := at - d.at; rose >= max(settled*m.cfg.Step, 2*m.horizon) && (learned || d.at > 0 || !m.newcomer) {
 		d.tell, d.rose = tellings, rose
 	}
 	d.at, d.wait, d.hold = at, again, 0
@@ -208,7 +208,7 @@
 			m.counts.Unknown++
 		case c.At > now+ahead:
 			m.counts.Ahead++
-		case !m.raise(i, c.At):
+		case !m.raise(i, c.At, false):
 			m.counts.Old++
 		default:
 			m.counts.Heard++
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -3,12 +3,14 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
 
 	"go.yaml.in/yaml/v3"
 
+	"lilaccove/internal/fleet/antientropy"
 	"lilaccove/internal/yamlfile"
 )
 
@@ -30,6 +32,9 @@
 	Audit     *Audit                    // nil: records stay in memory
 	Words     *Words                    // nil: operators' words are not kept on a disk
 	Fence     time.Duration             // behind others for so long a gateway shuts itself out; 0: never
+
+	// What telling positions, and primaries, may send in bytes a second; 0: they go as rumours, whatever that takes.
+	PositionBytes, PrimaryBytes int
 }
 
 // Budgets are what the whole fleet may spend at once.
@@ -54,7 +59,8 @@
 
 // Common is the part that is to be equal in all files of a fleet, as text.
 func (f *File) Common() []byte {
-	return fmt.Appendf(nil, "%s %v %v %d %s %t %t %v %t %v %v", f.Fleet, f.Period, f.Still, f.Most, f.Budgets.text(), f.Positions, f.Subsets, f.Fence, f.Primaries, f.Words.keep(), f.Repeats)
+	return fmt.Appendf(nil, "%s %v %v %d %s %t %t %v %t %v %v%s%s", f.Fleet, f.Period, f.Still, f.Most, f.Budgets.text(), f.Positions, f.Subsets, f.Fence, f.Primaries, f.Words.keep(), f.Repeats,
+		bytesText(" positions", f.PositionBytes), bytesText(" primaries", f.PrimaryBytes))
 }
 
 // MostMembers bounds what a file may ask for.
@@ -115,8 +121,8 @@
 	if n := got["most"]; n != nil {
 		f.Most = r.Count(n, "most", 2, MostMembers)
 	}
-	f.Positions = r.Bool(got["positions"], "positions")
-	f.Primaries = r.Bool(got["primaries"], "primaries")
+	f.Positions, f.PositionBytes = shared(r, got["positions"], "positions")
+	f.Primaries, f.PrimaryBytes = shared(r, got["primaries"], "primaries")
 	f.Subsets = r.Bool(got["subsets"], "subsets")
 	if n := got["audit"]; n != nil {
 		f.Audit = &Audit{Megabytes: 8, Keep: 4}
@@ -219,6 +225,40 @@
 	return true
 }
 
+// shared reads what gateways tell each other: true, or a budget in bytes.
+func shared(r *yamlfile.Reader, n *yaml.Node, key string) (on bool, bytes int) {
+	if n == nil || n.Kind != yaml.MappingNode {
+		s, ok := r.Text(n, key)
+		if ok && s != "true" && s != "false" {
+			r.Fail(n, key, "%q is neither true nor false nor a budget like {bytes: 1500/s}", s)
+		}
+		return s == "true", 0
+	}
+	f := r.Fields(n, key, "bytes")
+	v := f["bytes"]
+	if v == nil {
+		r.Fail(n, "bytes", "missing: what %s may send, like {bytes: 1500/s}; the same in every file", key)
+		return true, 0
+	}
+	x, ok := r.Number(v, "bytes", "1500/s", map[string]float64{"/s": 1})
+	if !ok {
+		return true, 0
+	}
+	if x != math.Trunc(x) || x < antientropy.LeastBytes || x > antientropy.MostBytes {
+		r.Fail(v, "bytes", "a whole number from %d/s to %d/s would do: less does not carry a question and an answer a second; the same in every file",
+			antientropy.LeastBytes, antientropy.MostBytes)
+	}
+	return true, int(x)
+}
+
+// bytesText is nothing without a budget, so that files without one have the digest they had.
+func bytesText(key string, n int) string {
+	if n == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%s %d/s", key, n)
+}
+
 func (b *Budgets) text() string {
 	if b == nil {
 		return "-"
--- a/internal/fleet/file_test.go
+++ b/internal/fleet/file_test.go
@@ -54,6 +54,43 @@
 	assert.ErrorContains(t, err, "the fleet file is empty")
 }
 
+// A budget stands in place of true; what is wrong with it is told with its place, and a file that differs in it shows.
+func TestBytesOfARole(t *testing.T) {
+	const head = "fleet: a\nlisten: 127.0.0.1:1\n"
+	parse := func(text string) (*File, error) { return Parse("f", []byte(head+text)) }
+	f, err := parse("positions: {bytes: 1500/s}\nprimaries: {bytes: 400/s}\n")
+	require.NoError(t, err)
+	assert.Equal(t, []any{true, 1500, true, 400}, []any{f.Positions, f.PositionBytes, f.Primaries, f.PrimaryBytes})
+	plain, err := parse("positions: true\nprimaries: true\n")
+	require.NoError(t, err)
+	assert.Equal(t, []any{true, 0, true, 0}, []any{plain.Positions, plain.PositionBytes, plain.Primaries, plain.PrimaryBytes})
+	assert.Equal(t, "a 0s 0s 0 - true false 0s true 0s 0", string(plain.Common()), "files without a budget have the digest they had")
+	other, err := parse("positions: {bytes: 1600/s}\nprimaries: {bytes: 400/s}\n")
+	require.NoError(t, err)
+	assert.NotEqual(t, string(f.Common()), string(plain.Common()))
+	assert.NotEqual(t, string(f.Common()), string(other.Common()))
+	swapped, err := parse("positions: {bytes: 400/s}\nprimaries: {bytes: 1500/s}\n")
+	require.NoError(t, err)
+	assert.NotEqual(t, string(f.Common()), string(swapped.Common()))
+	for text, want := range map[string]string{
+		"positions: {bytes: 1500}":            `f:3:20: bytes: "1500" has no unit; write it like 1500/s`,
+		"positions: {bytes: 1500 B}":          `f:3:20: bytes: "1500 B": unknown unit "B"; write it like 1500/s`,
+		"positions: {bytes: 90000/min}":       `f:3:20: bytes: "90000/min": unknown unit "/min"; write it like 1500/s`,
+		"positions: {bytes: 100/s}":           "f:3:20: bytes: a whole number from 400/s to 1000000/s would do: less does not carry a question and an answer a second",
+		"primaries: {bytes: 2000000/s}":       "f:3:20: bytes: a whole number from 400/s",
+		"positions: {bytes: 1500.5/s}":        "f:3:20: bytes: a whole number",
+		"positions: {}":                       "f:3:12: bytes: missing: what positions may send, like {bytes: 1500/s}; the same in every file",
+		"positions: {byte: 1500/s}":           "f:3:13: byte: unknown; one of bytes is meant, perhaps",
+		"positions: {bytes: 1/s, bytes: 2/s}": "bytes: stands twice",
+		"positions: {bytes: [1]}":             "f:3:20: bytes: a single value is wanted",
+		"positions: 1500/s":                   `f:3:12: positions: "1500/s" is neither true nor false nor a budget like {bytes: 1500/s}`,
+		"primaries: [true]":                   "f:3:12: primaries: a single value is wanted",
+	} {
+		_, err := parse(text + "\n")
+		assert.ErrorContains(t, err, want, text)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte("fleet: a\nlisten: 127.0.0.1:1\n"))
 	f.Add([]byte("fleet: [a]\nlisten: {}\nseeds: [[]]\ndial: []\n"))
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -30,6 +30,7 @@
 	History  *History  // nil: nowhere
 	Apart    []int     // gateways that ask at a discovery of their own, see Discovery
 	Twins    []int     // gateways of which a second process may be started, for Twin
+	Rumours  []int     // gateways without the plan's budget of bytes, as before a change-over
 
 	world *standin.World
 	apart map[int]*standin.Discovery
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -169,11 +170,15 @@
 	if l.Plan.Lab.Subsets {
 		b = append(b, "subsets: true\n"...)
 	}
+	told := "true"
+	if n := l.Plan.Lab.Bytes; n > 0 && !slices.Contains(l.Rumours, i) {
+		told = fmt.Sprintf("{bytes: %d/s}", n)
+	}
 	if l.Plan.Lab.Positions {
-		b = append(b, "positions: true\n"...)
+		b = fmt.Appendf(b, "positions: %s\n", told)
 	}
 	if l.Plan.Lab.Primaries {
-		b = append(b, "primaries: true\n"...)
+		b = fmt.Appendf(b, "primaries: %s\n", told)
 	}
 	if d := l.Plan.Lab.Fence; d > 0 {
 		b = fmt.Appendf(b, "fence: %d ms\n", d.Milliseconds())
--- a/internal/load/plan/plan.go
+++ b/internal/load/plan/plan.go
@@ -119,6 +119,7 @@
 	Subsets   bool          `json:"subsets,omitempty"`
 	Positions bool          `json:"positions,omitempty"` // gateways tell each other of them
 	Primaries bool          `json:"primaries,omitempty"` // likewise, of who answers as primary
+	Bytes     int           `json:"bytes,omitempty"`     // a second that either may send; 0: not bounded
 	Audit     bool          `json:"audit,omitempty"`     // gateways keep files of records
 	Repeats   float64       `json:"repeats,omitempty"`   // of attempts, as a share of first ones; 0: not bounded
 	Words     time.Duration `json:"words,omitempty"`     // gateways keep operators' words on a disk, for so long; 0: they do not
@@ -426,7 +427,7 @@
 }
 
 func (r *reader) lab(p *Plan, n *yaml.Node) {
-	f := r.Fields(n, "lab", "gateways", "told", "members", "cores", "queue", "service", "delay", "lag", "cold", "fleet", "budget", "lease", "subsets", "positions", "primaries", "audit", "fence", "words", "repeats")
+	f := r.Fields(n, "lab", "gateways", "told", "members", "cores", "queue", "service", "delay", "lag", "cold", "fleet", "budget", "lease", "subsets", "positions", "primaries", "bytes", "audit", "fence", "words", "repeats")
 	for key, to := range map[string]*int{"gateways": &p.Lab.Gateways, "told": &p.Lab.Told, "members": &p.Lab.Members, "cores": &p.Lab.Cores, "queue": &p.Lab.Queue, "budget": &p.Lab.Budget} {
 		if f[key] != nil {
 			*to = r.Count(f[key], key, 1, 1000)
@@ -441,6 +442,9 @@
 	p.Lab.Subsets = r.Bool(f["subsets"], "subsets")
 	p.Lab.Positions = r.Bool(f["positions"], "positions")
 	p.Lab.Primaries = r.Bool(f["primaries"], "primaries")
+	if n := f["bytes"]; n != nil {
+		p.Lab.Bytes = int(r.Rate(n, "bytes"))
+	}
 	p.Lab.Audit = r.Bool(f["audit"], "audit")
 	if n := f["repeats"]; n != nil {
 		p.Lab.Repeats = r.Share(n, "repeats")
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -360,9 +360,15 @@
 	case channel == channelWords:
 		err = l.words.receive(body)
 	case channel == channelState && l.positions != nil:
-		err = l.positions.receive(body)
+		err = l.positions.rumour(body)
 	case channel == channelPrimaries && l.primaries != nil:
-		err = l.primaries.receive(body)
+		err = l.primaries.rumour(body)
+	case channel == channelReconcilePositions && l.positions != nil:
+		err = l.positions.reconcile(body)
+	case channel == channelReconcilePrimaries && l.primaries != nil:
+		err = l.primaries.reconcile(body)
+	case channel == channelReconcilePositions || channel == channelReconcilePrimaries:
+		err = errNoBudget
 	default:
 		err = errVersion
 	}
--- a/internal/peer/positions.go
+++ b/internal/peer/positions.go
@@ -1,63 +1,114 @@
 package peer
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"lilaccove/internal/fleet/antientropy"
 	"lilaccove/internal/fleet/membership"
 	"lilaccove/internal/fleet/state"
 	"lilaccove/policy"
 )
 
 const (
-	channelState     = 3
-	channelPrimaries = 6
-	positionStep     = 200 * time.Millisecond // less is no news
-	primaryStep      = time.Second
+	channelState              = 3 // rumours
+	channelPrimaries          = 6
+	channelReconcilePositions = 7                      // anti-entropy under a budget: positions
+	channelReconcilePrimaries = 8                      // and answers as primary
+	positionStep              = 200 * time.Millisecond // less is no news
+	primaryStep               = time.Second
+	reconcileOverhead         = headSize + tailSize + 3 // of a message: the envelope, and the head of a string of bytes
 )
 
+// errNoBudget refuses what a gateway sends that has a budget for a role, while here there is none.
+var errNoBudget = fmt.Errorf("%w: positions or primaries under a budget, which the fleet file here does not have", errVersion)
+
 // Positions are moments of databases that only rise, as the fleet knows them: how far each has come, or when each last
 // answered as primary.
 type Positions struct {
 	l       *Links
-	p       *state.Positions
+	p       *state.Positions     // told as rumours; nil where there is a budget
+	r       *antientropy.Machine // under a budget of bytes; nil where there is none
+	budget  int
+	hosts   func() []policy.Member
 	channel byte
 	heard   func(host policy.HostID, at time.Duration)
 }
 
+// role is what is shared, and how.
+type role struct {
+	rumours, reconcile byte // channels
+	step               time.Duration
+	budget             int // bytes a second; 0: rumours
+}
+
 // SharePositions begins to tell others of positions, and to hear of theirs.
-func (l *Links) SharePositions(listed func(policy.HostID) bool, heard func(policy.Event)) *Positions {
-	l.positions = l.share(channelState, positionStep, listed, func(h policy.HostID, at time.Duration) {
+func (l *Links) SharePositions(listed func(policy.HostID) bool, hosts func() []policy.Member, heard func(policy.Event)) *Positions {
+	l.positions = l.share(role{channelState, channelReconcilePositions, positionStep, l.file.PositionBytes}, listed, hosts, func(h policy.HostID, at time.Duration) {
 		heard(policy.Heard{Host: h, Position: at})
 	})
 	return l.positions
 }
 
 // SharePrimaries begins to tell others of answers as primary, and to hear of theirs.
-func (l *Links) SharePrimaries(listed func(policy.HostID) bool, heard func(policy.Event)) *Positions {
-	l.primaries = l.share(channelPrimaries, primaryStep, listed, func(h policy.HostID, at time.Duration) {
+func (l *Links) SharePrimaries(listed func(policy.HostID) bool, hosts func() []policy.Member, heard func(policy.Event)) *Positions {
+	l.primaries = l.share(role{channelPrimaries, channelReconcilePrimaries, primaryStep, l.file.PrimaryBytes}, listed, hosts, func(h policy.HostID, at time.Duration) {
 		heard(policy.Told{Host: h, At: at})
 	})
 	return l.primaries
 }
 
-func (l *Links) share(channel byte, step time.Duration, listed func(policy.HostID) bool, heard func(policy.HostID, time.Duration)) *Positions {
+func (l *Links) share(o role, listed func(policy.HostID) bool, hosts func() []policy.Member, heard func(policy.HostID, time.Duration)) *Positions {
 	own, _ := l.m.Own()
-	s := &Positions{l: l, channel: channel, heard: heard}
-	s.p = state.New(own.Name, rand.Uint64(), step, func(h string) bool { return listed(policy.HostID(h)) })
+	s := &Positions{l: l, channel: o.rumours, heard: heard, hosts: hosts, budget: o.budget}
+	if o.budget == 0 {
+		s.p = state.New(own.Name, rand.Uint64(), o.step, func(h string) bool { return listed(policy.HostID(h)) })
+		l.every(state.Tick, s.tick)
+	} else {
+		s.channel = o.reconcile
+		s.r = antientropy.New(antientropy.Config{
+			Own: own.Name, Zone: own.Zone, Seed: rand.Uint64(), Bytes: o.budget, Overhead: reconcileOverhead, Step: o.step,
+		}, l.loop.Now())
+		s.Forget()
+		l.loop.At(s.r.Wake(), s.ask)
+	}
 	s.stand(l.m.View())
-	l.every(state.Tick, s.tick)
 	return s
 }
 
 // Learned takes in what a database told this gateway.
-func (s *Positions) Learned(host policy.HostID, at time.Duration) { s.p.Learned(string(host), at) }
+func (s *Positions) Learned(host policy.HostID, at time.Duration) {
+	if s.r != nil {
+		s.r.Learned(string(host), at)
+		return
+	}
+	s.p.Learned(string(host), at)
+}
 
-// Forget drops what left the list.
-func (s *Positions) Forget() { s.p.Forget() }
+// Forget drops what left the list, and takes up what has come.
+func (s *Positions) Forget() {
+	if s.r == nil {
+		s.p.Forget()
+		return
+	}
+	var list []string
+	for _, m := range s.hosts() {
+		list = append(list, string(m.Host))
+	}
+	s.r.List(list)
+}
 
 func (s *Positions) stand(v membership.View) {
-	s.p.Live(v.Names())
+	if s.r == nil {
+		s.p.Live(v.Names())
+		return
+	}
+	var list []antientropy.Member
+	for _, m := range v.Members {
+		list = append(list, antientropy.Member{Name: m.Name, Zone: m.Zone})
+	}
+	s.r.Live(list)
 }
 
 func (s *Positions) tick() {
@@ -66,13 +117,93 @@
 	}
 }
 
-func (s *Positions) receive(body []byte) error {
+func (s *Positions) ask() {
+	s.post(s.r.Tick(s.l.loop.Now()))
+	s.l.loop.At(max(s.r.Wake(), s.l.loop.Now()+time.Millisecond), s.ask)
+}
+
+func (s *Positions) post(list []antientropy.Send) {
+	for _, m := range list {
+		s.l.post(m.To, s.channel, m.Body)
+	}
+}
+
+// rumour takes in what a gateway without a budget tells. One with a budget takes it in, too: a floor is one whoever
+// tells it, and so a fleet that changes over loses nothing.
+func (s *Positions) rumour(body []byte) error {
 	var msg state.Message
 	if err := s.l.codec.read(body, &msg); err != nil {
 		return err
 	}
-	for _, x := range s.p.Receive(s.l.loop.Now(), msg) {
-		s.heard(policy.HostID(x.Host), x.At)
+	if s.r == nil {
+		for _, x := range s.p.Receive(s.l.loop.Now(), msg) {
+			s.heard(policy.HostID(x.Host), x.At)
+		}
+		return nil
+	}
+	told := antientropy.Message{Kind: antientropy.Answer, Cut: true}
+	for _, x := range msg.Positions {
+		told.Claims = append(told.Claims, antientropy.Claim{Host: x.Host, At: x.At})
 	}
+	s.reconciled(told)
 	return nil
 }
+
+// reconcile takes in what a gateway with a budget sends.
+func (s *Positions) reconcile(body []byte) error {
+	if s.r == nil {
+		return errNoBudget
+	}
+	var text []byte
+	if err := s.l.codec.read(body, &text); err != nil {
+		return err
+	}
+	msg, err := antientropy.Parse(text)
+	if err != nil {
+		return fmt.Errorf("%w: %v", errBad, err)
+	}
+	s.reconciled(msg)
+	return nil
+}
+
+func (s *Positions) reconciled(msg antientropy.Message) {
+	out, news := s.r.Receive(s.l.loop.Now(), msg)
+	s.post(out)
+	for _, c := range news {
+		s.heard(policy.HostID(c.Host), c.At)
+	}
+}
+
+// metrics adds the figures of a role.
+func (s *Positions) metrics(name string, line func(name string, n uint64)) {
+	if s.r == nil {
+		n := s.p.Counts()
+		line(name+".learned", n.Learned)
+		line(name+".heard", n.Heard)
+		line(name+".old", n.Old)
+		line(name+".ahead", n.Ahead)
+		line(name+".unknown", n.Unknown)
+		return
+	}
+	n := s.r.Counts()
+	line(name+".learned", n.Learned)
+	line(name+".heard", n.Heard)
+	line(name+".old", n.Old)
+	line(name+".ahead", n.Ahead)
+	line(name+".unknown", n.Unknown)
+	line(name+".budget", uint64(s.budget))
+	line(name+".bytes", n.Bytes)
+	line(name+".asked", n.Asked)
+	line(name+".wanted", n.Wanted)
+	line(name+".answered", n.Answered)
+	line(name+".told", n.Told)
+	line(name+".cut", n.Cut)
+	line(name+".refused", n.Refused)
+	line(name+".was_refused", n.WasBusy)
+	line(name+".other_list", n.OtherList)
+	line(name+".window", uint64(s.r.Window()))
+	p50, p99, unknown := s.r.Ages(s.l.loop.Now())
+	line(name+".age_p50_ms", uint64(p50.Milliseconds()))
+	line(name+".age_p99_ms", uint64(p99.Milliseconds()))
+	line(name+".not_known", uint64(unknown))
+}
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -126,18 +126,10 @@
 		line("behind_asked", asked)
 	}
 	if l.primaries != nil {
-		n := l.primaries.p.Counts()
-		line("primaries.learned", n.Learned)
-		line("primaries.heard", n.Heard)
-		line("primaries.ahead", n.Ahead)
+		l.primaries.metrics("primaries", line)
 	}
 	if l.positions != nil {
-		n := l.positions.p.Counts()
-		line("positions.learned", n.Learned)
-		line("positions.heard", n.Heard)
-		line("positions.old", n.Old)
-		line("positions.ahead", n.Ahead)
-		line("positions.unknown", n.Unknown)
+		l.positions.metrics("positions", line)
 	}
 	if l.budgets == nil {
 		return b
