Merge reconciliation under a budget of bytes

Roles with a budget have channels of their own and count as the same role; a role that is off has no lines.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -108,12 +108,12 @@
 		s.subsets.stir()
 	}
 	if s.party.Positions {
-		s.positions = links.SharePositions(core.InList, core.Fleet)
+		s.positions = links.SharePositions(core.InList, core.Hosts, core.Fleet)
 		core.OnPosition(s.Position)
 		s.changed = append(s.changed, s.positions.Forget)
 	}
 	if s.party.Primaries {
-		s.primaries = links.SharePrimaries(core.InList, core.Fleet)
+		s.primaries = links.SharePrimaries(core.InList, core.Hosts, core.Fleet)
 		core.OnPrimary(s.Primary)
 		s.changed = append(s.changed, s.primaries.Forget)
 	}
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -5,10 +5,10 @@
 	"lilaccove/internal/stats"
 )
 
-// roles name what the channels are for.
+// roles name what the channels are for; positions and primaries have one without a budget and one with.
 var roles = [...]string{
 	channelMembership: "membership", channelBudget: "budgets", channelState: "positions", channelWords: "words", channelVersions: "versions",
-	channelPrimaries: "primaries",
+	channelPrimaries: "primaries", channelReconcilePositions: "positions", channelReconcilePrimaries: "primaries",
 }
 
 // traffic is that of each channel.
@@ -29,7 +29,7 @@
 	all := map[string]stats.Traffic{}
 	for channel, role := range roles {
 		if role != "" {
-			all[role] = l.traffic[channel]
+			all[role] = all[role].Plus(l.traffic[channel])
 		}
 	}
 	return all
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -85,6 +85,11 @@
 	t.InMessages++
 }
 
+// Plus is the sum of both.
+func (t Traffic) Plus(o Traffic) Traffic {
+	return Traffic{t.OutBytes + o.OutBytes, t.OutMessages + o.OutMessages, t.InBytes + o.InBytes, t.InMessages + o.InMessages}
+}
+
 // Append adds the figures of a role of the fleet, a line each.
 func (t Traffic) Append(b []byte, role string) []byte {
 	for _, x := range []struct {
