Set the runtime's monitor apart in the calibration

A look at the threads of six real gateways, idle: 0.20% of a core goes to the runtime's monitor with a fleet file and 0.10% without, of some 0.33% in all; hollow gateways share one monitor, which works without a pause (3 to 6% of a core a process). Change: the monitor's time is taken out of both sides' figures and told by itself, with what to add to a hollow gateway's.

--- a/internal/calibrate/calibrate.go
+++ b/internal/calibrate/calibrate.go
@@ -10,7 +10,6 @@
 	"maps"
 	"math"
 	"os"
-	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
@@ -18,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"lilaccove/internal/hollow"
 	"lilaccove/internal/lab"
 	"lilaccove/internal/load/plan"
 	"lilaccove/internal/load/run"
@@ -66,25 +66,27 @@
 
 // Side is what one kind of gateways did.
 type Side struct {
-	Gateways      int               `json:"gateways"`
-	Databases     int               `json:"databases"`
-	Seconds       float64           `json:"seconds"`
-	Statements    float64           `json:"statements_per_s"` // of a gateway
-	Control       map[string]Spread `json:"control"`
-	ByRole        map[string]Rates  `json:"by_role"`
-	CoreWith      float64           `json:"core_percent_with_fleet"`
-	CoreWithout   float64           `json:"core_percent_without_fleet"`
-	MemoryWith    float64           `json:"memory_mb_with_fleet"`
-	MemoryWithout float64           `json:"memory_mb_without_fleet"`
-	Learned       float64           `json:"positions_learned_per_s"` // news from databases
-	Heard         float64           `json:"positions_heard_per_s"`   // news from other gateways
-	Feed          float64           `json:"feed_core_percent,omitempty"`
-	Shared        float64           `json:"shared_core_percent_with_fleet,omitempty"` // of the process, for no gateway alone: the collector, the runtime
-	SharedWithout float64           `json:"shared_core_percent_without_fleet,omitempty"`
-	Live          float64           `json:"live_heap_mb_with_fleet,omitempty"` // what lives in memory, a gateway
-	LiveWithout   float64           `json:"live_heap_mb_without_fleet,omitempty"`
-	Late          float64           `json:"late_ms_max,omitempty"`
-	Served        float64           `json:"served,omitempty"` // share of the requests in their aim
+	Gateways       int               `json:"gateways"`
+	Databases      int               `json:"databases"`
+	Seconds        float64           `json:"seconds"`
+	Statements     float64           `json:"statements_per_s"` // of a gateway
+	Control        map[string]Spread `json:"control"`
+	ByRole         map[string]Rates  `json:"by_role"`
+	CoreWith       float64           `json:"core_percent_with_fleet"`
+	CoreWithout    float64           `json:"core_percent_without_fleet"`
+	MemoryWith     float64           `json:"memory_mb_with_fleet"`
+	MemoryWithout  float64           `json:"memory_mb_without_fleet"`
+	Learned        float64           `json:"positions_learned_per_s"` // news from databases
+	Heard          float64           `json:"positions_heard_per_s"`   // news from other gateways
+	Feed           float64           `json:"feed_core_percent,omitempty"`
+	Shared         float64           `json:"shared_core_percent_with_fleet,omitempty"` // of the process, for no gateway alone: the collector, the runtime
+	SharedWithout  float64           `json:"shared_core_percent_without_fleet,omitempty"`
+	Monitor        float64           `json:"monitor_core_percent_with_fleet"` // of the runtime's monitor, in none of the figures above
+	MonitorWithout float64           `json:"monitor_core_percent_without_fleet"`
+	Live           float64           `json:"live_heap_mb_with_fleet,omitempty"` // what lives in memory, a gateway
+	LiveWithout    float64           `json:"live_heap_mb_without_fleet,omitempty"`
+	Late           float64           `json:"late_ms_max,omitempty"`
+	Served         float64           `json:"served,omitempty"` // share of the requests in their aim
 }
 
 // Report is a calibration.
@@ -103,6 +105,7 @@
 type sample struct {
 	at             time.Time
 	cpu, feed      float64 // ms
+	monitor        float64 // ms, not in cpu; only of real ones
 	memory         float64 // MB
 	roles          map[string]stats.Traffic
 	learned, heard uint64
@@ -159,7 +162,7 @@
 
 // without takes off what the same gateways cost without a fleet file.
 func (s *Side) without(o Side) {
-	s.CoreWithout, s.MemoryWithout, s.SharedWithout, s.LiveWithout = o.CoreWith, o.MemoryWith, o.Shared, o.Live
+	s.CoreWithout, s.MemoryWithout, s.SharedWithout, s.LiveWithout, s.MonitorWithout = o.CoreWith, o.MemoryWith, o.Shared, o.Live, o.Monitor
 	without := o.CoreWith
 	if s.Shared > 0 { // the collector works for all gateways of the process, on threads of its own
 		without += o.Shared - s.Shared
@@ -197,6 +200,8 @@
 	note("positions_heard_per_s", r.Hollow.Heard, r.Real.Heard)
 	note("statements_per_s", r.Hollow.Statements, r.Real.Statements)
 	r.Explain = map[string]string{
+		"core_percent": fmt.Sprintf("without the runtime's monitor, a thread that each process has: %.3f%% of a core of a real gateway with a fleet file, "+
+			"%.3f%% without one; all hollow ones of a process share one. Add the difference to what hollow ones tell", r.Real.Monitor, r.Real.MonitorWithout),
 		"memory_mb": fmt.Sprintf("the collector lets the heap of a process grow to 16 MB, or to five times what lives, before it works: of a real gateway "+
 			"that is garbage of its own, all hollow ones of a process share it. What lives with a fleet file is %.2f MB a gateway, without one %.2f; "+
 			"take a process's memory from real ones, and its slope from what lives", r.Hollow.Live, r.Hollow.LiveWithout),
@@ -400,18 +405,11 @@
 		}
 		s.roles[role] = t
 	}
-	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", n.Pid()))
+	all, monitor, err := hollow.Threads(n.Pid())
 	if err != nil {
 		return s, err
 	}
-	for _, path := range tasks {
-		text, err := os.ReadFile(path)
-		if err != nil {
-			continue // the thread has ended
-		}
-		ns, _ := strconv.ParseFloat(strings.Fields(string(text))[0], 64)
-		s.cpu += ns / 1e6
-	}
+	s.cpu, s.monitor = all-monitor, monitor
 	if text, err = os.ReadFile(fmt.Sprintf("/proc/%d/statm", n.Pid())); err != nil {
 		return s, err
 	}
@@ -447,6 +445,7 @@
 		} {
 			all[name] = append(all[name], v)
 		}
+		s.Monitor += (a.monitor - b.monitor) / 10 / sec / n
 		s.Feed += (a.feed - b.feed) / 10 / sec / n
 		s.CoreWith += core / n
 		s.MemoryWith += a.memory / n
--- a/internal/calibrate/hollow.go
+++ b/internal/calibrate/hollow.go
@@ -171,6 +171,8 @@
 	s.Live = float64(after.Process.HeapLive) / (1 << 20) / float64(o.Gateways)
 	s.Late = after.Process.LateMSMax
 	s.Shared = (after.Process.CPUMS - before.Process.CPUMS) / 10 / sec / float64(o.Gateways)
+	s.Monitor = (after.Process.Monitor - before.Process.Monitor) / 10 / sec / float64(o.Gateways)
+	s.Shared -= s.Monitor
 	for i, a := range after.Gateways {
 		s.Shared -= (a.CPUMS - before.Gateways[i].CPUMS) / 10 / sec / float64(o.Gateways)
 	}
--- a/internal/hollow/hollow.go
+++ b/internal/hollow/hollow.go
@@ -50,6 +50,7 @@
 	RSSBytes  int64   `json:"rss_bytes"`
 	HeapLive  uint64  `json:"heap_live_bytes"` // what the last collection found in use
 	LateMSMax float64 `json:"late_ms_max"`
+	Monitor   float64 `json:"monitor_cpu_ms"` // of cpu_ms, for the runtime's monitor, see Threads
 }
 
 // Run plays gateways as the lines of in say, until quit or the end of in, and writes reports to out. What gateways log goes to
@@ -194,6 +195,7 @@
 		r.Process.CPUMS = millis(time.Duration(use.Utime.Nano() + use.Stime.Nano()))
 	}
 	r.Process.RSSBytes = resident()
+	_, r.Process.Monitor, _ = Threads(os.Getpid()) // 0 where the kernel does not tell
 	live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
 	if metrics.Read(live); live[0].Value.Kind() == metrics.KindUint64 {
 		r.Process.HeapLive = live[0].Value.Uint64()
