Judge a scale run's lateness by gateways and seconds, not by processes

With two processes and half a minute there were 60 values, so that one late second of 35 gateways made a run invalid. Now each gateway's most in each second counts.

--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -68,7 +68,7 @@
 	EarlyDeaths   int             `json:"false_deaths_settling"`
 	Positions     Positions       `json:"positions"`
 	Discovery     Discovery       `json:"discovery"`
-	Lateness      *Dist           `json:"lateness_ms"` // each second's most, of the processes, and p99 of the relay
+	Lateness      *Dist           `json:"lateness_ms"` // each gateway's most in each second, the run's own and p99 of the relay among them
 	RelayLateness *Dist           `json:"relay_lateness_ms"`
 	Relay         wan.Counts      `json:"relay"`     // since its start
 	MemoryMB      float64         `json:"memory_mb"` // of all processes together, at most
@@ -355,7 +355,7 @@
 	out.Lateness, out.RelayLateness = distribution(slices.Clone(r.late)), distribution(relay)
 	bound := float64(p.Limits.Lateness) / 1e6
 	if l := out.Lateness; l != nil && l.P99 > bound {
-		r.invalid = append(r.invalid, fmt.Sprintf("the processes were late by %.1f ms (p99 of each second's most), over %.0f ms", l.P99, bound))
+		r.invalid = append(r.invalid, fmt.Sprintf("gateways' loops were late by %.1f ms (p99 of their most in each second), over %.0f ms", l.P99, bound))
 	}
 	if l := out.RelayLateness; l != nil && l.P99 > bound {
 		r.invalid = append(r.invalid, fmt.Sprintf("the relay was late by %.1f ms (p99), over %.0f ms", l.P99, bound))
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -57,7 +57,7 @@
 	deaths    []death
 	early     int // false deaths before the measured time
 	seconds   []second
-	late      []float64 // ms
+	late      []float64 // ms: each gateway's most in each second, and what the run owns to
 	ownLate   float64   // ms, since the last second
 	failed    []string
 	invalid   []string
@@ -346,7 +346,6 @@
 			cpu += s.CPUMS
 		}
 	}
-	late := h.Process.LateMSMax
 	for i := range h.Gateways {
 		s := &h.Gateways[i]
 		g := r.byName[s.Name]
@@ -365,10 +364,9 @@
 		if at.After(g.began) {
 			g.ready = true
 		}
-		late = max(late, s.LateMSMax)
-	}
-	if !r.begun.IsZero() {
-		r.late = append(r.late, late)
+		if !r.begun.IsZero() {
+			r.late = append(r.late, s.LateMSMax)
+		}
 	}
 }
 
