--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math"
 	"os"
 	"slices"
 	"strings"
@@ -507,7 +508,7 @@
 		for i := 1; i < len(g.samples); i++ {
 			a, b := &g.samples[i-1], &g.samples[i]
 			if s := b.at.Sub(a.at).Seconds(); s > 0 {
-				sums[int(b.at.Sub(r.begun).Seconds())] += float64(minus(b.roles[role], a.roles[role]).OutBytes) / s
+				sums[int(math.Floor(b.at.Sub(r.begun).Seconds()))] += float64(minus(b.roles[role], a.roles[role]).OutBytes) / s
 			}
 		}
 	}
@@ -520,7 +521,11 @@
 // mark draws a line where something happened.
 func (o *Report) mark(p *plot.Plot) error {
 	var at plotter.XYLabels
-	for _, s := range o.ViewsEqual {
+	list := slices.Clone(o.ViewsEqual)
+	for _, c := range o.run.cuts {
+		list = append(list, Settled{After: "cut", At: o.since(c.from)})
+	}
+	for _, s := range list {
 		line, err := plotter.NewLine(plotter.XYs{{X: s.At, Y: 0}, {X: s.At, Y: p.Y.Max}})
 		if err != nil {
 			return err
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -349,6 +349,9 @@
 	for i := range h.Gateways {
 		s := &h.Gateways[i]
 		g := r.byName[s.Name]
+		if g != nil && g.live && s.Error != "" && !slices.Contains(r.failed, s.Error) && at.After(g.began.Add(downTime)) {
+			r.failed = append(r.failed, s.Error)
+		}
 		if g == nil || !s.Up {
 			continue
 		}
