--- a/cmd/lilacload/scale.go
+++ b/cmd/lilacload/scale.go
@@ -27,7 +27,7 @@
 				return err
 			}
 			for name, bad := range map[string]bool{
-				"gateways": o.Gateways < 0, "databases": o.Databases < 0, "regions": o.Regions < 0, "rtt": o.RTT < 0, "for": o.For < 0,
+				"gateways": o.Gateways < 0, "databases": o.Databases < 0, "regions": o.Regions < 0, "rtt": o.RTT < 0, "for": o.For < 0, "settle": o.Settle < 0,
 			} {
 				if bad {
 					return fmt.Errorf("--%s: below zero", name)
@@ -84,6 +84,7 @@
 	f.DurationVar(&o.RTT, "rtt", 0, "round trip between regions instead of the plan's, like 120ms")
 	f.Int64Var(&o.Seed, "seed", -1, "seed instead of the plan's")
 	f.DurationVar(&o.For, "for", time.Duration(0), "measure for so long instead of the plan's time, like 30s")
+	f.DurationVar(&o.Settle, "settle", time.Duration(0), "time before it, from the last start, instead of the plan's")
 	f.IntVar(&o.Real, "real", -1, "so many of the gateways are processes of their own, with clients")
 	f.Float64Var(&o.Statements, "statements", -1, "so many statements a second at each hollow gateway")
 	f.BoolVar(&check, "check", false, "read the plan, tell what it comes to and end")
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -29,7 +29,8 @@
 	RTT, Loss Spread
 	Jitter    time.Duration // of one way, between regions
 	Load      Load
-	Clients   float64 // requests a second at each real gateway
+	Clients   float64       // requests a second at each real gateway
+	Pace      time.Duration // between the starts of processes
 	Settle    time.Duration
 	For       time.Duration
 	Events    []Event
@@ -107,7 +108,7 @@
 	Gateways, Databases, Regions int
 	RTT                          time.Duration
 	Seed                         int64 // -1: nothing
-	For                          time.Duration
+	Settle, For                  time.Duration
 	Real                         int     // -1: nothing
 	Statements                   float64 // a second; below 0: nothing
 }
@@ -136,12 +137,12 @@
 	r := &reader{Reader: base}
 	p := &Plan{
 		Seed: 1, Gateways: 8, Databases: 16, Group: 4, Hollow: 35, RTT: Spread{Within: 0.0005}, Load: Load{Statements: 0}, Clients: 20,
-		Settle: 15 * time.Second, For: 30 * time.Second,
+		Pace: 200 * time.Millisecond, Settle: 15 * time.Second, For: 30 * time.Second,
 		Allowance: Allowance{BytesOut: 5000, Core: 0.019, MemoryMB: 256, Discovery: 0},
 		Limits:    Limits{Memory: 0.5, Processes: 300, Lateness: 20 * time.Millisecond},
 	}
 	f := r.Fields(top, "", "seed", "gateways", "databases", "group", "real", "hollow_per_process", "regions", "rtt", "loss", "load",
-		"clients", "fleet", "settle", "for", "events", "allowance", "limits")
+		"clients", "fleet", "pace", "settle", "for", "events", "allowance", "limits")
 	whole := func(key string, to *int, least, most int) {
 		if f[key] != nil {
 			*to = r.Count(f[key], key, least, most)
@@ -167,7 +168,7 @@
 			p.Load.Skew = r.Plain(l["skew"], "skew")
 		}
 	}
-	for key, to := range map[string]*time.Duration{"settle": &p.Settle, "for": &p.For} {
+	for key, to := range map[string]*time.Duration{"pace": &p.Pace, "settle": &p.Settle, "for": &p.For} {
 		if f[key] != nil {
 			*to = r.Time(f[key], key)
 		}
@@ -202,6 +203,9 @@
 	if o.Seed >= 0 {
 		p.Seed = uint64(o.Seed)
 	}
+	if o.Settle > 0 {
+		p.Settle = o.Settle
+	}
 	if o.For > 0 {
 		p.For = o.For
 	}
--- a/internal/scale/plan_test.go
+++ b/internal/scale/plan_test.go
@@ -53,9 +53,10 @@
 
 func TestScaleFlagsGoBeforeThePlan(t *testing.T) {
 	text := strings.ReplaceAll(small, "  - {at: 2 s, do: cut, sides: [[north], [south]], for: 5 s}\n", "")
-	p := parse(t, text, Override{Gateways: 20, Databases: 8, Regions: 3, RTT: 120 * time.Millisecond, Seed: 9, For: 20 * time.Second, Real: 0, Statements: 70})
+	p := parse(t, text, Override{Gateways: 20, Databases: 8, Regions: 3, RTT: 120 * time.Millisecond, Seed: 9, Settle: 7 * time.Second, For: 20 * time.Second, Real: 0, Statements: 70})
 	assert.Equal(t, []any{20, 8, 0, uint64(9), 0.12, 20 * time.Second}, []any{p.Gateways, p.Databases, p.Real, p.Seed, p.RTT.Between, p.For})
 	assert.Equal(t, 70.0, p.Load.Statements)
+	assert.Equal(t, 7*time.Second, p.Settle)
 	assert.Equal(t, []Region{{"north", []string{"n1"}}, {"south", []string{"n2"}}, {"region3", []string{"s1"}}}, p.Regions)
 	p = parse(t, text, Override{Regions: 1, Seed: -1, Real: -1, Statements: -1})
 	assert.Equal(t, []Region{{"north", []string{"n1", "n2", "s1"}}}, p.Regions)
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -23,7 +23,6 @@
 const (
 	reportEvery = time.Second
 	lookEvery   = 200 * time.Millisecond
-	startPace   = 200 * time.Millisecond // between processes
 	downTime    = 1500 * time.Millisecond
 	inForce     = 6 * time.Second // for a change of the list, by the protocol
 )
@@ -281,7 +280,7 @@
 		for _, x := range list {
 			r.in[x.name] = h
 		}
-		if !wait(ctx, startPace) {
+		if !wait(ctx, p.Pace) {
 			return ctx.Err()
 		}
 	}
