--- a/internal/hollow/gateway.go
+++ b/internal/hollow/gateway.go
@@ -44,29 +44,31 @@
 // State is one gateway in a report. Figures are sums since its start, but for late_ms_max and dead_names, which are since the
 // last report, and what holds at the moment.
 type State struct {
-	Name           string                   `json:"name"`
-	Up             bool                     `json:"up"`
-	Error          string                   `json:"error,omitempty"` // why it is not
-	Member         bool                     `json:"member"`
-	Addr           string                   `json:"addr,omitempty"`
-	Session        string                   `json:"session,omitempty"`
-	CPUMS          float64                  `json:"cpu_ms"`
-	FeedCPUMS      float64                  `json:"feed_cpu_ms"` // of cpu_ms, for what no real gateway does
-	LateMSMax      float64                  `json:"late_ms_max"`
-	ViewMembers    int                      `json:"view_members"`
-	ViewDigest     string                   `json:"view_digest"`
-	Deaths         uint64                   `json:"deaths"`
-	DeadNames      []string                 `json:"dead_names"`
-	ListSeq        int64                    `json:"list_seq"`
-	ListDatabases  int                      `json:"list_databases"`
-	KnownPositions int                      `json:"known_positions"`
-	AgeP50         float64                  `json:"position_age_ms_p50"` // how old they are
-	AgeP99         float64                  `json:"position_age_ms_p99"`
-	Learned        uint64                   `json:"learned"` // statements whose answers were fed in
-	LearnedPrimary uint64                   `json:"learned_primary"`
-	Short          uint64                   `json:"budget_short"` // that found no connection in the budget
-	Roles          map[string]stats.Traffic `json:"roles"`
-	Totals         stats.Traffic            `json:"totals"` // of all links, discovery not among them
+	Name             string                   `json:"name"`
+	Up               bool                     `json:"up"`
+	Error            string                   `json:"error,omitempty"` // why it is not
+	Member           bool                     `json:"member"`
+	Addr             string                   `json:"addr,omitempty"`
+	Session          string                   `json:"session,omitempty"`
+	CPUMS            float64                  `json:"cpu_ms"`
+	FeedCPUMS        float64                  `json:"feed_cpu_ms"` // of cpu_ms, for what no real gateway does
+	LateMSMax        float64                  `json:"late_ms_max"`
+	ViewMembers      int                      `json:"view_members"`
+	ViewDigest       string                   `json:"view_digest"`
+	Deaths           uint64                   `json:"deaths"`
+	DeadNames        []string                 `json:"dead_names"`
+	ListSeq          int64                    `json:"list_seq"`
+	ListDatabases    int                      `json:"list_databases"`
+	KnownPositions   int                      `json:"known_positions"`
+	AgeP50           float64                  `json:"position_age_ms_p50"` // how old they are
+	AgeP99           float64                  `json:"position_age_ms_p99"`
+	PositionsLearned uint64                   `json:"positions_learned"` // of what databases told: what was news
+	PositionsHeard   uint64                   `json:"positions_heard"`   // of what other gateways told
+	Learned          uint64                   `json:"learned"`           // statements whose answers were fed in
+	LearnedPrimary   uint64                   `json:"learned_primary"`
+	Short            uint64                   `json:"budget_short"` // that found no connection in the budget
+	Roles            map[string]stats.Traffic `json:"roles"`
+	Totals           stats.Traffic            `json:"totals"` // of all links, discovery not among them
 }
 
 // hollow is one gateway: it may be started again and again, each time as a new process would be.
@@ -101,11 +103,14 @@
 
 // start runs it until told otherwise, on a thread that nobody else uses meanwhile.
 func (h *hollow) start() error {
+	if h.runs() && !h.ends() {
+		return errors.New("it runs already")
+	}
 	if h.over != nil {
 		select {
 		case <-h.over:
 		case <-time.After(startTime):
-			return fmt.Errorf("gateway %s: its last run has not ended", h.spec.Name)
+			return errors.New("its last run has not ended")
 		}
 	}
 	over, begun := make(chan struct{}), make(chan error, 1)
@@ -181,7 +186,7 @@
 		loop.Close()
 		return nil, err
 	}
-	r := &run{h: h, loop: loop, side: side, asked: make(chan func(), 64), gone: make(chan struct{})}
+	r := &run{h: h, loop: loop, side: side, asked: make(chan func(), 64), gone: make(chan struct{}), dead: []string{}}
 	options := backend.Options{ConnIdle: set.ConnIdle, DialTimeout: set.DialTimeout, ProbeReport: set.ProbeReport, Reserve: sockets / 16}
 	budgets := side.Budgets()
 	if budgets != nil {
@@ -200,7 +205,7 @@
 	}
 	seed := fnv.New64()
 	_, _ = seed.Write([]byte(h.spec.Name))
-	r.feed = newFeed(side, h.spec, seed.Sum64())
+	r.feed = newFeed(side, set.Policy.Classes, h.spec, seed.Sum64())
 	r.tick(loop.Now() + latePeriod)
 	loop.OnWake(func() {
 		for len(r.asked) > 0 {
@@ -264,11 +269,40 @@
 
 // kill closes all that it has, without a word to anybody.
 func (h *hollow) kill() {
-	if r := h.ask((*run).stop); r != nil {
-		<-r.gone
+	for {
+		r := h.ask((*run).stop)
+		if r == nil && !h.runs() {
+			return
+		}
+		if r != nil {
+			<-r.gone
+			return
+		}
+		time.Sleep(latePeriod) // starved: it has not done what it was asked before
+	}
+}
+
+// ends tells whether the run that is on was told to end.
+func (h *hollow) ends() bool {
+	answer := make(chan bool, 1)
+	r := h.ask(func(r *run) { answer <- r.ending })
+	if r == nil {
+		return false
+	}
+	select {
+	case on := <-answer:
+		return on
+	case <-r.gone:
+		return true
 	}
 }
 
+func (h *hollow) runs() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cur != nil
+}
+
 // end is what SIGTERM leads to.
 func (h *hollow) end() {
 	h.ask(func(r *run) {
@@ -290,7 +324,7 @@
 		Name: r.h.spec.Name, Up: true, LateMSMax: millis(r.late), DeadNames: r.dead, ListSeq: r.side.Watch.Seq(), ListDatabases: r.side.Core.Members(),
 		Learned: r.feed.learned, LearnedPrimary: r.feed.learnedPrimary, Short: r.feed.short, Roles: r.side.Traffic(),
 	}
-	r.late, r.dead = 0, nil
+	r.late, r.dead = 0, []string{}
 	if l := r.side.Links; l != nil {
 		own, member := l.Own()
 		v, c := l.View(), l.Totals()
@@ -298,6 +332,7 @@
 		s.ViewMembers, s.ViewDigest, s.Deaths = len(v.Members), strconv.FormatUint(v.Digest, 16), l.Deaths()
 		s.Totals = stats.Traffic{OutBytes: c.OutBytes, OutMessages: c.Out, InBytes: c.InBytes, InMessages: c.In}
 	}
+	s.PositionsLearned, s.PositionsHeard = r.side.PositionNews()
 	if ages := r.side.PositionAges(); len(ages) > 0 {
 		slices.Sort(ages)
 		s.KnownPositions = len(ages)
