--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -119,6 +119,7 @@
 const (
 	grace     = 20 * time.Second // after a fault for which a death that is told may come from it
 	startTime = 30 * time.Second
+	realOnes  = 8 // where a plan does not say
 )
 
 const windowSeconds = 10 // of a window against which an allowance is held
@@ -176,7 +177,9 @@
 	r.regions(p, f["regions"], top)
 	r.allowance(p, f["allowance"])
 	r.limits(p, f["limits"])
-	p.override(o)
+	if p.override(o); f["real"] == nil && o.Real < 0 {
+		p.Real = min(realOnes, p.Gateways)
+	}
 	r.check(p, f, top)
 	r.events(p, f["events"])
 	r.fleet(p, f["fleet"])
--- a/internal/scale/plan_test.go
+++ b/internal/scale/plan_test.go
@@ -62,6 +62,8 @@
 	assert.Equal(t, []Region{{"north", []string{"n1", "n2", "s1"}}}, p.Regions)
 	assert.Equal(t, uint64(3), p.Seed)
 	assert.Equal(t, 2, p.Real)
+	p = parse(t, strings.Replace(text, "real: 2\n", "", 1), NoOverride())
+	assert.Equal(t, 8, p.Real, "some are real where nothing is said")
 	// What the flags leave no room for is told where it stands.
 	_, err := Parse("p", []byte(small), Override{Gateways: 2, Regions: 1, Seed: -1, Real: -1, Statements: -1})
 	assert.ErrorContains(t, err, "p:2:11: gateways: 2 for 3 zones")
