--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math"
 	"os"
 	"slices"
 	"strings"
@@ -68,7 +69,7 @@
 	EarlyDeaths   int             `json:"false_deaths_settling"`
 	Positions     Positions       `json:"positions"`
 	Discovery     Discovery       `json:"discovery"`
-	Lateness      *Dist           `json:"lateness_ms"` // each second's most, of the processes, and p99 of the relay
+	Lateness      *Dist           `json:"lateness_ms"` // each gateway's most in each second, the run's own and p99 of the relay among them
 	RelayLateness *Dist           `json:"relay_lateness_ms"`
 	Relay         wan.Counts      `json:"relay"`     // since its start
 	MemoryMB      float64         `json:"memory_mb"` // of all processes together, at most
@@ -355,7 +356,7 @@
 	out.Lateness, out.RelayLateness = distribution(slices.Clone(r.late)), distribution(relay)
 	bound := float64(p.Limits.Lateness) / 1e6
 	if l := out.Lateness; l != nil && l.P99 > bound {
-		r.invalid = append(r.invalid, fmt.Sprintf("the processes were late by %.1f ms (p99 of each second's most), over %.0f ms", l.P99, bound))
+		r.invalid = append(r.invalid, fmt.Sprintf("gateways' loops were late by %.1f ms (p99 of their most in each second), over %.0f ms", l.P99, bound))
 	}
 	if l := out.RelayLateness; l != nil && l.P99 > bound {
 		r.invalid = append(r.invalid, fmt.Sprintf("the relay was late by %.1f ms (p99), over %.0f ms", l.P99, bound))
@@ -507,7 +508,7 @@
 		for i := 1; i < len(g.samples); i++ {
 			a, b := &g.samples[i-1], &g.samples[i]
 			if s := b.at.Sub(a.at).Seconds(); s > 0 {
-				sums[int(b.at.Sub(r.begun).Seconds())] += float64(minus(b.roles[role], a.roles[role]).OutBytes) / s
+				sums[int(math.Floor(b.at.Sub(r.begun).Seconds()))] += float64(minus(b.roles[role], a.roles[role]).OutBytes) / s
 			}
 		}
 	}
@@ -520,7 +521,11 @@
 // mark draws a line where something happened.
 func (o *Report) mark(p *plot.Plot) error {
 	var at plotter.XYLabels
-	for _, s := range o.ViewsEqual {
+	list := slices.Clone(o.ViewsEqual)
+	for _, c := range o.run.cuts {
+		list = append(list, Settled{After: "cut", At: o.since(c.from)})
+	}
+	for _, s := range list {
 		line, err := plotter.NewLine(plotter.XYs{{X: s.At, Y: 0}, {X: s.At, Y: p.Y.Max}})
 		if err != nil {
 			return err
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -23,7 +23,6 @@
 const (
 	reportEvery = time.Second
 	lookEvery   = 200 * time.Millisecond
-	startPace   = 200 * time.Millisecond // between processes
 	downTime    = 1500 * time.Millisecond
 	inForce     = 6 * time.Second // for a change of the list, by the protocol
 )
@@ -57,7 +56,7 @@
 	deaths    []death
 	early     int // false deaths before the measured time
 	seconds   []second
-	late      []float64 // ms
+	late      []float64 // ms: each gateway's most in each second, and what the run owns to
 	ownLate   float64   // ms, since the last second
 	failed    []string
 	invalid   []string
@@ -281,7 +280,7 @@
 		for _, x := range list {
 			r.in[x.name] = h
 		}
-		if !wait(ctx, startPace) {
+		if !wait(ctx, p.Pace) {
 			return ctx.Err()
 		}
 	}
@@ -346,10 +345,12 @@
 			cpu += s.CPUMS
 		}
 	}
-	late := h.Process.LateMSMax
 	for i := range h.Gateways {
 		s := &h.Gateways[i]
 		g := r.byName[s.Name]
+		if g != nil && g.live && s.Error != "" && !slices.Contains(r.failed, s.Error) && at.After(g.began.Add(downTime)) {
+			r.failed = append(r.failed, s.Error)
+		}
 		if g == nil || !s.Up {
 			continue
 		}
@@ -365,10 +366,9 @@
 		if at.After(g.began) {
 			g.ready = true
 		}
-		late = max(late, s.LateMSMax)
-	}
-	if !r.begun.IsZero() {
-		r.late = append(r.late, late)
+		if !r.begun.IsZero() {
+			r.late = append(r.late, s.LateMSMax)
+		}
 	}
 }
 
