Tell statements that went amiss one by one, and a stall up to a side's end

A side that stood still until it was asked for its report could miss its own last lateness, by a draw of select: the test of a starved databases' process failed once so. The end records what is due by then. The report names the first statements that were not served, with when and after how long, and what the stand-ins turned away.

--- a/internal/datapath/clients.go
+++ b/internal/datapath/clients.go
@@ -32,7 +32,7 @@
 	sources      = 16                     // loopback addresses that clients come from, each with ports of its own
 	sampleEvery  = 100 * time.Millisecond
 	heartbeat    = 5 * time.Millisecond // of a process that measures its own lateness
-	mostMessages = 5                    // texts of a kind that are kept
+	mostMessages = 20                   // texts of a kind that are kept, and statements that went amiss
 )
 
 // clientSide is what the process of the clients is told.
@@ -98,6 +98,14 @@
 	LatencyMS Quantiles `json:"latency_ms"` // of what was served, from the intended moment
 }
 
+// Amiss is a statement that was not served.
+type Amiss struct {
+	Class  string  `json:"class"`
+	AtS    float64 `json:"at_s"` // when it was due, from the load's beginning on
+	TookMS float64 `json:"took_ms"`
+	How    string  `json:"how"`
+}
+
 // clientReport is what the process of the clients tells at its end.
 type clientReport struct {
 	Seconds     float64                 `json:"seconds"`   // measured
@@ -115,6 +123,7 @@
 	Classes     map[string]*ClassReport `json:"classes"`
 	RefusedBy   map[string]int          `json:"refused_by"`
 	FailedBy    map[string]int          `json:"failed_by"`
+	Amiss       []Amiss                 `json:"amiss"`
 	Extra       int                     `json:"extra"` // messages that nobody asked for
 	Lateness    Quantiles               `json:"lateness_ms"`
 	Heartbeat   Quantiles               `json:"heartbeat_ms"`
@@ -234,6 +243,9 @@
 		due = due.Add(heartbeat)
 		select {
 		case <-end:
+			if late := time.Since(due); late > 0 {
+				record(h, late) // it stood still up to its end
+			}
 			return
 		case <-time.After(time.Until(due)):
 		}
@@ -453,7 +465,7 @@
 
 // few counts under a text, of which there are not many kinds.
 func few(m map[string]int, text string) {
-	if _, known := m[text]; !known && len(m) >= 4*mostMessages {
+	if _, known := m[text]; !known && len(m) >= mostMessages {
 		text = "other"
 	}
 	m[text]++
@@ -663,6 +675,9 @@
 	} else if o.failed != "" {
 		few(r.FailedBy, o.failed)
 	}
+	if how := o.refused + o.failed; how != "" && len(r.Amiss) < mostMessages {
+		r.Amiss = append(r.Amiss, Amiss{c.Classes[o.class].Name, round(due.Sub(c.load).Seconds(), 3), round(o.latency.Seconds()*1000, 1), how})
+	}
 	if due.Before(c.begin) {
 		return
 	}
--- a/internal/datapath/datapath.go
+++ b/internal/datapath/datapath.go
@@ -111,6 +111,7 @@
 	Classes    map[string]*ClassReport `json:"classes"`
 	RefusedBy  map[string]int          `json:"refused_by"` // whole run
 	FailedBy   map[string]int          `json:"failed_by"`
+	Amiss      []Amiss                 `json:"amiss"`       // the first of those
 	TurnedAway map[string]int          `json:"turned_away"` // connections
 	Figures    map[string]int          `json:"figures"`     // its own, at the end of the load
 	Events     map[string]int          `json:"events"`      // lines of its log by event, sparse ones as they are told
@@ -127,6 +128,10 @@
 	Writes      int                    `json:"writes"`
 	Duplicates  int                    `json:"duplicates"`
 	Stale       int                    `json:"stale"`
+	Firsts      int                    `json:"firsts"`  // statements that came for the first time
+	Repeats     int                    `json:"repeats"` // and again
+	Misses      int                    `json:"misses"`  // writes at a replica
+	Full        int                    `json:"full"`    // turned away with a full queue
 	ServiceMS   float64                `json:"service_ms"`
 }
 
@@ -465,7 +470,7 @@
 	g.P50, g.P99 = c.Latency.P50, c.Latency.P99
 	g.ClientNewIdle, g.ClientNew = c.AgainIdle, c.Again
 	g.ClosedIdle = round(float64(c.Closed)/max(0.001, c.Seconds), 1)
-	g.Classes, g.RefusedBy, g.FailedBy, g.TurnedAway = c.Classes, c.RefusedBy, c.FailedBy, c.TurnedAway
+	g.Classes, g.RefusedBy, g.FailedBy, g.TurnedAway, g.Amiss = c.Classes, c.RefusedBy, c.FailedBy, c.TurnedAway, c.Amiss
 	if c.OpenIdle > 0 {
 		g.BytesPerClient = round((g.RSSClientsIdle-g.RSSIdle)*megabyte/c.OpenIdle, 0)
 	}
@@ -539,6 +544,7 @@
 		r.fault("%v", err)
 	}
 	s.Reads, s.Writes, s.Duplicates, s.Stale = n.Counts.Reads, n.Counts.Writes, n.Counts.Duplicates, n.Counts.Stale
+	s.Firsts, s.Repeats, s.Misses, s.Full = n.Counts.Firsts, n.Counts.Repeats, n.Counts.Misses, n.Counts.Full
 	if n.Counts.Duplicates > 0 {
 		r.fault("%d writes ran twice", n.Counts.Duplicates)
 	}
@@ -627,11 +633,15 @@
 			say("    %s: %d %s", x.what, x.by[k], k)
 		}
 	}
+	for _, a := range g.Amiss {
+		say("    %s due at %.3f s, after %.1f ms: %s", a.Class, a.AtS, a.TookMS, a.How)
+	}
 	for _, role := range slices.Sorted(maps.Keys(s.Per)) {
 		p := s.Per[role]
 		say("a database (%s, %d): connections mean %.3f, p99 %.0f, max %d; one or more for %.1f%% of the time; %.2f statements/s",
 			role, p.Databases, p.Mean, p.P99, p.Max, 100*p.ShareAny, p.PerSecond)
 	}
+	say("stand-in: %d statements came for the first time, %d again, %d writes at a replica, %d found a full queue", s.Firsts, s.Repeats, s.Misses, s.Full)
 	say("stand-in: core %.1f%%, late p99 %.2f ms, at most %.2f ms", s.Core, s.HeartbeatMS.P99, s.HeartbeatMS.Max)
 	say("clients: core %.1f%%, late p99 %.2f ms, at most %.2f ms; statements late p99 %.2f ms, at most %.2f ms",
 		c.Core, c.HeartbeatMS.P99, c.HeartbeatMS.Max, c.LatenessMS.P99, c.LatenessMS.Max)
