Close two gaps in the tests of lilacload datapath, found by mutants

Two mutants lived at first: statements for a group that is not there now break UnevenGroups, and a stall that lasts up to a side's end BeatAtTheEnd.

--- a/internal/datapath/clients.go
+++ b/internal/datapath/clients.go
@@ -224,7 +224,7 @@
 	watching.Add(2)
 	go func() {
 		defer watching.Done()
-		beat(beats, watched)
+		beat(beats, time.Now(), watched)
 	}()
 	go func() {
 		defer watching.Done()
@@ -236,9 +236,8 @@
 	return say.Encode(w.total(beats))
 }
 
-// beat records how late a timer of this process fires, until it is told to end.
-func beat(h *hdrhistogram.Histogram, end <-chan struct{}) {
-	due := time.Now()
+// beat records how late a timer of this process fires, from a moment on until it is told to end.
+func beat(h *hdrhistogram.Histogram, due time.Time, end <-chan struct{}) {
 	for {
 		due = due.Add(heartbeat)
 		select {
--- a/internal/datapath/databases.go
+++ b/internal/datapath/databases.go
@@ -92,7 +92,7 @@
 	beaten := make(chan struct{})
 	go func() {
 		defer close(beaten)
-		beat(beats, beatEnd)
+		beat(beats, time.Now(), beatEnd)
 	}()
 	b := &books{w: w}
 	go b.keep(end)
--- a/internal/datapath/datapath_test.go
+++ b/internal/datapath/datapath_test.go
@@ -147,6 +147,7 @@
 	addsUp(t, r)
 	assert.Equal(t, 10, r.StandIn.Per["all"].Databases)
 	assert.Equal(t, 3, r.StandIn.Per["primary"].Databases)
+	assert.GreaterOrEqual(t, r.Gateway.Served, r.Gateway.Sent*95/100, "none is for a group that is not there")
 }
 
 // A run in which the clients' or the databases' process stood still is told invalid, whatever else it shows.
@@ -234,6 +235,17 @@
 	assert.Error(t, err)
 }
 
+// A process that stood still until it is told to end has been late all the same.
+func TestBeatAtTheEnd(t *testing.T) {
+	end := make(chan struct{})
+	close(end)
+	for range 20 {
+		h := histogram()
+		beat(h, time.Now().Add(-time.Second), end)
+		assert.Greater(t, quantiles(h).Max, 900.0)
+	}
+}
+
 func TestSpread(t *testing.T) {
 	var p PerDatabase
 	p.spread([]int{3, 0, 1, 1})
