--- a/cmd/lilacload/datapath.go
+++ b/cmd/lilacload/datapath.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 	"strings"
 	"time"
@@ -11,6 +12,31 @@
 	"lilaccove/internal/datapath"
 )
 
+// fit fits slopes over reports.
+func fit(c *cobra.Command, args []string) error {
+	var list []*datapath.Report
+	for _, path := range args {
+		text, err := os.ReadFile(path)
+		r := &datapath.Report{}
+		if err == nil {
+			err = json.Unmarshal(text, r)
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		list = append(list, r)
+	}
+	for _, l := range datapath.Lines() {
+		if err := l.Fit(list); err != nil {
+			return err
+		}
+		if err := l.Text(c.OutOrStdout()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // datapathCommand measures one gateway's share of the data path.
 func datapathCommand() *cobra.Command {
 	o := datapath.Options{}
@@ -75,6 +101,7 @@
 	f.StringVar(&file, "json", "", "write the report to this file as well")
 	f.StringVar(&logs, "logs", "", "keep what the gateway says in this file")
 	c.AddCommand(
+		&cobra.Command{Use: "fit A.json B.json ...", Short: "Fit slopes of memory and processor time over reports", Args: cobra.MinimumNArgs(2), RunE: fit},
 		&cobra.Command{Use: "databases", Hidden: true, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
 			return datapath.Databases(os.Stdin, os.Stdout)
 		}},
