--- a/cmd/lilaccove/primaries_test.go
+++ b/cmd/lilaccove/primaries_test.go
@@ -13,8 +13,13 @@
 // A primary hangs and a replica takes its place; discovery does not tell. A gateway that has no clients learns of that from
 // the others' answers, not by failing: its first write goes to the new primary. While a partition keeps it from them it knows
 // nothing, and afterwards it is told.
-func TestFleetStatePrimaries(t *testing.T) {
-	p := newPartyOf(t, 4, strings.Replace(fmt.Sprintf(sharedPlan, 4), "fleet: true", "fleet: true, primaries: true", 1))
+func TestFleetStatePrimaries(t *testing.T) { primariesAreTold(t, "primaries: true") }
+
+// The same holds under a budget.
+func TestFleetReconcilePrimaries(t *testing.T) { primariesAreTold(t, "primaries: true, bytes: 500/s") }
+
+func primariesAreTold(t *testing.T, lines string) {
+	p := newPartyOf(t, 4, strings.Replace(fmt.Sprintf(sharedPlan, 4), "fleet: true", "fleet: true, "+lines, 1))
 	idle := 3
 	p.Front().Set(idle, "127.0.0.1:1") // nobody is sent to it
 	ask := func(what string) {
--- a/internal/fleet/antientropy/machine_test.go
+++ b/internal/fleet/antientropy/machine_test.go
@@ -478,3 +478,19 @@
 		sound(r, rapid.SliceOf(rapid.Byte()).Draw(r, "garbage"))
 	})
 }
+
+// BenchmarkSecond is a second of two gateways' work at 810 databases, 2,041 answers and 1,500 bytes.
+func BenchmarkSecond(b *testing.B) {
+	list := hosts(810)
+	f := newFleet(1, 2, 1500, list)
+	for b.Loop() {
+		for range 20 {
+			for range 102 {
+				f.nodes[0].Learned(list[f.rnd.IntN(len(list))], f.now)
+				f.nodes[1].Learned(list[f.rnd.IntN(len(list))], f.now)
+			}
+			f.run(b, stride, nil)
+		}
+		f.sent = make([][]sending, 2)
+	}
+}
--- a/internal/fleet/antientropy/trial_test.go
+++ b/internal/fleet/antientropy/trial_test.go
@@ -66,7 +66,7 @@
 	Messages    float64  `json:"messages_per_s"`
 	Entries     float64  `json:"entries_told_per_s"`
 	News        *float64 `json:"share_news"`      // of entries, that rose by anything at the hearer
-	NewsStep    *float64 `json:"share_news_step"` // by a step (200 ms) and more
+	NewsStep    *float64 `json:"share_news_step"` // by a step and more: 200 ms, of primaries 1 s
 	AgeP50      float64  `json:"age_p50_ms"`
 	AgeP99      float64  `json:"age_p99_ms"`
 	AgeP999     float64  `json:"age_p99_9_ms"`
@@ -103,6 +103,8 @@
 	cut     func(from, to int) bool
 	off     func(gateway, db int) bool // no answer comes
 	down    func(gateway int) bool
+	step    time.Duration
+	part    string
 	index   map[string]int
 }
 
@@ -115,7 +117,7 @@
 
 func newWorld(seed uint64, n, d int, oneWay time.Duration, loss float64, home bool) *world {
 	w := &world{
-		rnd: rand.New(rand.NewPCG(seed, 3)), now: simEpoch, n: n, d: d, oneWay: oneWay, loss: loss, home: home, rate: answers,
+		rnd: rand.New(rand.NewPCG(seed, 3)), now: simEpoch, n: n, d: d, oneWay: oneWay, loss: loss, home: home, rate: answers, step: simStep, part: "positions",
 		pending: map[time.Duration][]arrival{}, out: make([]int, n), in: make([]int, n), second: make([]int, n),
 	}
 	for range n {
@@ -135,7 +137,7 @@
 // told counts an entry that came to a hearer.
 func (w *world) told(g, db int, at time.Duration) {
 	w.entries++
-	if at >= w.known[g][db]+simStep {
+	if at >= w.known[g][db]+w.step {
 		w.newStep++
 	}
 	if w.raise(g, db, at) {
@@ -262,7 +264,7 @@
 	a := &ages{}
 	w.run(window, func() { a.add(w) })
 	r := trial{
-		Part: "positions", Mode: mode, Gateways: w.n, Databases: w.d, OneWayMS: float64(w.oneWay) / 1e6, Loss: w.loss, Answers: "even", AnswersPS: w.rate,
+		Part: w.part, Mode: mode, Gateways: w.n, Databases: w.d, OneWayMS: float64(w.oneWay) / 1e6, Loss: w.loss, Answers: "even", AnswersPS: w.rate,
 		Seconds: window.Seconds(), Window: float64(w.worst), AgeP50: a.quantile(0.5), AgeP99: a.quantile(0.99), AgeP999: a.quantile(0.999),
 		OverASecond: float64(a.over) / float64(a.all), Unknown: float64(a.unknown) / float64(a.all),
 	}
@@ -383,7 +385,7 @@
 		index[dbName(i)] = i
 	}
 	for g := range w.n {
-		m := &monger{w: w, g: g, p: state.New(name(g), uint64(g), simStep, func(string) bool { return true }), enc: enc, index: index}
+		m := &monger{w: w, g: g, p: state.New(name(g), uint64(g), w.step, func(string) bool { return true }), enc: enc, index: index}
 		m.p.Live(names)
 		m.next = w.now + time.Duration(g%2)*simTick
 		w.nodes = append(w.nodes, m)
@@ -464,7 +466,7 @@
 }
 
 func (w *world) reconciler(g, bytes int, members []Member) *reconciler {
-	m := New(Config{Own: members[g].Name, Zone: members[g].Zone, Seed: w.rnd.Uint64(), Bytes: bytes, Overhead: envelope + 3, Step: simStep}, w.now)
+	m := New(Config{Own: members[g].Name, Zone: members[g].Zone, Seed: w.rnd.Uint64(), Bytes: bytes, Overhead: envelope + 3, Step: w.step}, w.now)
 	m.Live(members)
 	m.List(dbNames[:w.d])
 	return &reconciler{w, g, m}
@@ -550,6 +552,19 @@
 		if *capacityShort {
 			return
 		}
+		// Answers as primary: one database of four, three answers in ten, news by a second.
+		for _, d := range []int{30, 60, 120, 203} {
+			for _, mode := range []string{"rumours", "anti-entropy 500/s"} {
+				w := newWorld(27, 48, d, 60*time.Millisecond, 0.02, false)
+				w.part, w.step, w.rate = "primaries", time.Second, 0.3*answers
+				if mode == "rumours" {
+					w.mongers(b)
+				} else {
+					w.reconcilers(500, true)
+				}
+				add(w.measure(mode, 10*time.Second, 10*time.Second))
+			}
+		}
 		for _, mode := range []string{"off", "rumours", budgeted} {
 			w := begin(mode, 245, 810, 60*time.Millisecond, 0.02, true)
 			var renew func(g int) sharer
@@ -557,7 +572,7 @@
 			case mode == "rumours":
 				renew = func(g int) sharer {
 					m := *o[g].(*monger)
-					m.p = state.New(name(g), 99, simStep, func(string) bool { return true })
+					m.p = state.New(name(g), 99, w.step, func(string) bool { return true })
 					m.p.Live(w.names())
 					return &m
 				}
