--- a/cmd/lilacload/calibrate.go
+++ b/cmd/lilacload/calibrate.go
@@ -15,7 +15,7 @@
 )
 
 // calibration is the command that tells how far hollow gateways can be trusted.
-func calibration() *cobra.Command {
+func calibrateCommand() *cobra.Command {
 	o := calibrate.Options{Settle: 8 * time.Second}
 	var program, file, logs string
 	c := &cobra.Command{
--- a/cmd/lilacload/hollow.go
+++ b/cmd/lilacload/hollow.go
@@ -12,7 +12,7 @@
 )
 
 // hollows is the command that other tools start to have many gateways.
-func hollows() *cobra.Command {
+func hollowCommand() *cobra.Command {
 	var logs, profile string
 	c := &cobra.Command{
 		Use: "hollow", Short: "Run the control sides of many gateways, as the lines of stdin say", Args: cobra.NoArgs,
--- a/cmd/lilacload/scale.go
+++ b/cmd/lilacload/scale.go
@@ -13,7 +13,7 @@
 )
 
 // scales is the command that runs a fleet of many gateways.
-func scales() *cobra.Command {
+func scaleCommand() *cobra.Command {
 	o := scale.NoOverride()
 	var json, plots, logs, gateway string
 	var check bool
