--- a/internal/calibrate/calibrate.go
+++ b/internal/calibrate/calibrate.go
@@ -203,8 +203,8 @@
 		"core_percent": fmt.Sprintf("without the runtime's monitor, a thread that each process has: %.3f%% of a core of a real gateway with a fleet file, "+
 			"%.3f%% without one; all hollow ones of a process share one. Add the difference to what hollow ones tell", r.Real.Monitor, r.Real.MonitorWithout),
 		"memory_mb": fmt.Sprintf("the collector lets the heap of a process grow to 16 MB, or to five times what lives, before it works: of a real gateway "+
-			"that is garbage of its own, all hollow ones of a process share it. What lives with a fleet file is %.2f MB a gateway, without one %.2f; "+
-			"take a process's memory from real ones, and its slope from what lives", r.Hollow.Live, r.Hollow.LiveWithout),
+			"that is garbage of its own, all hollow ones of a process share it. What lives with a fleet file is %.2f MB a hollow gateway (0: nothing was "+
+			"collected yet); take a process's memory from real ones, and its slope from what lives", r.Hollow.Live),
 	}
 }
 
