--- a/cmd/lilacload/scale.go
+++ b/cmd/lilacload/scale.go
@@ -87,6 +87,7 @@
 	f.DurationVar(&o.Settle, "settle", time.Duration(0), "time before it, from the last start, instead of the plan's")
 	f.IntVar(&o.Real, "real", -1, "so many of the gateways are processes of their own, with clients")
 	f.Float64Var(&o.Statements, "statements", -1, "so many statements a second at each hollow gateway")
+	f.StringSliceVar(&o.Without, "without", nil, "leave these keys of the plan's fleet mapping out, like subsets")
 	f.BoolVar(&check, "check", false, "read the plan, tell what it comes to and end")
 	f.StringVar(&json, "json", "", "write the report to this file as well")
 	f.StringVar(&plots, "plots", "", "draw PREFIX-bytes.png and PREFIX-lateness.png")
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -109,8 +109,9 @@
 	RTT                          time.Duration
 	Seed                         int64 // -1: nothing
 	Settle, For                  time.Duration
-	Real                         int     // -1: nothing
-	Statements                   float64 // a second; below 0: nothing
+	Real                         int      // -1: nothing
+	Statements                   float64  // a second; below 0: nothing
+	Without                      []string // keys of the plan's fleet mapping that are left out
 }
 
 // NoOverride leaves a plan as it is.
@@ -182,7 +183,7 @@
 	}
 	r.check(p, f, top)
 	r.events(p, f["events"])
-	r.fleet(p, f["fleet"])
+	r.fleet(p, f["fleet"], o.Without)
 	if err := r.Err(); err != nil {
 		return nil, err
 	}
@@ -488,11 +489,16 @@
 var ownKeys = []string{"fleet", "listen", "advertise", "seeds", "dial"}
 
 // fleet keeps the part of the fleet file that the plan gives, and has it read as a gateway would.
-func (r *reader) fleet(p *Plan, n *yaml.Node) {
+func (r *reader) fleet(p *Plan, n *yaml.Node, without []string) {
+	f := r.Fields(n, "fleet")
+	for _, key := range without {
+		if f[key] == nil {
+			r.Fail(n, "fleet", "%q is to be left out, and not there", key)
+		}
+	}
 	if n == nil {
 		return
 	}
-	f := r.Fields(n, "fleet")
 	for _, key := range ownKeys {
 		if f[key] != nil {
 			r.Fail(f[key], key, "the run sets it for each gateway")
@@ -501,7 +507,17 @@
 	if n.Kind != yaml.MappingNode || len(r.Faults) > 0 {
 		return
 	}
-	p.fleet = n
+	part := *n
+	part.Content = nil
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		if !slices.Contains(without, n.Content[i].Value) {
+			part.Content = append(part.Content, n.Content[i], n.Content[i+1])
+		}
+	}
+	if len(part.Content) == 0 {
+		return
+	}
+	p.fleet = &part
 	text, err := p.FleetFile(0, "/tmp", nil)
 	if err == nil {
 		_, err = fleet.Parse("fleet", text)
--- a/internal/scale/plan_test.go
+++ b/internal/scale/plan_test.go
@@ -64,8 +64,16 @@
 	assert.Equal(t, 2, p.Real)
 	p = parse(t, strings.Replace(text, "real: 2\n", "", 1), NoOverride())
 	assert.Equal(t, 8, p.Real, "some are real where nothing is said")
+	o := NoOverride()
+	o.Without = []string{"positions", "budgets"}
+	file, err := parse(t, text, o).FleetFile(0, "/d", nil)
+	require.NoError(t, err)
+	assert.Equal(t, "fleet: scale\nlisten: 127.0.0.1:0\nwords: {dir: \"/d/words-g000\", keep: 1 days}\n", string(file))
+	o.Without = []string{"subsets"}
+	_, err = Parse("p", []byte(text), o)
+	assert.ErrorContains(t, err, `p:11:3: fleet: "subsets" is to be left out, and not there`)
 	// What the flags leave no room for is told where it stands.
-	_, err := Parse("p", []byte(small), Override{Gateways: 2, Regions: 1, Seed: -1, Real: -1, Statements: -1})
+	_, err = Parse("p", []byte(small), Override{Gateways: 2, Regions: 1, Seed: -1, Real: -1, Statements: -1})
 	assert.ErrorContains(t, err, "p:2:11: gateways: 2 for 3 zones")
 	assert.ErrorContains(t, err, `p:17:42: sides: region "south" is unknown; the plan has north`)
 	assert.ErrorContains(t, err, `p:16:36: gateways: "g003" is unknown; they are named g000 to g001`)
