--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -452,7 +452,7 @@
 	return append(names, more...)
 }
 
-// trialsTable has the rows of simulated networks.
+// trialsTable has the rows of simulated networks from today's size on.
 func (r *Runs) trialsTable() string {
 	var b strings.Builder
 	head(&b, "part", "gateways", "databases", "regions", "one way", "loss", "sent", "sent, most", "messages sent", "false deaths", "age p99", "file")
@@ -465,6 +465,9 @@
 	}
 	for _, s := range r.Sim {
 		for _, t := range s.Rows {
+			if t.Gateways < Today.Gateways {
+				continue
+			}
 			part := t.Part
 			for _, more := range []string{t.Mode, t.Answers} {
 				if more != "" {
