--- a/internal/capacity/figures.go
+++ b/internal/capacity/figures.go
@@ -259,6 +259,8 @@
 	list, load     Slope // what each listed database costs; what clients and statements cost
 	listAt, loadAt Size  // what was equal in the runs of each
 	listed, loaded bool
+	each           Slope // what clients cost where statements and list are equal
+	hasEach        bool
 }
 
 // setting is the one that most good runs of the data path were made with, the first of equals; others are in no figure.
@@ -287,6 +289,7 @@
 	}
 	f.list, f.listAt, f.listed = alike(f.points, func(s Size) Size { s.Databases = 0; return s }, Databases)
 	f.load, f.loadAt, f.loaded = alike(f.points, func(s Size) Size { s.Connections, s.Statements = 0, 0; return s }, Connections, Statements)
+	f.each, _, f.hasEach = alike(f.points, func(s Size) Size { s.Connections = 0; return s }, Connections)
 	return f
 }
 
@@ -354,6 +357,17 @@
 	return Figure{Name: name, Unit: unit, Mechanism: mechanism, At: f.at, Slope: func(int) (Slope, bool) { return f.load, f.loaded }}
 }
 
+// byClients is data with the slope over clients alone, where there are runs for it.
+func (st *state) byClients(name, unit, mechanism string, get func(*Datapath) float64) Figure {
+	f := st.fitData(get)
+	return Figure{Name: name, Unit: unit, Mechanism: mechanism, At: f.at, Slope: func(int) (Slope, bool) {
+		if f.hasEach {
+			return f.each, true
+		}
+		return f.load, f.loaded
+	}}
+}
+
 // byList is data with the slope over the databases listed.
 func (st *state) byList(name, unit, mechanism string, get func(*Datapath) float64) Figure {
 	f := st.fitData(get)
--- a/internal/capacity/figures_test.go
+++ b/internal/capacity/figures_test.go
@@ -37,8 +37,8 @@
 		{"control", "membership: sent", Worst, 900 + 2.5*245, Measured},
 		{"control", "membership: false deaths in a minute", Worst, 6, Measured},
 		{"control", "positions: sent", Target, 18900, Beyond}, // neither the invalid run nor the one with the mechanism counts
-		{"control", "sum: memory, mean", big, 4 + 0.00001*367*405, Fitted},
-		{"control", "sum: processor time, mean", Today, 0.7, Measured},
+		{"control", "sum: memory, of hollow gateways, mean", big, 4 + 0.00001*367*405, Fitted},
+		{"control", "sum: processor time, of hollow gateways, mean", Today, 0.7, Measured},
 		{"control", "words: sent", Target, 0, NotRun},
 		{"control", "a change of the list at discovery: in force everywhere", Today, 0, NotRun},
 		{"control", "a change of primary: to the first write that all serve", big, 5.5, Fitted},
@@ -63,7 +63,7 @@
 	l, ok := figure(t, st, "control", "membership: sent").Slope(3)
 	require.True(t, ok)
 	assert.Equal(t, Gateways, l.Of)
-	l, ok = figure(t, st, "control", "sum: memory, mean").Slope(1)
+	l, ok = figure(t, st, "control", "sum: memory, of hollow gateways, mean").Slope(1)
 	require.True(t, ok)
 	assert.Equal(t, Product, l.Of)
 	l, ok = figure(t, st, "gateway", "decisions: memory, by databases listed").Slope(0)
--- a/internal/capacity/parts.go
+++ b/internal/capacity/parts.go
@@ -11,10 +11,10 @@
 	return Part{"gateway", "One gateway", []Figure{
 		given("clients: connections", "", front, func(s Size) float64 { return s.Connections }),
 		computed("clients: descriptors that `limits.sockets` has to allow", "", "C / 0.5: clients have half of them", front, func(s Size) float64 { return s.Connections / clientsPart }, Connections),
-		st.data("clients: descriptors open", "", front, func(d *Datapath) float64 { return d.Gateway.Descriptors }),
-		computed("clients: come again after 5 s without a statement", "/s", "S x e^(-5 s x S / C)", front, clientsBack, Connections, Statements),
-		st.data("clients: connections accepted", "/s", front, func(d *Datapath) float64 { return d.Gateway.NewClient }),
-		st.data("clients: memory of the process", "MB", front, func(d *Datapath) float64 { return d.Gateway.RSS }),
+		st.byClients("clients: descriptors open", "", front, func(d *Datapath) float64 { return d.Gateway.Descriptors }),
+		computed("clients: come again after 5 s without a statement, each when it asks", "/s", "S x e^(-5 s x S / C)", front, clientsBack, Connections, Statements),
+		st.data("clients: connections accepted, each client coming again soon after its close", "/s", front, func(d *Datapath) float64 { return d.Gateway.NewClient }),
+		st.byClients("clients: memory of the process", "MB", front, func(d *Datapath) float64 { return d.Gateway.RSS }),
 		st.data("clients: memory for each, none asking", "B", front, func(d *Datapath) float64 { return d.Gateway.PerClient }),
 		given("statements: a second", "/s", pool, func(s Size) float64 { return s.Statements }),
 		st.data("statements: processor time", "% of a core", pool, func(d *Datapath) float64 { return d.Gateway.Core }),
@@ -49,8 +49,8 @@
 	stat("sum: received", "B/s", allowedBytes, func(s *Scale) *Stat { return s.Control.BytesIn })
 	add(st.measured("sum: sent, the most of any gateway in 10 s", "B/s", sum, some(func(s *Scale) *Window { return s.Window }, func(w *Window) float64 { return w.BytesOut })).within(allowedBytes))
 	add(st.measured("sum: messages sent, mean", "/s", sum, some(func(s *Scale) *Stat { return s.Control.Messages }, func(x *Stat) float64 { return x.Mean })))
-	stat("sum: processor time", "% of a core", allowedCore, func(s *Scale) *Stat { return s.Control.Core })
-	stat("sum: memory", "MB", allowedMemory, func(s *Scale) *Stat { return s.Control.Memory })
+	stat("sum: processor time, of hollow gateways", "% of a core", allowedCore, func(s *Scale) *Stat { return s.Control.Core })
+	stat("sum: memory, of hollow gateways", "MB", allowedMemory, func(s *Scale) *Stat { return s.Control.Memory })
 	for _, n := range st.roleNames() {
 		if f, ok := states(n); ok {
 			add(f)
