Fit scale runs of the target's load alone, and list all that are calm

Runs fed with other statements or a skewed share are another law; they are listed and in no slope. A table has each calm run, since three regions are run at too few sizes for a slope.

Mutant: the load not compared fails TestOnlyCalmRunsAreFitted.

--- a/internal/capacity/figures.go
+++ b/internal/capacity/figures.go
@@ -77,7 +77,7 @@
 	groups := map[key][]Scale{}
 	var keys []key
 	for _, s := range st.runs.Scale {
-		if !s.good() || s.Regions != regions || s.after() != st.after || !calm(&s) {
+		if !s.good() || !s.target() || s.Regions != regions || s.after() != st.after || !calm(&s) {
 			continue
 		}
 		k := key{s.plan(), s.RTT}
--- a/internal/capacity/figures_test.go
+++ b/internal/capacity/figures_test.go
@@ -214,6 +214,10 @@
 		}
 	}
 	assert.Len(t, (&state{runs: runs}).series(1), 4)
+	none := 0.0
+	runs.Scale[slices.IndexFunc(runs.Scale, func(s Scale) bool { return s.File == "scale-one-60.json" })].Statements = &none
+	runs.Scale[slices.IndexFunc(runs.Scale, func(s Scale) bool { return s.File == "scale-one-245.json" })].Skew = 1
+	assert.Len(t, (&state{runs: runs}).series(1), 2, "of the target's load alone")
 }
 
 func TestNumber(t *testing.T) {
--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"os"
 	"regexp"
@@ -70,14 +71,21 @@
 	}
 	other, err := runs.Tables()
 	require.NoError(t, err)
-	line, err = Differs(page, other)
-	require.NoError(t, err)
-	assert.Contains(t, line, "positions")
+	for name, table := range other {
+		one, err := Fill(skeleton(map[string]string{name: ""}), map[string]string{name: tables[name]})
+		require.NoError(t, err)
+		line, err = Differs(one, map[string]string{name: table})
+		require.NoError(t, err)
+		assert.Equal(t, table != tables[name], line != "", name)
+		if name == "control" {
+			assert.Contains(t, line, "positions: sent")
+		}
+	}
 }
 
 func skeleton(tables map[string]string) string {
 	b := "# Page\n\nWords.\n"
-	for name := range tables {
+	for _, name := range slices.Sorted(maps.Keys(tables)) {
 		b += "\n<!-- capacity:" + name + " -->\n<!-- /capacity -->\n"
 	}
 	return b
--- a/internal/capacity/runs.go
+++ b/internal/capacity/runs.go
@@ -81,6 +81,9 @@
 	Seconds   float64 `json:"seconds"`
 	Real      int     `json:"real"`
 
+	Statements *float64 `json:"statements_per_s"` // at each hollow gateway; nil: the plan's
+	Skew       float64  `json:"skew"`
+
 	Valid   bool   `json:"valid"`
 	Why     string `json:"invalid_because"`
 	Partial bool   `json:"partial"`
@@ -302,6 +305,11 @@
 
 func (d *Datapath) good() bool { return d.Valid && !d.Partial }
 
+// target tells whether hollow gateways were fed with the target's statements, spread as the module does.
+func (s *Scale) target() bool {
+	return (s.Statements == nil || *s.Statements == Target.Statements) && s.Skew == 0
+}
+
 // good tells whether a run is a result.
 func (s *Scale) good() bool { return s.Valid && !s.Partial }
 
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -265,6 +266,9 @@
 	}
 	for _, s := range r.Scale {
 		x := result(s.Valid, s.Partial, s.Why)
+		if s.good() && !s.target() {
+			x += ", of another load; in no slope"
+		}
 		if len(s.Faults) > 0 {
 			x += "; " + strings.Join(s.Faults, "; ")
 		}
@@ -296,6 +300,52 @@
 	return b.String()
 }
 
+// scaleTable has what each calm run of many gateways came to, the smallest first, for those whose slopes lack sizes too.
+func (r *Runs) scaleTable() string {
+	var list []*Scale
+	for i := range r.Scale {
+		if s := &r.Scale[i]; s.good() && calm(s) {
+			list = append(list, s)
+		}
+	}
+	if len(list) == 0 {
+		return "Not run.\n"
+	}
+	slices.SortStableFunc(list, func(a, b *Scale) int {
+		return cmp.Or(cmp.Compare(a.Regions, b.Regions), cmp.Compare(a.RTT, b.RTT), cmp.Compare(a.Gateways, b.Gateways), cmp.Compare(a.Databases, b.Databases))
+	})
+	var b strings.Builder
+	head(&b, "G", "D", "regions, round trip", "statements/s a gateway", "sent, mean; most", "received, mean; most", "membership, positions, primaries, versions: sent", "processor time", "memory", "false deaths", "file")
+	two := func(x *Stat, unit string) string {
+		if x == nil {
+			return "not known"
+		}
+		return withUnit(x.Mean, unit) + "; " + withUnit(x.Max, unit)
+	}
+	one := func(x *Stat, unit string) string {
+		if x == nil {
+			return "not known"
+		}
+		return withUnit(x.Mean, unit)
+	}
+	for _, s := range list {
+		load := "the plan's"
+		if s.Statements != nil {
+			load = number(*s.Statements)
+		}
+		if s.Skew != 0 {
+			load += ", skew " + number(s.Skew)
+		}
+		var parts []string
+		for _, n := range []string{"membership", "positions", "primaries", "versions"} {
+			parts = append(parts, number(s.ByRole[n].BytesOut))
+		}
+		row(&b, strconv.Itoa(s.Gateways), strconv.Itoa(s.Databases), regions(s.Regions)+", "+withUnit(s.RTT, "ms"), load, two(s.Control.BytesOut, "B/s"), two(s.Control.BytesIn, "B/s"),
+			strings.Join(parts, ", ")+" B/s", one(s.Control.Core, "% of a core"), one(s.Control.Memory, "MB"), number(s.FalseDeaths), "`"+s.File+"`")
+	}
+	return b.String()
+}
+
 // befalls are the faults that are wanted at size, by what a run says it settled after.
 var befalls = []struct{ name, after string }{
 	{"two machines killed", "kill of "},
@@ -571,7 +621,7 @@
 // Tables are all of the page, by the names of their markers.
 func (r *Runs) Tables() (map[string]string, error) {
 	t := map[string]string{
-		"sizes": sizesTable(), "faults": r.faultsTable(), "runs": r.runsTable(), "calibration": r.calibrationTable(), "trials": r.trialsTable(),
+		"sizes": sizesTable(), "faults": r.faultsTable(), "scale": r.scaleTable(), "runs": r.runsTable(), "calibration": r.calibrationTable(), "trials": r.trialsTable(),
 	}
 	st := &state{runs: r}
 	for _, p := range st.parts() {
