--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -47,7 +48,7 @@
 	if inside != "" {
 		return "", fmt.Errorf("table %s has no end; put %s behind it", inside, markClose)
 	}
-	for name := range tables {
+	for _, name := range slices.Sorted(maps.Keys(tables)) {
 		if !slices.Contains(seen, name) {
 			return "", fmt.Errorf("table %s is nowhere; put %s%s%s and %s where it is to stand", name, markOpen, name, markEnd, markClose)
 		}
