Carry three regions by their measured difference where no slope was run; read lists along the way

Three regions were run at one size with three round-trip times. A figure there was "too few sizes". It is now the line of one region moved by what regions made of it at the sizes that were run with both, marked as an extrapolation with that size. Slopes of three regions are of 120 ms alone. Figures of the data path are read along the way from the slope over the list where clients and statements are equal.

--- a/internal/capacity/figures.go
+++ b/internal/capacity/figures.go
@@ -80,6 +80,9 @@
 		if !s.good() || !s.target() || s.Regions != regions || s.after() != st.after || !calm(&s) {
 			continue
 		}
+		if s.Regions > 1 && s.RTT != targetRTT {
+			continue
+		}
 		k := key{s.plan(), s.RTT}
 		if groups[k] == nil {
 			keys = append(keys, k)
@@ -159,11 +162,45 @@
 	case len(points) == 0:
 		return Value{Kind: NotRun}
 	case !ok:
-		return Value{Kind: NotKnown, Note: "too few sizes"}
+		return f.moved(s)
 	}
 	return l.value(s)
 }
 
+// moved is for regions that were run at too few sizes for a slope: the line of one region, moved by what regions made of it at
+// the sizes that were run with both. It is an extrapolation.
+func (f *fitted) moved(s Size) Value {
+	none := Value{Kind: NotKnown, Note: "too few sizes"}
+	l, ok := f.slope(Today.Regions)
+	if !ok || s.Regions == Today.Regions {
+		return none
+	}
+	sum, n, at := 0.0, 0.0, Size{}
+	for _, p := range f.points(s.Regions) {
+		for _, q := range f.points(Today.Regions) {
+			if p.Gateways == q.Gateways && p.Databases == q.Databases {
+				sum, n, at = sum+p.Y-q.Y, n+1, p.Size
+			}
+		}
+	}
+	if n == 0 {
+		return none
+	}
+	s.Regions = Today.Regions
+	v := l.value(s)
+	if !v.known() {
+		return v
+	}
+	v.X, v.Kind, v.Note = v.X+sum/n, Beyond, fmt.Sprintf("regions by the difference at %s by %s", number(at.Gateways), number(at.Databases))
+	if n > 1 {
+		v.Note = fmt.Sprintf("regions by the mean difference at %s sizes", number(n))
+	}
+	if v.X < 0 {
+		return none
+	}
+	return v
+}
+
 // value is a line at a size, with how far it can be trusted.
 func (l Slope) value(s Size) Value {
 	y, beyond := l.At(s)
@@ -329,15 +366,17 @@
 			sum, n = sum+p.Y, n+1
 		}
 	}
+	s.Gateways = 1
 	switch {
 	case n > 0:
 		return Value{X: sum / n, Kind: Measured}
+	case f.listed && s.Connections == f.listAt.Connections && s.Statements == f.listAt.Statements:
+		return f.list.value(s)
 	case !f.loaded:
 		return Value{Kind: NotKnown, Note: "too few sizes"}
 	case !f.listed && s.Databases != f.loadAt.Databases:
 		return Value{Kind: NotKnown, Note: "too few sizes of the list"}
 	}
-	s.Gateways = 1
 	x, z := s, f.listAt
 	x.Databases, z.Databases = f.loadAt.Databases, s.Databases
 	v := f.load.value(x)
--- a/internal/capacity/figures_test.go
+++ b/internal/capacity/figures_test.go
@@ -220,6 +220,26 @@
 	assert.Len(t, (&state{runs: runs}).series(1), 2, "of the target's load alone")
 }
 
+// With too few sizes in three regions the line of one is moved by what regions made of it, and said to be an extrapolation.
+func TestRegionsAtOneSize(t *testing.T) {
+	runs := madeUp(t)
+	runs.Scale = slices.DeleteFunc(runs.Scale, func(s Scale) bool { return s.Regions == 3 && (s.Gateways != 122 || s.after()) })
+	v := figure(t, &state{runs: runs}, "control", "membership: sent").At(Target)
+	assert.Equal(t, Value{X: 630 + (900 + 2.5*122 - 630), Kind: Beyond, Note: "regions by the difference at 122 by 810"}, v)
+	v = figure(t, &state{runs: runs}, "control", "membership: sent").At(Size{Gateways: 122, Databases: 810, Regions: 3})
+	assert.Equal(t, Measured, v.Kind)
+	runs.Scale = slices.DeleteFunc(runs.Scale, func(s Scale) bool { return s.Regions == 1 && s.Gateways == 122 })
+	v = figure(t, &state{runs: runs}, "control", "membership: sent").At(Target)
+	assert.Equal(t, NotKnown, v.Kind, "no size was run with both")
+	for i := range runs.Scale {
+		if runs.Scale[i].Regions == 3 {
+			runs.Scale[i].RTT = 60
+		}
+	}
+	v = figure(t, &state{runs: runs}, "control", "membership: sent").At(Target)
+	assert.Equal(t, NotRun, v.Kind, "of another round-trip time")
+}
+
 func TestNumber(t *testing.T) {
 	for x, s := range map[float64]string{
 		0: "0", 1: "1", 0.1234: "0.123", 999.96: "1,000", 1234: "1,234", 7653: "7,653", 18936.2: "18,940", 1e6: "1,000,000", -1234.56: "-1,235", 0.00001: "0.00001",
--- a/internal/capacity/sizes.go
+++ b/internal/capacity/sizes.go
@@ -80,6 +80,9 @@
 	return s
 }
 
+// targetRTT, in ms, is between two regions: the plans' and an assumption, for the operators tell none.
+const targetRTT = 120
+
 // regionsFrom is where on that way the regions come: an assumption, half way from today to the target.
 const regionsFrom = 1.5
 
