--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -30,6 +30,7 @@
 	History  *History  // nil: nowhere
 	Apart    []int     // gateways that ask at a discovery of their own, see Discovery
 	Twins    []int     // gateways of which a second process may be started, for Twin
+	Rumours  []int     // gateways without the plan's budget of bytes, as before a change-over
 
 	world *standin.World
 	apart map[int]*standin.Discovery
@@ -286,9 +287,13 @@
 	return nil
 }
 
-// config is what the platform would tell a gateway of this plan.
-func (l *Lab) config(i int) map[string]any {
-	p := l.Plan
+// Config is what the platform would tell a gateway of this plan.
+func (l *Lab) Config(i int) map[string]any {
+	return Config(l.Plan, l.name(i), l.Discovery(i).Addr, l.Plan.Seed+uint64(i)+1, l.world.List())
+}
+
+// Config is what the platform would tell a gateway of a plan that asks at a discovery; known is the list to start from.
+func Config(p *plan.Plan, name, discovery string, seed uint64, known json.RawMessage) map[string]any {
 	var lanes []any
 	var levels []string
 	var bounds []int64
@@ -308,8 +313,8 @@
 		})
 	}
 	return map[string]any{
-		"name": l.name(i), "listen": "127.0.0.1:0", "discovery": l.Discovery(i).Addr, "seed": fmt.Sprintf("%x", p.Seed+uint64(i)+1),
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": json.RawMessage(l.world.List()),
+		"name": name, "listen": "127.0.0.1:0", "discovery": discovery, "seed": fmt.Sprintf("%x", seed),
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": known,
 		"settings": map[string]any{
 			"Allowed": map[string]any{"Cancel": true, "Peers": p.Lab.Fleet, "ConnIdleUs": 15000000, "DialTimeoutUs": 250000, "MaxRetryAfterUs": 1000000,
 				"Probes": true, "RetryAfter": true, "TryLimit": 6},
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
 	"lilaccove/internal/fleet/membership"
+	"lilaccove/internal/stats"
 )
 
 // Report is what GET /v1/fleet/members tells.
@@ -107,6 +110,7 @@
 	line("overflow", c.Overflow)
 	line("exchanges", k.Streams)
 	line("exchanges_failed", k.StreamsFailed)
+	line("deaths_seen", l.deaths)
 	line("received", k.In)
 	line("received_bytes", k.InBytes)
 	line("sent", k.Out)
@@ -120,24 +124,22 @@
 	line("dropped.large", k.Large)
 	line("dropped.rate", k.Rate)
 	line("rests", l.udp.Rests())
+	all := l.Traffic()
+	for _, role := range slices.Sorted(maps.Keys(all)) {
+		if all[role] != (stats.Traffic{}) { // a role that is off has no lines
+			b = all[role].Append(b, role)
+		}
+	}
 	if l.versions != nil {
 		since, asked := l.versions.v.Behind()
 		line("behind", uint64(min(since, 1)))
 		line("behind_asked", asked)
 	}
 	if l.primaries != nil {
-		n := l.primaries.p.Counts()
-		line("primaries.learned", n.Learned)
-		line("primaries.heard", n.Heard)
-		line("primaries.ahead", n.Ahead)
+		l.primaries.metrics("primaries", line)
 	}
 	if l.positions != nil {
-		n := l.positions.p.Counts()
-		line("positions.learned", n.Learned)
-		line("positions.heard", n.Heard)
-		line("positions.old", n.Old)
-		line("positions.ahead", n.Ahead)
-		line("positions.unknown", n.Unknown)
+		l.positions.metrics("positions", line)
 	}
 	if l.budgets == nil {
 		return b
