--- a/internal/capacity/figures.go
+++ b/internal/capacity/figures.go
@@ -191,10 +191,14 @@
 	if !v.known() {
 		return v
 	}
-	v.X, v.Kind, v.Note = v.X+sum/n, Beyond, fmt.Sprintf("regions by the difference at %s by %s", number(at.Gateways), number(at.Databases))
+	note := fmt.Sprintf("regions by the difference at %s by %s", number(at.Gateways), number(at.Databases))
 	if n > 1 {
-		v.Note = fmt.Sprintf("regions by the mean difference at %s sizes", number(n))
+		note = fmt.Sprintf("regions by the mean difference at %s sizes", number(n))
 	}
+	if v.Note != "" {
+		note += "; " + v.Note
+	}
+	v.X, v.Kind, v.Note = v.X+sum/n, Beyond, note
 	if v.X < 0 {
 		return none
 	}
@@ -204,13 +208,17 @@
 // value is a line at a size, with how far it can be trusted.
 func (l Slope) value(s Size) Value {
 	y, beyond := l.At(s)
+	v := Value{X: y, Kind: Fitted}
+	if l.Residual > poorFit {
+		v.Note = fmt.Sprintf("a poor fit: residual %.0f%%", 100*l.Residual)
+	}
 	switch {
 	case y < 0:
 		return Value{Kind: NotKnown, Note: "the slope leads under 0"}
 	case beyond:
-		return Value{X: y, Kind: Beyond, Under: s.Gateways < l.low.Gateways || s.Databases < l.low.Databases}
+		v.Kind, v.Under = Beyond, s.Gateways < l.low.Gateways || s.Databases < l.low.Databases
 	}
-	return Value{X: y, Kind: Fitted}
+	return v
 }
 
 // worst is the most that any run with faults came to.
@@ -248,6 +256,25 @@
 	return Figure{Name: name, Unit: unit, Mechanism: mechanism, At: f.at, Slope: f.slope}
 }
 
+// calibrated is a figure of hollow gateways as real ones would have it, by the ratio of the last loaded calibration.
+func (st *state) calibrated(f Figure, get func(*Control) *Stat) (Figure, bool) {
+	for _, c := range slices.Backward(st.runs.Calibration) {
+		h, x := get(&c.Hollow.Control), get(&c.Real.Control)
+		if !c.good() || c.State != "loaded" || h == nil || x == nil || h.Mean == 0 {
+			continue
+		}
+		ratio, at := x.Mean/h.Mean, f.At
+		f.Slope, f.Formula = nil, "that of hollow ones x "+number(ratio)+": real / hollow, `"+c.File+"`"
+		f.At = func(s Size) Value {
+			v := at(s)
+			v.X *= ratio
+			return v
+		}
+		return f, true
+	}
+	return f, false
+}
+
 // computed makes a figure by a formula. In the worst hour it is the most of the cases that the hour may bring.
 func computed(name, unit, formula, mechanism string, f func(Size) float64, needs ...Variable) Figure {
 	return Figure{Name: name, Unit: unit, Formula: formula, Mechanism: mechanism, At: func(s Size) Value {
--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -9,6 +9,7 @@
 const (
 	leastSizes = 4    // over which a slope is fitted
 	flatSpread = 0.10 // (most - least) / mean under which a figure depends on nothing
+	poorFit    = 0.15 // a residual over which a line is said to miss its runs
 	sameLine   = 1 - 1e-9
 )
 
--- a/internal/capacity/fit_test.go
+++ b/internal/capacity/fit_test.go
@@ -143,3 +143,13 @@
 		assert.Equal(t, tt.beyond, beyond, "%+v", tt.s)
 	}
 }
+
+func TestPoorFitIsSaid(t *testing.T) {
+	l := Slope{Of: Gateways, Per: 1, Residual: 0.16, low: Size{Gateways: 1}, high: Size{Gateways: 9}}
+	assert.Equal(t, Value{X: 5, Kind: Fitted, Note: "a poor fit: residual 16%"}, l.value(Size{Gateways: 5}))
+	assert.Equal(t, Value{X: 10, Kind: Beyond, Note: "a poor fit: residual 16%"}, l.value(Size{Gateways: 10}))
+	l.Residual = 0.14
+	assert.Equal(t, Value{X: 5, Kind: Fitted}, l.value(Size{Gateways: 5}))
+	l.Intercept = -9
+	assert.Equal(t, NotKnown, l.value(Size{Gateways: 5}).Kind, "under 0")
+}
--- a/internal/capacity/parts.go
+++ b/internal/capacity/parts.go
@@ -50,6 +50,10 @@
 	add(st.measured("sum: sent, the most of any gateway in 10 s", "B/s", sum, some(func(s *Scale) *Window { return s.Window }, func(w *Window) float64 { return w.BytesOut })).within(allowedBytes))
 	add(st.measured("sum: messages sent, mean", "/s", sum, some(func(s *Scale) *Stat { return s.Control.Messages }, func(x *Stat) float64 { return x.Mean })))
 	stat("sum: processor time, of hollow gateways", "% of a core", allowedCore, func(s *Scale) *Stat { return s.Control.Core })
+	core := st.measured("sum: processor time, as real gateways would take, mean", "% of a core", sum, some(func(s *Scale) *Stat { return s.Control.Core }, func(x *Stat) float64 { return x.Mean })).within(allowedCore)
+	if f, ok := st.calibrated(core, func(c *Control) *Stat { return c.Core }); ok {
+		add(f)
+	}
 	stat("sum: memory, of hollow gateways", "MB", allowedMemory, func(s *Scale) *Stat { return s.Control.Memory })
 	for _, n := range st.roleNames() {
 		if f, ok := states(n); ok {
--- a/internal/capacity/runs.go
+++ b/internal/capacity/runs.go
@@ -155,14 +155,9 @@
 	Real    Side   `json:"real"`
 }
 
-// Side is one kind of gateways.
+// Side is one kind of gateways: what the fleet file makes of them.
 type Side struct {
 	Scale
-	Statements    float64 `json:"statements_per_s"` // of a gateway
-	CoreWith      float64 `json:"core_percent_with_fleet"`
-	CoreWithout   float64 `json:"core_percent_without_fleet"`
-	MemoryWith    float64 `json:"memory_mb_with_fleet"`
-	MemoryWithout float64 `json:"memory_mb_without_fleet"`
 }
 
 func (c *Calibration) good() bool { return c.Valid == nil || *c.Valid }
--- a/internal/capacity/sizes.go
+++ b/internal/capacity/sizes.go
@@ -65,18 +65,21 @@
 )
 
 // growth is the size on the way from nothing (0) over today (1) to the target (2). On the first part gateways and
-// databases grow in proportion, on the second each to its target. Clients of a gateway are the target's all along.
+// databases grow in proportion, on the second each to its target. A database is asked for the target's statements all along,
+// and a gateway has the target's clients for each statement.
 func growth(u float64) Size {
-	s := Size{Regions: Today.Regions, Connections: Target.Connections, Statements: Target.Statements}
+	s := Size{Regions: Today.Regions}
 	if u <= 1 {
 		s.Gateways, s.Databases = u*Today.Gateways, u*Today.Databases
-		return s
-	}
-	s.Gateways = Today.Gateways + (u-1)*(Target.Gateways-Today.Gateways)
-	s.Databases = Today.Databases + (u-1)*(Target.Databases-Today.Databases)
-	if u >= regionsFrom {
-		s.Regions = Target.Regions
+	} else {
+		s.Gateways = Today.Gateways + (u-1)*(Target.Gateways-Today.Gateways)
+		s.Databases = Today.Databases + (u-1)*(Target.Databases-Today.Databases)
+		if u >= regionsFrom {
+			s.Regions = Target.Regions
+		}
 	}
+	load := s.Databases / Target.Databases * Target.Gateways / s.Gateways
+	s.Connections, s.Statements = load*Target.Connections, load*Target.Statements
 	return s
 }
 
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -432,7 +432,7 @@
 		}
 		n++
 		fmt.Fprintf(&b, "`%s`, %d gateways, %d databases, %s:\n\n", c.File, c.Hollow.Gateways, c.Hollow.Databases, c.State)
-		head(&b, "a gateway, mean", "hollow", "real", "hollow / real", "")
+		head(&b, "what the fleet file costs a gateway, mean", "hollow", "real", "hollow / real", "")
 		compare(&b, &c.Hollow, &c.Real, 0.15)
 		b.WriteString("\n")
 	}
@@ -461,8 +461,6 @@
 			line(f.name, f.unit, p.Mean, q.Mean)
 		}
 	}
-	line("processor time that the fleet costs (with it, less without)", "% of a core", x.CoreWith-x.CoreWithout, y.CoreWith-y.CoreWithout)
-	line("memory that the fleet costs (with it, less without)", "MB", x.MemoryWith-x.MemoryWithout, y.MemoryWith-y.MemoryWithout)
 	for _, n := range bothRoles(&x.Scale, &y.Scale) {
 		p, q := x.ByRole[n], y.ByRole[n]
 		line(n+": sent", "B/s", p.BytesOut, q.BytesOut)
