--- a/internal/capacity/figures.go
+++ b/internal/capacity/figures.go
@@ -320,8 +320,9 @@
 // dataFit is one figure of runs of one gateway with its clients, and its slopes.
 type dataFit struct {
 	points         []Point
-	list, load     Slope // what each listed database costs; what clients and statements cost
-	listAt, loadAt Size  // what was equal in the runs of each
+	others         []Point // made with other settings, which their names tell
+	list, load     Slope   // what each listed database costs; what clients and statements cost
+	listAt, loadAt Size    // what was equal in the runs of each
 	listed, loaded bool
 	each           Slope // what clients cost where statements and list are equal
 	hasEach        bool
@@ -347,8 +348,15 @@
 	f := &dataFit{}
 	setting := st.runs.setting()
 	for i := range st.runs.Datapath {
-		if d := &st.runs.Datapath[i]; d.good() && d.setting() == setting {
-			f.points = append(f.points, Point{Size{Gateways: 1, Databases: d.Databases, Connections: d.Clients, Statements: d.Statements}, get(d)})
+		d := &st.runs.Datapath[i]
+		p := Point{Size{Gateways: 1, Databases: d.Databases, Connections: d.Clients, Statements: d.Statements}, get(d)}
+		switch {
+		case !d.good():
+		case d.setting() == setting:
+			f.points = append(f.points, p)
+		default:
+			p.Name = differs(d.setting(), setting)
+			f.others = append(f.others, p)
 		}
 	}
 	f.list, f.listAt, f.listed = alike(f.points, func(s Size) Size { s.Databases = 0; return s }, Databases)
@@ -357,6 +365,12 @@
 	return f
 }
 
+// differs is what one setting says and another does not.
+func differs(one, other string) string {
+	usual := strings.Fields(other)
+	return strings.Join(slices.DeleteFunc(strings.Fields(one), func(w string) bool { return slices.Contains(usual, w) }), " ")
+}
+
 // alike fits over the largest group of points that are equal in what key leaves.
 func alike(points []Point, key func(Size) Size, candidates ...Variable) (Slope, Size, bool) {
 	groups := map[Size][]Point{}
@@ -388,6 +402,12 @@
 		return Value{Kind: NotRun}
 	}
 	sum, n := 0.0, 0.0
+	other := Value{}
+	for _, p := range f.others {
+		if p.Connections == s.Connections && p.Statements == s.Statements && p.Databases == s.Databases {
+			other = Value{X: p.Y, Kind: Measured, Note: "with " + p.Name}
+		}
+	}
 	for _, p := range f.points {
 		if p.Connections == s.Connections && p.Statements == s.Statements && p.Databases == s.Databases {
 			sum, n = sum+p.Y, n+1
@@ -397,6 +417,8 @@
 	switch {
 	case n > 0:
 		return Value{X: sum / n, Kind: Measured}
+	case other.known():
+		return other
 	case f.listed && s.Connections == f.listAt.Connections && s.Statements == f.listAt.Statements:
 		return f.list.value(s)
 	case !f.loaded:
