--- a/internal/capacity/figures.go
+++ b/internal/capacity/figures.go
@@ -77,7 +77,10 @@
 	groups := map[key][]Scale{}
 	var keys []key
 	for _, s := range st.runs.Scale {
-		if !s.good() || s.Regions != regions || s.after() != st.after || !calm(&s) {
+		if !s.good() || !s.target() || s.Regions != regions || s.after() != st.after || !calm(&s) {
+			continue
+		}
+		if s.Regions > 1 && s.RTT != targetRTT {
 			continue
 		}
 		k := key{s.plan(), s.RTT}
@@ -159,21 +162,63 @@
 	case len(points) == 0:
 		return Value{Kind: NotRun}
 	case !ok:
-		return Value{Kind: NotKnown, Note: "too few sizes"}
+		return f.moved(s)
 	}
 	return l.value(s)
 }
 
+// moved is for regions that were run at too few sizes for a slope: the line of one region, moved by what regions made of it at
+// the sizes that were run with both. It is an extrapolation.
+func (f *fitted) moved(s Size) Value {
+	none := Value{Kind: NotKnown, Note: "too few sizes"}
+	l, ok := f.slope(Today.Regions)
+	if !ok || s.Regions == Today.Regions {
+		return none
+	}
+	sum, n, at := 0.0, 0.0, Size{}
+	for _, p := range f.points(s.Regions) {
+		for _, q := range f.points(Today.Regions) {
+			if p.Gateways == q.Gateways && p.Databases == q.Databases {
+				sum, n, at = sum+p.Y-q.Y, n+1, p.Size
+			}
+		}
+	}
+	if n == 0 {
+		return none
+	}
+	s.Regions = Today.Regions
+	v := l.value(s)
+	if !v.known() {
+		return v
+	}
+	note := fmt.Sprintf("regions by the difference at %s by %s", number(at.Gateways), number(at.Databases))
+	if n > 1 {
+		note = fmt.Sprintf("regions by the mean difference at %s sizes", number(n))
+	}
+	if v.Note != "" {
+		note += "; " + v.Note
+	}
+	v.X, v.Kind, v.Note = v.X+sum/n, Beyond, note
+	if v.X < 0 {
+		return none
+	}
+	return v
+}
+
 // value is a line at a size, with how far it can be trusted.
 func (l Slope) value(s Size) Value {
 	y, beyond := l.At(s)
+	v := Value{X: y, Kind: Fitted}
+	if l.Residual > poorFit {
+		v.Note = fmt.Sprintf("a poor fit: residual %.0f%%", 100*l.Residual)
+	}
 	switch {
 	case y < 0:
 		return Value{Kind: NotKnown, Note: "the slope leads under 0"}
 	case beyond:
-		return Value{X: y, Kind: Beyond, Under: s.Gateways < l.low.Gateways || s.Databases < l.low.Databases}
+		v.Kind, v.Under = Beyond, s.Gateways < l.low.Gateways || s.Databases < l.low.Databases
 	}
-	return Value{X: y, Kind: Fitted}
+	return v
 }
 
 // worst is the most that any run with faults came to.
@@ -211,6 +256,25 @@
 	return Figure{Name: name, Unit: unit, Mechanism: mechanism, At: f.at, Slope: f.slope}
 }
 
+// calibrated is a figure of hollow gateways as real ones would have it, by the ratio of the last loaded calibration.
+func (st *state) calibrated(f Figure, get func(*Control) *Stat) (Figure, bool) {
+	for _, c := range slices.Backward(st.runs.Calibration) {
+		h, x := get(&c.Hollow.Control), get(&c.Real.Control)
+		if !c.good() || c.State != "loaded" || h == nil || x == nil || h.Mean == 0 {
+			continue
+		}
+		ratio, at := x.Mean/h.Mean, f.At
+		f.Slope, f.Formula = nil, "that of hollow ones x "+number(ratio)+": real / hollow, `"+c.File+"`"
+		f.At = func(s Size) Value {
+			v := at(s)
+			v.X *= ratio
+			return v
+		}
+		return f, true
+	}
+	return f, false
+}
+
 // computed makes a figure by a formula. In the worst hour it is the most of the cases that the hour may bring.
 func computed(name, unit, formula, mechanism string, f func(Size) float64, needs ...Variable) Figure {
 	return Figure{Name: name, Unit: unit, Formula: formula, Mechanism: mechanism, At: func(s Size) Value {
@@ -256,9 +320,12 @@
 // dataFit is one figure of runs of one gateway with its clients, and its slopes.
 type dataFit struct {
 	points         []Point
-	list, load     Slope // what each listed database costs; what clients and statements cost
-	listAt, loadAt Size  // what was equal in the runs of each
+	others         []Point // made with other settings, which their names tell
+	list, load     Slope   // what each listed database costs; what clients and statements cost
+	listAt, loadAt Size    // what was equal in the runs of each
 	listed, loaded bool
+	each           Slope // what clients cost where statements and list are equal
+	hasEach        bool
 }
 
 // setting is the one that most good runs of the data path were made with, the first of equals; others are in no figure.
@@ -281,15 +348,29 @@
 	f := &dataFit{}
 	setting := st.runs.setting()
 	for i := range st.runs.Datapath {
-		if d := &st.runs.Datapath[i]; d.good() && d.setting() == setting {
-			f.points = append(f.points, Point{Size{Gateways: 1, Databases: d.Databases, Connections: d.Clients, Statements: d.Statements}, get(d)})
+		d := &st.runs.Datapath[i]
+		p := Point{Size{Gateways: 1, Databases: d.Databases, Connections: d.Clients, Statements: d.Statements}, get(d)}
+		switch {
+		case !d.good():
+		case d.setting() == setting:
+			f.points = append(f.points, p)
+		default:
+			p.Name = differs(d.setting(), setting)
+			f.others = append(f.others, p)
 		}
 	}
 	f.list, f.listAt, f.listed = alike(f.points, func(s Size) Size { s.Databases = 0; return s }, Databases)
 	f.load, f.loadAt, f.loaded = alike(f.points, func(s Size) Size { s.Connections, s.Statements = 0, 0; return s }, Connections, Statements)
+	f.each, _, f.hasEach = alike(f.points, func(s Size) Size { s.Connections = 0; return s }, Connections)
 	return f
 }
 
+// differs is what one setting says and another does not.
+func differs(one, other string) string {
+	usual := strings.Fields(other)
+	return strings.Join(slices.DeleteFunc(strings.Fields(one), func(w string) bool { return slices.Contains(usual, w) }), " ")
+}
+
 // alike fits over the largest group of points that are equal in what key leaves.
 func alike(points []Point, key func(Size) Size, candidates ...Variable) (Slope, Size, bool) {
 	groups := map[Size][]Point{}
@@ -321,20 +402,30 @@
 		return Value{Kind: NotRun}
 	}
 	sum, n := 0.0, 0.0
+	other := Value{}
+	for _, p := range f.others {
+		if p.Connections == s.Connections && p.Statements == s.Statements && p.Databases == s.Databases {
+			other = Value{X: p.Y, Kind: Measured, Note: "with " + p.Name}
+		}
+	}
 	for _, p := range f.points {
 		if p.Connections == s.Connections && p.Statements == s.Statements && p.Databases == s.Databases {
 			sum, n = sum+p.Y, n+1
 		}
 	}
+	s.Gateways = 1
 	switch {
 	case n > 0:
 		return Value{X: sum / n, Kind: Measured}
+	case other.known():
+		return other
+	case f.listed && s.Connections == f.listAt.Connections && s.Statements == f.listAt.Statements:
+		return f.list.value(s)
 	case !f.loaded:
 		return Value{Kind: NotKnown, Note: "too few sizes"}
 	case !f.listed && s.Databases != f.loadAt.Databases:
 		return Value{Kind: NotKnown, Note: "too few sizes of the list"}
 	}
-	s.Gateways = 1
 	x, z := s, f.listAt
 	x.Databases, z.Databases = f.loadAt.Databases, s.Databases
 	v := f.load.value(x)
@@ -354,6 +445,17 @@
 	return Figure{Name: name, Unit: unit, Mechanism: mechanism, At: f.at, Slope: func(int) (Slope, bool) { return f.load, f.loaded }}
 }
 
+// byClients is data with the slope over clients alone, where there are runs for it.
+func (st *state) byClients(name, unit, mechanism string, get func(*Datapath) float64) Figure {
+	f := st.fitData(get)
+	return Figure{Name: name, Unit: unit, Mechanism: mechanism, At: f.at, Slope: func(int) (Slope, bool) {
+		if f.hasEach {
+			return f.each, true
+		}
+		return f.load, f.loaded
+	}}
+}
+
 // byList is data with the slope over the databases listed.
 func (st *state) byList(name, unit, mechanism string, get func(*Datapath) float64) Figure {
 	f := st.fitData(get)
