Read the data path's second runs: one mix of clients and statements to a line, what was run alone for a database

A line over load mixed runs with 2.5, 1.4 and 1,000 clients for each statement; it is of one mix now. Connections that a database sees are no sum of what clients and the list add, so no slope leads to them: what was run stands alone. Without that the order of what breaks named 26 gateways by a line that held nowhere. Clients that hardly ask have a line of their own.

Of 5,102 clients 4,230 were connected at once, for a quarter of the descriptors was no more: 5,102 at once are not run, and the row asks for 22,028 descriptors.

Mutants: mixes not told apart, and the slope used for a database, each fail TestFiguresOfMadeUpRuns.

--- a/internal/capacity/figures.go
+++ b/internal/capacity/figures.go
@@ -360,11 +360,14 @@
 		}
 	}
 	f.list, f.listAt, f.listed = alike(f.points, func(s Size) Size { s.Databases = 0; return s }, Databases)
-	f.load, f.loadAt, f.loaded = alike(f.points, func(s Size) Size { s.Connections, s.Statements = 0, 0; return s }, Connections, Statements)
-	f.each, _, f.hasEach = alike(f.points, func(s Size) Size { s.Connections = 0; return s }, Connections)
+	f.load, f.loadAt, f.loaded = alike(f.points, func(s Size) Size { s.Connections, s.Statements = clientsEach(s), 0; return s }, Connections, Statements)
+	f.each, _, f.hasEach = alike(slices.Concat(f.points, f.others), func(s Size) Size { s.Connections = 0; return s }, Connections)
 	return f
 }
 
+// clientsEach are the clients for each statement a second, to a tenth: a line over load is of one such mix.
+func clientsEach(s Size) float64 { return math.Round(10*s.Connections/s.Statements) / 10 }
+
 // differs is what one setting says and another does not.
 func differs(one, other string) string {
 	usual := strings.Fields(other)
@@ -393,8 +396,8 @@
 	return best, at, found
 }
 
-// at is what runs of a size say, or else the slopes.
-func (f *dataFit) at(s Size) Value {
+// exact is what runs of a size say, and nothing else.
+func (f *dataFit) exact(s Size) Value {
 	switch {
 	case s.Connections == 0:
 		return Value{Kind: NotKnown, Note: "clients not told"}
@@ -413,16 +416,28 @@
 			sum, n = sum+p.Y, n+1
 		}
 	}
-	s.Gateways = 1
 	switch {
 	case n > 0:
 		return Value{X: sum / n, Kind: Measured}
 	case other.known():
 		return other
+	}
+	return Value{Kind: NotKnown, Note: "not run at this size"}
+}
+
+// at is what runs of a size say, or else the slopes.
+func (f *dataFit) at(s Size) Value {
+	if v := f.exact(s); v.known() || s.Connections == 0 || len(f.points) == 0 {
+		return v
+	}
+	s.Gateways = 1
+	switch {
 	case f.listed && s.Connections == f.listAt.Connections && s.Statements == f.listAt.Statements:
 		return f.list.value(s)
 	case !f.loaded:
 		return Value{Kind: NotKnown, Note: "too few sizes"}
+	case clientsEach(s) != f.loadAt.Connections:
+		return Value{Kind: NotKnown, Note: "not run with so many clients for each statement"}
 	case !f.listed && s.Databases != f.loadAt.Databases:
 		return Value{Kind: NotKnown, Note: "too few sizes of the list"}
 	}
--- a/internal/capacity/figures_test.go
+++ b/internal/capacity/figures_test.go
@@ -46,6 +46,8 @@
 		{"gateway", "clients: memory of the process", Target, 12 + 0.006*5102 + 0.01*810, Measured},
 		{"gateway", "clients: memory of the process", Worst, 12 + 0.006*7653 + 0.01*810, Beyond}, // the run of that size is invalid
 		{"gateway", "clients: memory of the process", Size{Databases: 405, Connections: 2000, Statements: 800}, 12 + 0.006*2000 + 0.01*405, Fitted},
+		{"gateway", "clients: memory of the process", Size{Databases: 405, Connections: 2000, Statements: 400}, 0, NotKnown}, // another mix
+		{"database", "connections that gateways hold, a primary", Size{Gateways: 490, Databases: 405, Connections: 2000, Statements: 800}, 0, NotKnown},
 		{"gateway", "clients: memory of the process", Size{Databases: 810, Connections: 6000, Statements: 2400}, 888, Measured},
 		{"gateway", "clients: memory of the process", Today, 0, NotKnown},
 		{"gateway", "clients: connections", Worst, 7653, Given},
@@ -85,6 +87,7 @@
 func TestFormulas(t *testing.T) {
 	assert.InDelta(t, 100*(1-math.Exp(-2)), heldConnections(Size{Gateways: 100, Databases: 10, Statements: 10}), 1e-9)
 	assert.InDelta(t, 10*math.Exp(-1), clientsBack(Size{Connections: 50, Statements: 10}), 1e-9)
+	assert.Equal(t, 22028.0, descriptors(Target))
 	assert.Equal(t, 1235.0, math.Round(databaseStatements(Target)))
 	assert.Equal(t, 4050.0, positionNews(Target))
 	assert.Equal(t, 300.0, positionRoom())
@@ -165,7 +168,7 @@
 	for name, text := range tables {
 		assert.NotContains(t, text, "999,9", name)
 	}
-	assert.Contains(t, tables["runs"], "valid, made with other settings; in no figure")
+	assert.Contains(t, tables["runs"], "valid, made with other settings: in no line over load or list")
 	assert.Contains(t, tables["calibration"], "| 0.769 | over 15% |")
 	assert.Contains(t, tables["control"], "does not fit")
 	assert.Contains(t, tables["trials"], "18,900 B/s")
--- a/internal/capacity/parts.go
+++ b/internal/capacity/parts.go
@@ -10,7 +10,8 @@
 	front, pool := "`internal/front`, `internal/netloop`", "`internal/backend`, `internal/pgwire`"
 	return Part{"gateway", "One gateway", []Figure{
 		given("clients: connections", "", front, func(s Size) float64 { return s.Connections }),
-		computed("clients: descriptors that `limits.sockets` has to allow", "", "C / 0.5: clients have half of them", front, func(s Size) float64 { return s.Connections / clientsPart }, Connections),
+		computed("clients: descriptors that `limits.sockets` has to allow, so that no idle client is closed for a newcomer", "", "4 C + 2 D: that begins at a quarter of them", front, descriptors, Connections),
+		st.byClients("clients: connections held at once, the mean", "", front, func(d *Datapath) float64 { return d.Gateway.ClientConnections }),
 		st.byClients("clients: descriptors open", "", front, func(d *Datapath) float64 { return d.Gateway.Descriptors }),
 		computed("clients: come again after 5 s without a statement, each when it asks", "/s", "S x e^(-5 s x S / C)", front, clientsBack, Connections, Statements),
 		st.data("clients: connections accepted, each client coming again soon after its close", "/s", front, func(d *Datapath) float64 { return d.Gateway.NewClient }),
@@ -103,11 +104,12 @@
 // database is one as it sees all gateways.
 func (st *state) database() Part {
 	pool := "`internal/backend`, `policy` (seldom)"
-	// each is a figure of one gateway's pool as one database sees it from all gateways.
+	// each is a figure of one gateway's pool as one database sees it from all gateways. Neither it nor role is a sum of what
+	// clients and the list add, so that no slope leads to them: what was run stands alone.
 	each := func(name, unit, formula string, get func(*Datapath) float64) Figure {
 		one := st.fitData(get)
 		return Figure{Name: name, Unit: unit, Formula: formula, Mechanism: pool, At: func(s Size) Value {
-			v := one.at(s)
+			v := one.exact(s)
 			v.X *= s.Gateways / s.Databases
 			return v
 		}}
@@ -116,7 +118,7 @@
 	role := func(name string) Figure {
 		one := st.fitData(func(d *Datapath) float64 { return d.StandIn.Per[name].Mean })
 		return Figure{Name: "connections that gateways hold, a " + name, Formula: "held by one gateway x G", Mechanism: pool, At: func(s Size) Value {
-			v := one.at(s)
+			v := one.exact(s)
 			v.X *= s.Gateways
 			return v
 		}}
--- a/internal/capacity/sizes.go
+++ b/internal/capacity/sizes.go
@@ -55,7 +55,7 @@
 	membersMost    = 4096                    // fleet, MostMembers
 	listMost       = 480 << 10               // B, peer, mostFrame
 	answerMost     = 8 << 20                 // B, lilacctl, mostAnswer
-	clientsPart    = 0.5                     // of the descriptors, front
+	clientsQuarter = 4                       // of the descriptors front closes idle clients from a quarter on (ARCHITECTURE.md, Bounds)
 	memberBytes    = 95                      // B of JSON for a member in GET /v1/fleet/members, name of four letters; TestBytesOfATypicalEntry
 	versionBytes   = 226                     // B of JSON for a gateway in GET /v1/fleet/versions; the same test
 	positionBytes  = 21                      // B of CBOR for a position, name of eight letters; the same test
@@ -107,6 +107,10 @@
 	return s.Statements * math.Exp(-idleAfter*s.Statements/s.Connections)
 }
 
+// descriptors are those that one gateway wants: front lets idle clients go from a quarter of all on, and each database may have two
+// connections.
+func descriptors(s Size) float64 { return clientsQuarter*s.Connections + 2*s.Databases }
+
 // databaseStatements are those a second at one database.
 func databaseStatements(s Size) float64 { return s.Statements * s.Gateways / s.Databases }
 
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -278,7 +278,7 @@
 	for _, d := range r.Datapath {
 		x := result(d.Valid, d.Partial, d.Why)
 		if d.good() && d.setting() != setting {
-			x += ", made with other settings; in no figure"
+			x += ", made with other settings: in no line over load or list, and at its size only where no other run is"
 		}
 		if len(d.Faults) > 0 {
 			x += "; " + strings.Join(d.Faults, "; ")
