--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -221,19 +221,21 @@
 		b.WriteString("Nothing that was measured or computed does not fit.\n")
 	} else {
 		head(&b, "", "breaks at", "what", "there", "allowance", "at the target", "mechanism")
-		for i, x := range list {
-			at := "any size"
-			switch {
-			case x.Any:
-			case x.First:
-				at = fmt.Sprintf("at or before %s gateways, %s databases, %s, the first size known", number(math.Ceil(x.At.Gateways)), number(math.Ceil(x.At.Databases)), regions(x.At.Regions))
-			default:
+		rank := 0
+		for _, x := range list {
+			place, at := "-", "missing at any size" // growth does not meet it
+			if !x.Any {
+				rank++
+				place = strconv.Itoa(rank)
 				at = fmt.Sprintf("%s gateways, %s databases, %s", number(math.Ceil(x.At.Gateways)), number(math.Ceil(x.At.Databases)), regions(x.At.Regions))
+				if x.First {
+					at = "at or before " + at + ", the first size known"
+				}
+				if x.u < 1 {
+					at += "; before today's size"
+				}
 			}
-			if x.u < 1 {
-				at += "; before today's size"
-			}
-			row(&b, strconv.Itoa(i+1), at, x.Part+": "+x.Figure.Name, withUnit(x.Value.X, x.Figure.Unit)+", "+kinds[x.Value.Kind], x.Figure.allowance(),
+			row(&b, place, at, x.Part+": "+x.Figure.Name, withUnit(x.Value.X, x.Figure.Unit)+", "+kinds[x.Value.Kind], x.Figure.allowance(),
 				x.Figure.cell(Target), x.Figure.Mechanism)
 		}
 	}
