--- a/internal/calibrate/calibrate.go
+++ b/internal/calibrate/calibrate.go
@@ -10,7 +10,6 @@
 	"maps"
 	"math"
 	"os"
-	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -366,44 +365,19 @@
 	return s, nil
 }
 
-var figure = regexp.MustCompile(`(?m)^edge_gw\.(\S+)=(\d+)$`)
-
 // realSample asks a process and reads what the kernel knows of it.
 func realSample(n *lab.Node) (s sample, err error) {
 	text, err := n.Call("GET", "/v1/metrics")
 	if err != nil {
 		return s, err
 	}
-	s.at, s.roles = time.Now(), map[string]stats.Traffic{}
-	for _, m := range figure.FindAllStringSubmatch(string(text), -1) {
-		v, _ := strconv.ParseUint(m[2], 10, 64)
-		name := strings.TrimPrefix(m[1], "fleet_")
-		switch {
-		case strings.HasPrefix(name, "upstream_tries."):
-			s.statements += v
-		case name == "positions.learned":
-			s.learned = v
-		case name == "positions.heard":
-			s.heard = v
-		}
-		role, what, ok := strings.Cut(name, "_")
-		if name == m[1] || !ok {
-			continue
-		}
-		t := s.roles[role]
-		switch what {
-		case "out_bytes":
-			t.OutBytes = v
-		case "out_messages":
-			t.OutMessages = v
-		case "in_bytes":
-			t.InBytes = v
-		case "in_messages":
-			t.InMessages = v
-		default:
-			continue
+	figures := stats.Parse(text)
+	s.at, s.roles = time.Now(), stats.Roles(figures)
+	s.learned, s.heard = figures["fleet_positions.learned"], figures["fleet_positions.heard"]
+	for name, n := range figures {
+		if strings.HasPrefix(name, "upstream_tries.") {
+			s.statements += n
 		}
-		s.roles[role] = t
 	}
 	all, monitor, err := hollow.Threads(n.Pid())
 	if err != nil {
--- a/internal/datapath/datapath.go
+++ b/internal/datapath/datapath.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -22,6 +21,7 @@
 
 	"lilaccove/internal/lab"
 	"lilaccove/internal/load/plan"
+	"lilaccove/internal/stats"
 )
 
 const (
@@ -113,7 +113,7 @@
 	FailedBy   map[string]int          `json:"failed_by"`
 	Amiss      []Amiss                 `json:"amiss"`       // the first of those
 	TurnedAway map[string]int          `json:"turned_away"` // connections
-	Figures    map[string]int          `json:"figures"`     // its own, at the end of the load
+	Figures    map[string]uint64       `json:"figures"`     // its own, at the end of the load
 	Events     map[string]int          `json:"events"`      // lines of its log by event, sparse ones as they are told
 }
 
@@ -453,7 +453,7 @@
 	if err != nil {
 		return err
 	}
-	g.LostMS = after["lost_ms"] - before["lost_ms"]
+	g.LostMS = int(after["lost_ms"] - before["lost_ms"])
 	s := &r.r.StandIn
 	s.HeartbeatMS, s.Per, s.Most, s.ServiceMS = d.Heartbeat, d.Per, d.Max, float64(r.Service)/float64(time.Millisecond)
 	g.DatabaseConnections = d.Mean
@@ -486,31 +486,9 @@
 }
 
 // figures are the gateway's own.
-func (r *run) figures() (map[string]int, error) {
-	q, err := http.NewRequest("GET", "http://"+r.manage+"/v1/metrics", nil)
-	if err != nil {
-		return nil, err
-	}
-	answer, err := (&http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Do(q)
-	if err != nil {
-		return nil, err
-	}
-	defer answer.Body.Close()
-	text, err := io.ReadAll(answer.Body)
-	if err == nil && answer.StatusCode != http.StatusOK {
-		err = errors.New(answer.Status)
-	}
-	if err != nil {
-		return nil, err
-	}
-	all := map[string]int{}
-	for line := range strings.Lines(string(text)) {
-		name, value, _ := strings.Cut(strings.TrimSpace(line), "=")
-		if n, err := strconv.Atoi(value); err == nil {
-			all[strings.TrimPrefix(name, "edge_gw.")] = n
-		}
-	}
-	return all, nil
+func (r *run) figures() (map[string]uint64, error) {
+	text, err := lab.Ask("GET", r.manage, "/v1/metrics")
+	return stats.Parse(text), err
 }
 
 func (r *run) invalid(format string, args ...any) {
@@ -559,9 +537,9 @@
 	}
 	own := Counts{}
 	for _, k := range classes {
-		own.Served += g.Figures["passed."+k.Name]
-		own.Refused += g.Figures["dropped."+k.Name]
-		own.Failed += g.Figures["bad_gateway."+k.Name]
+		own.Served += int(g.Figures["passed."+k.Name])
+		own.Refused += int(g.Figures["dropped."+k.Name])
+		own.Failed += int(g.Figures["bad_gateway."+k.Name])
 	}
 	if w := c.Whole; own.Served != w.Served || own.Refused != w.Refused {
 		r.fault("the clients count %d served and %d refused, the gateway %d and %d", w.Served, w.Refused, own.Served, own.Refused)
--- a/internal/datapath/datapath_test.go
+++ b/internal/datapath/datapath_test.go
@@ -77,8 +77,8 @@
 	assert.Equal(t, Counts{Sent: g.Sent, Served: g.Served, Late: g.Late, Refused: g.Refused, Failed: g.Failed}, sum)
 	passed, dropped, by := 0, 0, 0
 	for _, k := range classes {
-		passed += g.Figures["passed."+k.Name]
-		dropped += g.Figures["dropped."+k.Name]
+		passed += int(g.Figures["passed."+k.Name])
+		dropped += int(g.Figures["dropped."+k.Name])
 	}
 	assert.Equal(t, passed, w.Served, "the gateway counts as many")
 	assert.Equal(t, dropped, w.Refused)
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -242,8 +242,11 @@
 }
 
 // Call asks the operators' address and returns what it says.
-func (n *Node) Call(method, path string) ([]byte, error) {
-	q, err := http.NewRequest(method, "http://"+n.Manage+path, nil)
+func (n *Node) Call(method, path string) ([]byte, error) { return Ask(method, n.Manage, path) }
+
+// Ask asks a gateway's operators' address and returns what it says.
+func Ask(method, manage, path string) ([]byte, error) {
+	q, err := http.NewRequest(method, "http://"+manage+path, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -3,7 +3,9 @@
 package stats
 
 import (
+	"bytes"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -101,3 +103,31 @@
 	}
 	return b
 }
+
+// Parse reads the figures that Append and others have written: by name, without what all names begin with.
+func Parse(text []byte) map[string]uint64 {
+	all := map[string]uint64{}
+	for line := range bytes.Lines(text) {
+		name, value, _ := strings.Cut(strings.TrimSpace(string(line)), "=")
+		name, ours := strings.CutPrefix(name, "edge_gw.")
+		if n, err := strconv.ParseUint(value, 10, 64); err == nil && ours {
+			all[name] = n
+		}
+	}
+	return all
+}
+
+// Roles are the roles of the fleet among such figures.
+func Roles(figures map[string]uint64) map[string]Traffic {
+	all := map[string]Traffic{}
+	for name := range figures {
+		role, ok := strings.CutSuffix(name, "_out_bytes")
+		role, fleet := strings.CutPrefix(role, "fleet_")
+		if !ok || !fleet {
+			continue
+		}
+		of := func(what string) uint64 { return figures["fleet_"+role+"_"+what] }
+		all[role] = Traffic{of("out_bytes"), of("out_messages"), of("in_bytes"), of("in_messages")}
+	}
+	return all
+}
--- a/internal/stats/stats_test.go
+++ b/internal/stats/stats_test.go
@@ -18,3 +18,14 @@
 		"edge_gw.in_progress=14\nedge_gw.known_databases=3\nedge_gw.skipped_databases=0\nedge_gw.lost_ms=0\n",
 		string(c.Append(nil, Gauges{InProgress: 14, Known: 3, Skipped: -1})))
 }
+
+// What was written is read again; what is no figure of ours is passed over.
+func TestParse(t *testing.T) {
+	sent := Traffic{OutBytes: 4, OutMessages: 3, InBytes: 2, InMessages: 1}
+	b := append(sent.Append([]byte("edge_gw.fleet_health=2\nnoise\nother.x=1\nedge_gw.odd=x\n"), "positions"), "edge_gw.in_progress=14"...)
+	figures := Parse(b)
+	assert.Len(t, figures, 6)
+	assert.EqualValues(t, 14, figures["in_progress"])
+	assert.EqualValues(t, 2, figures["fleet_health"])
+	assert.Equal(t, map[string]Traffic{"positions": sent}, Roles(figures))
+}
