Stall a side of the data path when the measured time begins, not after a sleep

Seen once while other tests ran: the databases were stopped before or behind the measured time, and the run was rightly valid. The test now stops the process when the measured time has begun.

--- a/internal/datapath/datapath.go
+++ b/internal/datapath/datapath.go
@@ -56,6 +56,7 @@
 	Sides      func(role string) []string
 	Log        io.Writer                   // what the gateway says; nil: nowhere
 	Started    func(role string, pid int)  // for tests
+	Loaded     func()                      // likewise: the measured time has begun
 	Fault      func(config map[string]any) // for tests: changes what the gateway is told
 }
 
@@ -428,6 +429,9 @@
 	if err != nil {
 		return err
 	}
+	if r.Loaded != nil {
+		r.Loaded()
+	}
 	meters := []meter{newMeter(pid), newMeter(r.bases.pid()), newMeter(r.people.pid())}
 	n := 0.0
 	for ctx.Err() == nil && time.Now().UnixMilli() < end-int64(lookEvery/time.Millisecond) {
--- a/internal/datapath/datapath_test.go
+++ b/internal/datapath/datapath_test.go
@@ -160,22 +160,14 @@
 			o.Stall, o.Seed = 1500*time.Millisecond, 8
 			o.For = 3 * time.Second
 			var stalls sync.WaitGroup
-			o.Started = func(which string, pid int) {
-				if which != role {
-					return
-				}
-				stalls.Add(1)
-				go func() {
-					defer stalls.Done()
-					if role == "clients" {
-						time.Sleep(1200 * time.Millisecond) // they ask
-					} else {
-						time.Sleep(4 * time.Second) // the gateway was looked at alone first
-					}
-					assert.NoError(t, syscall.Kill(pid, syscall.SIGSTOP))
+			pids := map[string]int{}
+			o.Started = func(which string, pid int) { pids[which] = pid }
+			o.Loaded = func() {
+				assert.NoError(t, syscall.Kill(pids[role], syscall.SIGSTOP))
+				stalls.Go(func() {
 					time.Sleep(2 * time.Second)
-					assert.NoError(t, syscall.Kill(pid, syscall.SIGCONT))
-				}()
+					assert.NoError(t, syscall.Kill(pids[role], syscall.SIGCONT))
+				})
 			}
 			r, err := Run(context.Background(), o)
 			stalls.Wait()
