--- a/internal/scale/files.go
+++ b/internal/scale/files.go
@@ -119,7 +119,12 @@
 	return list
 }
 
-// config is Config as text.
-func (p *Plan) config(g int, discovery string) ([]byte, error) {
-	return json.Marshal(p.Config(g, discovery))
+// config is Config as text; known is the list that a real gateway had before, as a process that is started again has one. Hollow ones
+// ask for theirs, so that hundreds of files with it are spared.
+func (p *Plan) config(g int, discovery string, known []byte) ([]byte, error) {
+	c := p.Config(g, discovery)
+	if g < p.Real {
+		c["known"] = json.RawMessage(known)
+	}
+	return json.Marshal(c)
 }
--- a/internal/scale/real.go
+++ b/internal/scale/real.go
@@ -80,6 +80,7 @@
 	switch kind, _, _ := strings.Cut(event, " "); kind {
 	case "started":
 		n.clients, n.manage = lab.Field(event, "listen"), lab.Field(event, "management")
+		n.run.front.Set(n.gate.number, n.clients)
 	case "fleet_view":
 		n.digest = lab.Field(event, "digest")
 	case "fleet_member":
@@ -214,7 +215,7 @@
 	return nil
 }
 
-// clients are those of the real gateways.
+// clients are those of the real gateways, which a front hands out as the lab's does.
 type clients struct {
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -224,7 +225,7 @@
 	err    error
 }
 
-func startClients(p *Plan, list []*real) (*clients, error) {
+func startClients(p *Plan, list []*real, front *lab.Front) (*clients, error) {
 	if p.Clients <= 0 {
 		return nil, nil
 	}
@@ -246,18 +247,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &clients{cancel: cancel, done: make(chan struct{}), rec: run.NewRecorder(l), n: len(arrivals)}
-	r := &run.Runner{Plan: l, Arrivals: arrivals, Sample: c.rec.Add, Pick: func(session int) (string, bool) {
-		for i := range list {
-			n := list[(session+i)%len(list)]
-			n.mu.Lock()
-			at, on := n.clients, n.p.Alive() && !n.meant
-			n.mu.Unlock()
-			if on && at != "" {
-				return at, true
-			}
-		}
-		return "", false
-	}}
+	r := &run.Runner{Plan: l, Arrivals: arrivals, Sample: c.rec.Add, Pick: front.Pick}
 	go func() {
 		defer close(c.done)
 		c.sent, c.err = r.Play(ctx)
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"lilaccove/internal/hollow"
+	"lilaccove/internal/lab"
 	"lilaccove/internal/standin"
 	"lilaccove/internal/wan"
 )
@@ -42,6 +43,7 @@
 	procs []*process
 	in    map[string]*process // by gateway
 	reals []*real
+	front *lab.Front
 	load  *clients
 	stop  chan struct{}
 
@@ -90,10 +92,17 @@
 	r.rnd = rand.New(rand.NewPCG(p.Seed, 0x7363616c))
 	r.stop = make(chan struct{})
 	r.in, r.byName = map[string]*process{}, map[string]*gate{}
+	r.front = lab.NewFront(p.Real, nil)
 	defer r.close()
 	if err := r.open(ctx); err != nil {
 		return nil, err
 	}
+	if p.Real > 0 {
+		var err error
+		if r.load, err = startClients(p, r.reals, r.front); err != nil {
+			return nil, err
+		}
+	}
 	var all sync.WaitGroup
 	all.Add(1)
 	go func() {
@@ -197,11 +206,6 @@
 	if err := r.startAll(ctx); err != nil {
 		return err
 	}
-	if p.Real > 0 {
-		if r.load, err = startClients(p, r.reals); err != nil {
-			return err
-		}
-	}
 	late := time.After(startTime + time.Duration(p.Gateways)*50*time.Millisecond)
 	for {
 		for _, n := range r.reals {
@@ -215,6 +219,9 @@
 			}
 		}
 		r.mu.Unlock()
+		if n := r.front.Admitted(); missing == "" && n < p.Real {
+			missing = fmt.Sprintf("%d of the real ones, which the front does not admit,", p.Real-n)
+		}
 		if missing == "" {
 			return nil
 		}
@@ -238,9 +245,10 @@
 
 // files writes what each gateway reads.
 func (r *Run) files() error {
+	known := r.world.List()
 	for _, g := range r.gates {
 		dir := r.home(g.name)
-		config, err := r.Plan.config(g.number, r.world.Discovery().Addr)
+		config, err := r.Plan.config(g.number, r.world.Discovery().Addr, known)
 		if err != nil {
 			return err
 		}
@@ -517,6 +525,7 @@
 // close ends all that was started.
 func (r *Run) close() {
 	r.load.close()
+	r.front.Close()
 	var all sync.WaitGroup
 	for _, h := range r.procs {
 		all.Add(1)
