--- /dev/null
+++ b/internal/scale/budget_test.go
@@ -0,0 +1,36 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Under a budget of bytes hollow and real gateways tell each other of positions and primaries through a cut, a kill and
+// restarts, and none sends more than the budget, heals and starts included; what they know stays young all the same.
+func TestScaleBudgetThroughFaults(t *testing.T) {
+	t.Parallel()
+	tool, gateway := programs(t)
+	text := strings.Replace(fmt.Sprintf(faulty, "40 kB/s"), "positions: true, primaries: true", "positions: {bytes: 800/s}, primaries: {bytes: 400/s}", 1)
+	p := parse(t, text, NoOverride())
+	r := &Run{Plan: p, Command: "test", Hollow: []string{tool, "hollow"}, Gateway: []string{gateway}}
+	got, err := r.Play(context.Background())
+	require.NoError(t, err)
+	out := &bytes.Buffer{}
+	require.NoError(t, got.Text(out))
+	t.Log(out)
+	assert.NoError(t, got.Verdict())
+	assert.Zero(t, got.FalseDeaths)
+	for role, budget := range map[string]float64{"positions": 800, "primaries": 400} {
+		assert.Positive(t, got.ByRole[role].BytesOut, role)
+		assert.LessOrEqual(t, got.ByRole[role].BytesOut, budget*1.1, role) // a second's worth besides, over ten and more
+	}
+	assert.Greater(t, got.Positions.Known, 23.0, "of 24 databases")
+	require.NotNil(t, got.Positions.P99)
+	assert.Less(t, *got.Positions.P99, 10.0)
+}
