--- a/internal/capacity/figures_test.go
+++ b/internal/capacity/figures_test.go
@@ -232,6 +232,8 @@
 	runs.Scale[slices.IndexFunc(runs.Scale, func(s Scale) bool { return s.File == "scale-one-60.json" })].Statements = &none
 	runs.Scale[slices.IndexFunc(runs.Scale, func(s Scale) bool { return s.File == "scale-one-245.json" })].Skew = 1
 	assert.Len(t, (&state{runs: runs}).series(1), 2, "of the target's load alone")
+	runs.Scale[slices.IndexFunc(runs.Scale, func(s Scale) bool { return s.File == "scale-one-490.json" })].Command += " --without subsets"
+	assert.Len(t, (&state{runs: runs}).series(1), 1, "and of the plan's fleet file")
 }
 
 // With too few sizes in three regions the line of one is moved by what regions made of it, and said to be an extrapolation.
--- a/internal/capacity/runs.go
+++ b/internal/capacity/runs.go
@@ -300,9 +300,9 @@
 
 func (d *Datapath) good() bool { return d.Valid && !d.Partial }
 
-// target tells whether hollow gateways were fed with the target's statements, spread as the module does.
+// target tells whether hollow gateways were fed with the target's statements, spread as the module does, in a fleet with all that the plan has.
 func (s *Scale) target() bool {
-	return (s.Statements == nil || *s.Statements == Target.Statements) && s.Skew == 0
+	return (s.Statements == nil || *s.Statements == Target.Statements) && s.Skew == 0 && !strings.Contains(s.Command, " --without")
 }
 
 // good tells whether a run is a result.
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -269,7 +269,7 @@
 	for _, s := range r.Scale {
 		x := result(s.Valid, s.Partial, s.Why)
 		if s.good() && !s.target() {
-			x += ", of another load; in no slope"
+			x += ", of another load or fleet file; in no slope"
 		}
 		if len(s.Faults) > 0 {
 			x += "; " + strings.Join(s.Faults, "; ")
