--- a/internal/capacity/parts.go
+++ b/internal/capacity/parts.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 )
 
 // clients, statements and decisions of one gateway.
@@ -199,6 +200,9 @@
 	p.Figures = slices.DeleteFunc(p.Figures, func(f Figure) bool {
 		return f.Slope == nil || f.At(Target).Kind == NotRun && f.At(Worst).Kind == NotRun
 	})
+	for i, f := range p.Figures {
+		p.Figures[i].Mechanism = strings.Replace(f.Mechanism, "`internal/fleet/state` (Positions)", "`internal/fleet/antientropy`", 1)
+	}
 	return p
 }
 
