--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -84,7 +84,8 @@
 	}
 }
 
-// crossing is how long an answer may be on its way after its attempt was given up.
+// crossing is how long what comes behind an attempt that was given up is read: so long after it was written an answer counts
+// as told, by the protocol.
 const crossing = 100 * time.Millisecond
 
 // hearOut ends the sending, which tells the database that an attempt was given up, and reads what is on its way. That
