Add three failing tests: operators' words over failing folders and clock steps

Found while writing them: a state that could not be read once is never read, as its time was noted before (handover.Share.read).

--- /dev/null
+++ b/internal/handover/faults_test.go
@@ -0,0 +1,71 @@
+package handover
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+// withoutDescriptors runs do while this process can open nothing: every open ends with EMFILE.
+func withoutDescriptors(t *testing.T, do func()) {
+	t.Helper()
+	var limit unix.Rlimit
+	require.NoError(t, unix.Getrlimit(unix.RLIMIT_NOFILE, &limit))
+	none := limit
+	none.Cur = 0
+	require.NoError(t, unix.Setrlimit(unix.RLIMIT_NOFILE, &none))
+	defer func() { require.NoError(t, unix.Setrlimit(unix.RLIMIT_NOFILE, &limit)) }()
+	do()
+}
+
+// A word that could not be written when it was given is written later: a successor must know it.
+func TestWordIsWrittenAgainAfterTheFolderFailed(t *testing.T) {
+	dir := t.TempDir()
+	old := join(t, dir)
+	withoutDescriptors(t, func() {
+		old.Suspend("a", true, sec)
+		old.Drain(true, sec)
+		old.Poll(ignore)
+	})
+	old.Poll(ignore)
+	state := join(t, dir).State()
+	assert.True(t, state.Suspended["a"].On)
+	assert.True(t, state.Drained.On)
+}
+
+// A state that could not be read when it changed is read later.
+func TestStateIsReadAgainAfterTheFolderFailed(t *testing.T) {
+	dir := t.TempDir()
+	old, next := join(t, dir), join(t, dir)
+	next.Suspend("a", true, sec)
+	withoutDescriptors(t, func() { old.Poll(ignore) })
+	old.Poll(ignore)
+	assert.True(t, old.State().Suspended["a"].On)
+	assert.True(t, next.Agreed())
+}
+
+// The order of words is that in which they were given, whatever the processes' clocks say.
+func TestLaterWordHoldsWhateverTheClocksSay(t *testing.T) {
+	for name, step := range map[string]time.Duration{"back": -time.Hour, "forward": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			now := 10 * time.Hour
+			old, next := join(t, dir), join(t, dir)
+			old.Suspend("a", true, now)
+			old.Drain(true, now)
+			next.Suspend("a", false, now+step+sec)
+			next.Drain(false, now+step+sec)
+			for range 2 {
+				old.Poll(ignore)
+				next.Poll(ignore)
+			}
+			for _, s := range []*Share{old, next, join(t, dir)} {
+				assert.False(t, s.State().Suspended["a"].On)
+				assert.False(t, s.State().Drained.On)
+			}
+		})
+	}
+}
