Write operators' words again when the folder failed, and order them behind all known ones

Cause: handover.Share.write gave up on a word at the first failure and read noted the time of a state that it could not open, so that neither came up again; words were ordered by the wall clocks of processes that may differ by a step. Change: a word that is not in the folder is owed and written by each Poll; a state counts as read once it was; a word is placed behind all that its process knows (a hybrid logical clock), and its process reads the state before it takes one. The file's form stays. Complaints are bounded to one a second. Left: a word that takes a suspension back is forgotten 10 min later by the wall clock, which a step may bring forward.

--- a/internal/handover/share.go
+++ b/internal/handover/share.go
@@ -21,16 +21,21 @@
 	processes  = "lilaccove-process-"
 	mostState  = 1 << 20
 	seenDigits = 20
+
+	complainEvery = time.Second
 )
 
 // Share is this process's part of the directory.
 type Share struct {
 	dir   string
 	state State
-	own   *os.File // locked as long as this process lives; holds the newest word it has acted on
+	own   *os.File // locked as long as this process lives; holds the newest word that it has acted on
 	mtime time.Time
 	size  int64
-	odd   string // the last thing found wrong, so that it is logged once
+	owed  bool   // state has words that the directory may lack: a write failed
+	acked int64  // the newest word that own holds
+	odd   string // the last thing found wrong, which is not logged again at once
+	oddAt time.Time
 }
 
 // Join enters the directory and takes over the state that lies there. One that cannot be read is
@@ -63,28 +68,36 @@
 	s.own.Close()
 }
 
-// Suspend keeps an operator's word on a database.
+// Suspend keeps an operator's word on a database. One that cannot be written now is written by a later Poll; see Kept.
 func (s *Share) Suspend(id string, out bool, now time.Duration) {
-	s.state.Suspended[id] = Entry{On: out, At: now.Microseconds()}
+	s.read() // the word's place is behind all that were given before it
+	s.state.Suspended[id] = Entry{On: out, At: s.state.next(now)}
 	s.state.forget(now)
 	s.write()
 }
 
-// Drain keeps an operator's word on the gateway.
+// Drain keeps an operator's word on the gateway, as Suspend does.
 func (s *Share) Drain(on bool, now time.Duration) {
-	s.state.Drained = Entry{On: on, At: now.Microseconds()}
+	s.read()
+	s.state.Drained = Entry{On: on, At: s.state.next(now)}
 	s.write()
 }
 
+// Kept tells whether all words known here lie in the directory, where a successor finds them.
+func (s *Share) Kept() bool { return !s.owed }
+
 // Poll tells whether other processes of this gateway live, and whether one of them has taken a word
-// that this one did not know. It calls acted when the caller has done what it says.
+// that this one did not know. It calls act with what is agreed on then. What failed before is tried again.
 func (s *Share) Poll(act func(State)) (others bool) {
 	if info, err := os.Stat(s.path()); err == nil && (info.ModTime() != s.mtime || info.Size() != s.size) {
 		if s.read() {
 			act(s.state)
 		}
-		s.acted()
 	}
+	if s.owed {
+		s.write()
+	}
+	s.acted()
 	return len(s.others()) > 0
 }
 
@@ -132,11 +145,17 @@
 	return unix.Flock(fd, unix.LOCK_SH|unix.LOCK_NB) == unix.EWOULDBLOCK
 }
 
-// acted writes the newest word that this process has acted on where the others look.
+// acted writes the newest word that this process has acted on where the others look, unless it stands there.
 func (s *Share) acted() {
-	if _, err := s.own.WriteAt(fmt.Appendf(nil, "%0*d", seenDigits, s.state.at()), 0); err != nil {
+	newest := s.state.at()
+	if newest == s.acked {
+		return
+	}
+	if _, err := s.own.WriteAt(fmt.Appendf(nil, "%0*d", seenDigits, newest), 0); err != nil {
 		s.complain(err)
+		return
 	}
+	s.acked = newest
 }
 
 // read merges what lies in the directory; it tells whether there was anything new.
@@ -151,9 +170,11 @@
 	} else if err == nil {
 		text, err = os.ReadFile(s.path())
 	}
-	if info != nil {
-		s.mtime, s.size = info.ModTime(), info.Size()
+	if err != nil && (info == nil || info.Size() <= mostState) {
+		s.complain(err) // it may be readable the next time
+		return false
 	}
+	s.mtime, s.size = info.ModTime(), info.Size()
 	var found State
 	if err == nil {
 		found, err = parse(text)
@@ -191,16 +212,17 @@
 			_ = os.Remove(f.Name())
 		}
 	}
-	if err != nil {
+	if s.owed = err != nil; s.owed {
 		s.complain(err)
 		return
 	}
 	s.acted()
 }
 
+// complain logs what is wrong with the directory, once a second at most: a Poll may find the same again and again.
 func (s *Share) complain(err error) {
-	if err.Error() != s.odd {
-		s.odd = err.Error()
+	if now := time.Now(); err.Error() != s.odd && now.Sub(s.oddAt) >= complainEvery {
+		s.odd, s.oddAt = err.Error(), now
 		log.Printf("event=bad_state dir=%s err=%q", s.dir, err)
 	}
 }
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -15,7 +15,8 @@
 // version is that of the form; a state of another one is not read.
 const version = 1
 
-// Entry is one operator's word and the moment it was given.
+// Entry is one operator's word and its place in the order of all words: the moment at which it was given, or just behind
+// the newest word known by then where this process's clock is not past that. Clocks of two processes may differ.
 type Entry struct {
 	On bool  `json:"on"`
 	At int64 `json:"at_us"` // Unix microseconds
@@ -55,6 +56,9 @@
 	return newest
 }
 
+// next is the place of a word that is given now: behind all that are known.
+func (s *State) next(now time.Duration) int64 { return max(now.Microseconds(), s.at()+1) }
+
 // keepBack is how long a database's word "back" is kept: any process has seen it by then.
 const keepBack = 10 * time.Minute
 
