--- a/internal/handover/faults_test.go
+++ b/internal/handover/faults_test.go
@@ -1,6 +1,8 @@
 package handover
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -69,3 +71,21 @@
 		})
 	}
 }
+
+// A process whose file cannot be looked at just now is not taken for dead.
+func TestProcessThatCannotBeLookedAtLives(t *testing.T) {
+	dir := t.TempDir()
+	old, next := join(t, dir), join(t, dir)
+	require.True(t, next.Poll(ignore))
+	withoutDescriptors(t, func() {
+		assert.True(t, next.Poll(ignore), "nothing tells that the other has ended")
+	})
+	assert.FileExists(t, old.own.Name())
+	assert.True(t, next.Poll(ignore))
+
+	loop := filepath.Join(dir, processes+"loop") // opening it ends with ELOOP
+	require.NoError(t, os.Symlink(loop, loop))
+	next.Poll(ignore)
+	_, err := os.Lstat(loop)
+	assert.NoError(t, err, "only the files of the dead are removed")
+}
