Keep a process that cannot be looked at, say no to unkept words, come back for a dead successor

Cause: handover.locked took any failure for a dead process and others removed its file; the operator's yes did not ask whether the word was written; operations.end decided once that a successor takes the clients, and closed the shared queue for good. Ruled out: waiting for the process beside on a drain, which would hold up the answer where nothing failed.

--- a/cmd/lilaccove/operations.go
+++ b/cmd/lilaccove/operations.go
@@ -69,10 +69,11 @@
 	agreeing        []agreement
 }
 
-// agreement is an answer that waits until the other process has acted on the same word.
+// agreement is an answer to an operator that waits until the word is kept for a successor, and the other process, if there
+// is one, has acted on it.
 type agreement struct {
 	until time.Duration
-	then  func()
+	then  func(kept bool)
 }
 
 // listen opens the clients' address, or takes over the socket that the platform holds open there.
@@ -120,12 +121,26 @@
 		pause = pollBeside
 	}
 	o.loop.At(now+pause, o.poll)
-	if len(o.agreeing) > 0 && (!o.beside || o.share.Agreed()) {
+	if len(o.agreeing) > 0 && o.agreed() {
 		o.agree(now + agreeTime)
 	}
 	o.agree(now)
 }
 
+// agreed tells whether all words that were given here are kept, and have been acted on by the process beside this one.
+func (o *operations) agreed() bool {
+	return o.share == nil || o.share.Kept() && (!o.beside || o.share.Agreed())
+}
+
+// await calls then when all agree on the words given so far, or after agreeTime.
+func (o *operations) await(then func(kept bool)) {
+	if o.agreed() {
+		then(true)
+		return
+	}
+	o.agreeing = append(o.agreeing, agreement{until: o.loop.Now() + agreeTime, then: then})
+}
+
 // look does so once. Whoever depends on whether another process lives looks first: it may have begun
 // since the last poll.
 func (o *operations) look() {
@@ -136,6 +151,19 @@
 		o.beside = beside
 		o.divide()
 	}
+	if o.leaving && !o.beside && !o.closed {
+		o.comeBack()
+	}
+}
+
+// comeBack accepts clients again until the end: the successor has ended before this process has, and nobody else does.
+func (o *operations) comeBack() {
+	if err := o.front.Return(); err != nil {
+		log.Printf("event=not_open err=%q", err) // tried again by the next poll
+		return
+	}
+	log.Printf("event=successor_lost owed=%d clients=%d", o.core.Owed(), o.front.Clients())
+	o.leaving = false
 }
 
 // divide has this process keep to its half while another lives.
@@ -166,7 +194,7 @@
 // agree gives the answers that have waited long enough.
 func (o *operations) agree(now time.Duration) {
 	for len(o.agreeing) > 0 && o.agreeing[0].until <= now {
-		o.agreeing[0].then()
+		o.agreeing[0].then(o.share.Kept())
 		o.agreeing = o.agreeing[1:]
 	}
 }
@@ -207,15 +235,9 @@
 }
 
 // Suspend leaves a database out, or has it serve again, here and in a process beside this one.
-func (o *operations) Suspend(id string, out bool, then func()) bool {
+func (o *operations) Suspend(id string, out bool, then func(kept bool)) bool {
 	o.look()
-	known := o.core.Suspend(policy.HostID(id), o.side.Alone(id, out), func() {
-		if !o.beside {
-			then()
-			return
-		}
-		o.agreeing = append(o.agreeing, agreement{until: o.loop.Now() + agreeTime, then: then})
-	})
+	known := o.core.Suspend(policy.HostID(id), o.side.Alone(id, out), func() { o.await(then) })
 	if known {
 		log.Printf("event=suspended host=%q out=%t", id, out)
 		if o.share != nil {
@@ -291,13 +313,20 @@
 }
 
 // Drain empties the gateway, or has it work again, as far as the fleet's word lets it.
-func (o *operations) Drain(on bool) {
+func (o *operations) Drain(on bool, then func(kept bool)) {
 	log.Printf("event=drain on=%t clients=%d owed=%d", on, o.front.Clients(), o.core.Owed())
 	o.drainHere = on
 	o.drain()
-	if o.share != nil {
-		o.share.Drain(on, o.loop.Now())
+	if o.share == nil {
+		then(true)
+		return
+	}
+	o.share.Drain(on, o.loop.Now())
+	if o.share.Kept() { // the process beside this one is not waited for: it lets clients go as soon as it knows
+		then(true)
+		return
 	}
+	o.await(then)
 }
 
 func (o *operations) drain() {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -172,10 +172,13 @@
 // asks for nothing is let go one by one until the moment given: a close that crosses a request turns it
 // back unheard, which hardly happens behind an answer.
 func (f *Front) Leave(until time.Duration) {
-	f.ln.Close()
+	f.ln.Pause()
 	f.ease(until)
 }
 
+// Return accepts clients again after Leave, because nobody else does. Each still goes behind its next answer.
+func (f *Front) Return() error { return f.ln.Start() }
+
 // Empty has the empty query answered with a no and lets all clients go as Leave does. New ones are served
 // once each: whoever sends them here takes a moment to notice.
 func (f *Front) Empty(until time.Duration) {
--- a/internal/handover/share.go
+++ b/internal/handover/share.go
@@ -27,15 +27,16 @@
 
 // Share is this process's part of the directory.
 type Share struct {
-	dir   string
-	state State
-	own   *os.File // locked as long as this process lives; holds the newest word that it has acted on
-	mtime time.Time
-	size  int64
-	owed  bool   // state has words that the directory may lack: a write failed
-	acked int64  // the newest word that own holds
-	odd   string // the last thing found wrong, which is not logged again at once
-	oddAt time.Time
+	dir    string
+	state  State
+	own    *os.File // locked as long as this process lives; holds the newest word that it has acted on
+	mtime  time.Time
+	size   int64
+	owed   bool     // state has words that the directory may lack: a write failed
+	acked  int64    // the newest word that own holds
+	beside []string // the other processes that lived when they were last looked at
+	odd    string   // the last thing found wrong, which is not logged again at once
+	oddAt  time.Time
 }
 
 // Join enters the directory and takes over the state that lies there. One that cannot be read is
@@ -115,34 +116,60 @@
 
 func (s *Share) path() string { return filepath.Join(s.dir, statePath) }
 
-// others are the files of the other processes that live. Those that the dead left are removed.
-func (s *Share) others() (list []string) {
+// others are the files of the other processes that live. Those that the dead left are removed. What cannot be looked at just
+// now says nothing: it is taken for what it was before, for one that lives if it is new.
+func (s *Share) others() []string {
 	entries, err := os.ReadDir(s.dir)
 	if err != nil {
 		s.complain(err)
+		return s.beside
 	}
+	s.beside = s.beside[:0]
 	for _, e := range entries {
 		path := filepath.Join(s.dir, e.Name())
 		if !strings.HasPrefix(e.Name(), processes) || path == s.own.Name() {
 			continue
 		}
-		if locked(path) {
-			list = append(list, path)
-		} else {
+		switch dead, err := ended(path); {
+		case err != nil:
+			s.complain(err)
+			s.beside = append(s.beside, path)
+		case dead:
 			_ = os.Remove(path)
+		default:
+			s.beside = append(s.beside, path)
 		}
 	}
-	return list
+	return s.beside
 }
 
-// locked tells whether a process holds the lock of its file. The kernel drops it with the process.
-func locked(path string) bool {
-	fd, err := unix.Open(path, unix.O_RDONLY|unix.O_CLOEXEC, 0)
-	if err != nil {
-		return false
+// ended tells whether the process that a file belongs to has ended: the kernel drops its lock with it. An error tells that
+// nobody knows.
+func ended(path string) (bool, error) {
+	fd, err := open(path)
+	switch {
+	case err == unix.ENOENT:
+		return true, nil
+	case err != nil:
+		return false, fmt.Errorf("open %s: %w", path, err)
 	}
 	defer unix.Close(fd)
-	return unix.Flock(fd, unix.LOCK_SH|unix.LOCK_NB) == unix.EWOULDBLOCK
+	switch err := unix.Flock(fd, unix.LOCK_SH|unix.LOCK_NB); err {
+	case nil:
+		return true, nil
+	case unix.EWOULDBLOCK:
+		return false, nil
+	default:
+		return false, fmt.Errorf("lock %s: %w", path, err)
+	}
+}
+
+func open(path string) (fd int, err error) {
+	for {
+		if fd, err = unix.Open(path, unix.O_RDONLY|unix.O_CLOEXEC, 0); err != unix.EINTR {
+			return fd, err
+		}
+	}
 }
 
 // acted writes the newest word that this process has acted on where the others look, unless it stands there.
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -33,9 +33,9 @@
 	Ready() (why string, ok bool)
 	// Metrics adds the figures.
 	Metrics(b []byte) []byte
-	// Suspend leaves a database out, or has it serve again, and calls then when that holds;
-	// false: nobody knows the database.
-	Suspend(id string, out bool, then func()) bool
+	// Suspend leaves a database out, or has it serve again, and calls then when that holds; kept tells whether a
+	// successor will know it as well. False: nobody knows the database.
+	Suspend(id string, out bool, then func(kept bool)) bool
 	// Fleet tells in JSON which other gateways are known; false: this one is in no fleet.
 	Fleet() ([]byte, bool)
 	// FleetState tells in JSON what operators told the whole fleet; false: this gateway is in no fleet.
@@ -50,8 +50,8 @@
 	FleetDrain(name string, on bool, then func(said string)) bool
 	// Fence shuts the gateway out, or has it go on with what it has; false: there is no fence.
 	Fence(out bool) bool
-	// Drain empties the gateway, or has it work again.
-	Drain(on bool)
+	// Drain empties the gateway, or has it work again, at once, and calls then as Suspend does.
+	Drain(on bool, then func(kept bool))
 }
 
 // Server is all callers.
@@ -185,8 +185,7 @@
 		}
 	case "/v1/gateway/drain", "/v1/gateway/activate":
 		if c.method(q, "PUT") {
-			c.s.ops.Drain(strings.HasSuffix(q.Path, "drain"))
-			c.answer(200, "ok\n")
+			c.s.ops.Drain(strings.HasSuffix(q.Path, "drain"), c.done)
 		}
 	default:
 		c.word(q)
@@ -211,8 +210,8 @@
 		prefix, what, out, in string
 		say                   func(name string, out bool, then func(said string)) bool
 	}{
-		{"/v1/databases/", "database", "suspend", "resume", func(id string, out bool, then func(said string)) bool {
-			return c.s.ops.Suspend(id, out, func() { then("") })
+		{"/v1/databases/", "database", "suspend", "resume", func(id string, out bool, _ func(said string)) bool {
+			return c.s.ops.Suspend(id, out, c.done) // done answers in then's place
 		}},
 		{"/v1/fleet/databases/", "database", "suspend", "resume", c.s.ops.FleetSuspend},
 		{"/v1/fleet/gateways/", "gateway", "drain", "activate", c.s.ops.FleetDrain},
@@ -243,6 +242,15 @@
 	return q.Method == allowed
 }
 
+// done answers a word that holds here; it is a yes only where a successor will know it as well.
+func (c *call) done(kept bool) {
+	if kept {
+		c.answer(200, "ok\n")
+		return
+	}
+	c.answer(503, "it holds in this process, but could not be written for its successor, which is tried again; say it once more\n")
+}
+
 func (c *call) answer(status int, body string) {
 	c.reply(status, "text/plain; charset=utf-8", "", body)
 }
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -19,9 +19,10 @@
 
 // staff is a gateway that does as it is told and writes it down.
 type staff struct {
-	ready string // empty: yes
-	did   []string
-	later []func() // answers it owes
+	ready  string // empty: yes
+	did    []string
+	later  []func(bool) // answers it owes
+	unkept bool         // words hold and are not kept
 }
 
 func (s *staff) Ready() (string, bool)         { return s.ready, s.ready == "" }
@@ -31,14 +32,18 @@
 func (s *staff) FleetVersions() ([]byte, bool) { return []byte("{}"), s.ready == "" }
 func (s *staff) FleetState() ([]byte, bool)    { return []byte("{}"), s.ready == "" }
 func (s *staff) FleetSuspend(id string, out bool, then func(string)) bool {
-	return s.Suspend("fleet "+id, out, func() { then("held by 2 of 2 others") })
+	return s.Suspend("fleet "+id, out, func(bool) { then("held by 2 of 2 others") })
 }
 func (s *staff) FleetDrain(name string, on bool, then func(string)) bool {
 	return s.FleetSuspend("gateway "+name, on, then)
 }
 func (s *staff) Fleet() ([]byte, bool) { return []byte("{}"), s.ready == "" }
-func (s *staff) Drain(on bool)         { s.did = append(s.did, fmt.Sprintf("drain %t", on)) }
-func (s *staff) Suspend(id string, out bool, then func()) bool {
+func (s *staff) Drain(on bool, then func(bool)) {
+	s.did = append(s.did, fmt.Sprintf("drain %t", on))
+	then(s.kept())
+}
+func (s *staff) kept() bool { return !s.unkept }
+func (s *staff) Suspend(id string, out bool, then func(bool)) bool {
 	if strings.HasPrefix(id, "no") {
 		return false
 	}
@@ -46,7 +51,7 @@
 	if id == "slow" {
 		s.later = append(s.later, then)
 	} else {
-		then()
+		then(s.kept())
 	}
 	return true
 }
@@ -195,7 +200,7 @@
 	addr, _ := serve(t, ops, func() {
 		select {
 		case <-ask:
-			ops.later[0]()
+			ops.later[0](true)
 		default:
 		}
 	})
@@ -211,3 +216,14 @@
 	require.NoError(t, err)
 	assert.Contains(t, string(got), "200 OK")
 }
+
+// A word that no successor would know is told with a no, though it holds here.
+func TestWordThatIsNotKept(t *testing.T) {
+	ops := &staff{unkept: true}
+	addr, stop := serve(t, ops, nil)
+	for _, path := range []string{"/v1/databases/a/suspend", "/v1/databases/a/resume", "/v1/gateway/drain", "/v1/gateway/activate"} {
+		assert.Contains(t, exchange(t, addr, request("PUT", path)), "HTTP/1.1 503 ", path)
+	}
+	stop()
+	assert.Equal(t, []string{"a out true", "a out false", "drain true", "drain false"}, ops.did)
+}
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -346,6 +346,12 @@
 // Start begins to accept.
 func (ln *Listener) Start() error { return ln.loop.register(ln.fd, unix.EPOLLIN, slot{ln: ln}) }
 
+// Pause stops accepting and keeps the socket, so that Start can begin again.
+func (ln *Listener) Pause() {
+	ln.loop.slots[ln.fd] = slot{}
+	_ = unix.EpollCtl(ln.loop.ep, unix.EPOLL_CTL_DEL, ln.fd, nil)
+}
+
 // take accepts what waits in the queue, so many in a round; it tells whether there may be more.
 func (ln *Listener) take(take func(*Conn)) (more bool) {
 	for range acceptMost {
