--- a/cmd/lilaccove/watch_test.go
+++ b/cmd/lilaccove/watch_test.go
@@ -29,13 +29,14 @@
 	mu    sync.Mutex
 	calls []time.Time
 	do    func(c net.Conn, call int) // nil: the call is cut off
+	open  map[net.Conn]bool
 }
 
 // listing makes a discovery of s that nobody else knows.
 func (s *site) listing(do func(c net.Conn, call int)) *lines {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(s.t, err)
-	d := &lines{t: s.t, ln: ln, do: do}
+	d := &lines{t: s.t, ln: ln, do: do, open: map[net.Conn]bool{}}
 	s.t.Cleanup(func() { ln.Close() })
 	go d.accept(ln)
 	s.disc = &standin.Discovery{Addr: ln.Addr().String()}
@@ -57,6 +58,7 @@
 			d.mu.Lock()
 			d.calls = append(d.calls, time.Now())
 			n, do := len(d.calls), d.do
+			d.open[c] = true
 			d.mu.Unlock()
 			if do != nil {
 				do(c, n)
@@ -72,6 +74,16 @@
 	d.do = do
 }
 
+// cut ends all calls that are out.
+func (d *lines) cut() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.open {
+		c.Close()
+	}
+	clear(d.open)
+}
+
 // asked waits for a call after a moment and tells when it came.
 func (s *site) asked(d *lines, after time.Time) (at time.Time) {
 	s.t.Helper()
--- a/internal/handover/faults_test.go
+++ b/internal/handover/faults_test.go
@@ -89,3 +89,12 @@
 	_, err := os.Lstat(loop)
 	assert.NoError(t, err, "only the files of the dead are removed")
 }
+
+// What a kill has left of a write is removed once nobody lives who might be writing it.
+func TestHalfAWriteIsRemoved(t *testing.T) {
+	dir := t.TempDir()
+	half := filepath.Join(dir, "lilaccove-new-1")
+	require.NoError(t, os.WriteFile(half, []byte(`{"vers`), 0o600))
+	join(t, dir).Poll(ignore)
+	assert.NoFileExists(t, half)
+}
