--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -171,3 +171,20 @@
 	problems := nodeProblems(file.Node, linked, packages("./..."))
 	require.Empty(t, problems, "deploy/balancer.toml:\n%s", strings.Join(problems, "\n"))
 }
+
+// Every file of the decisions is named, so that none is left out where they are read or counted.
+func TestAllDecisionsAreNamed(t *testing.T) {
+	text, err := os.ReadFile("balancer.toml")
+	require.NoError(t, err)
+	var file struct{ Policy []string }
+	require.NoError(t, toml.Unmarshal(text, &file))
+	paths, err := filepath.Glob("../policy/*.go")
+	require.NoError(t, err)
+	var want []string
+	for _, path := range paths {
+		if !strings.HasSuffix(path, "_test.go") {
+			want = append(want, strings.TrimPrefix(path, "../"))
+		}
+	}
+	assert.ElementsMatch(t, want, file.Policy)
+}
--- /dev/null
+++ b/policy/retry.go
@@ -0,0 +1,47 @@
+// Retries and final answers.
+
+package policy
+
+// checkOverdue counts an attempt that outlived its aim while this process was there: its host has failed.
+func (r *Router) checkOverdue(a *attempt) {
+	switch left := a.sentAt + r.away - a.away + a.q.class.Aim - r.now; {
+	case a.resolved:
+	case left > 0:
+		r.wakeAt(r.now+left, func() { r.checkOverdue(a) })
+	default:
+		a.overdue = true
+		a.h.strain += smooth * a.h.weight(5) * (1 - a.h.strain)
+		r.cutLimit(a.h)
+		r.failed(a.h, true)
+	}
+}
+
+// mayResend keeps the rule of repeats; a first attempt is always allowed.
+func (r *Router) mayResend(q *request) bool {
+	left := (r.set.MaxTries <= 0 || len(q.attempts) < r.set.MaxTries) && r.repeats.Left(q.failed)
+	inWindow := q.class.Repeat != Fragile && r.now+r.set.Tick < q.mayRunAt+q.class.DedupWindow
+	return left && (!q.mayRun && q.out == 0 || q.class.Repeat == Retryable || inWindow)
+}
+
+// giveUp gives the final answer at once: a refusal where trying again is harmless for certain, or a failure.
+func (r *Router) giveUp(q *request) {
+	var a Action = Fail{Request: q.ID}
+	if q.class.Repeat == Retryable || q.class.Repeat == DedupAll || !q.mayRun && q.out == 0 {
+		a = Refuse{Request: q.ID, RetryAfter: r.jitter(min(r.set.MaxRetryAfter*4/5, q.class.Deadline/4))}
+	}
+	r.do(a)
+	r.finish(q)
+}
+
+// finish ends q here; copies still out are called off.
+func (r *Router) finish(q *request) {
+	for i, a := range q.attempts {
+		if !q.done && !a.resolved && r.set.Cancels {
+			r.do(Cancel{Request: q.ID, Attempt: i})
+		}
+	}
+	q.done, q.waiting = true, false
+	if q.out == 0 {
+		delete(r.requests, q.ID)
+	}
+}
--- a/policy/types.go
+++ b/policy/types.go
@@ -1,6 +1,6 @@
 // Package policy decides, for one router, where every read and write of a
 // replicated store goes. This file is its interface: settings, events in and
-// actions out. The decisions are in policy.go.
+// actions out. The decisions are in the files beside it, one concern each.
 //
 // The mechanism, per group of hosts: count consecutive failures of the primary (countFailure); at breakerThreshold the
 // breaker opens, writes and reads that need the primary are refused unsent (route), reads go on at replicas known to be
