Ask a local agent at once and act on no list that was not compared with it

The settings' mode reached nobody: each deployment was taken for one whose 300 gateways share a service, so calls waited up to 2.5 s for an answer and up to 2.5 s before the next. Loss: requests of a process whose agent is silent at its start wait or are refused for 2 s. Ruled out: spreading the calls, which cost an agent nothing.

--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -109,7 +109,7 @@
 	side.Connect(pool)
 	ops := &operations{
 		loop: loop, front: clients, core: core, side: side, watch: side.Watch, pool: pool, counts: side.Counts, links: side.Links,
-		memory: memory, sockets: sockets, longest: longest(set.Policy.Classes), begunAt: loop.Now(),
+		list: set.Policy.List, memory: memory, sockets: sockets, longest: longest(set.Policy.Classes), begunAt: loop.Now(),
 	}
 	side.Join(ops.drainedByFleet)
 	if side.Links != nil {
--- a/cmd/lilaccove/operations.go
+++ b/cmd/lilaccove/operations.go
@@ -33,8 +33,6 @@
 	// lastAnswer before that.
 	killLeast  = 3 * time.Second
 	lastAnswer = 100 * time.Millisecond
-	// A successor waits so long for discovery's word before it serves from the list it was given.
-	heardTime = 2 * time.Second
 	// How often a process looks for others of its gateway, alone and beside one.
 	pollAlone  = 100 * time.Millisecond
 	pollBeside = 20 * time.Millisecond
@@ -54,6 +52,7 @@
 	side   *control.Side
 	links  *peer.Links // to the fleet; nil: without a fleet file
 
+	list            policy.ListSource
 	memory, sockets int
 	longest         time.Duration // deadline of a class
 	begunAt         time.Duration
@@ -107,7 +106,7 @@
 	if o.links != nil && !o.links.CaughtUp() {
 		return nil
 	}
-	if o.beside && (o.core.Members() == 0 || !o.watch.Heard()) && o.loop.Now() < o.begunAt+heardTime {
+	if o.beside && (o.core.Members() == 0 || !o.watch.Heard()) && o.loop.Now() < o.begunAt+policy.CompareTime {
 		return nil
 	}
 	return o.front.Open()
@@ -212,6 +211,8 @@
 		return "no databases are known", false
 	case !o.front.Opened():
 		return "starting", false
+	case o.comparing():
+		return "waiting for what its agent has", false
 	case o.links != nil && !o.links.CaughtUp():
 		return "catching up with the fleet", false
 	case o.links != nil && o.links.Fenced():
@@ -375,10 +376,15 @@
 	}
 }
 
+// comparing tells that the list of the start has not been compared with what an agent has: it may be too old to serve by.
+func (o *operations) comparing() bool {
+	return o.list == policy.ListFromAgent && !o.watch.Heard() && o.loop.Now() < o.begunAt+policy.CompareTime
+}
+
 // check is called behind each round: it begins to serve, and exits once nothing is owed.
 func (o *operations) check() {
 	if !o.ending {
-		o.front.Hold(o.links != nil && (!o.links.CaughtUp() || o.links.Fenced()))
+		o.front.Hold(o.comparing() || o.links != nil && (!o.links.CaughtUp() || o.links.Fenced()))
 		if err := o.open(); err != nil {
 			log.Printf("event=not_open err=%q", err)
 			o.loop.Stop()
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -124,7 +124,9 @@
 // adapt fits the settings to real sockets.
 func adapt(set settings.Settings) policy.Settings {
 	p := set.Policy
-	p.AskForList = true // here the list comes only when asked for
+	if p.List == policy.ListUnasked {
+		p.List = policy.ListAsked // the settings do not say: here no list comes unasked
+	}
 	p.Classes = append([]policy.Class(nil), p.Classes...)
 	for i, c := range p.Classes {
 		if c.Level == policy.Recent && c.Bound > 2*set.DialTimeout {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -19,12 +19,14 @@
 
 const (
 	// A change binds 6 s after discovery had it (protocol). A watch that fell silent is noticed quietTime behind its last
-	// word, a call that brings nothing after callTime; the module asks again soon enough for the answer to come in time.
+	// message, a call that brings none after callTime; the module asks again soon enough for the answer to come in time.
 	callTime  = 2500 * time.Millisecond // discovery gives up on a call well before
 	quietTime = 2500 * time.Millisecond // a watch says something every 2 s
 	crowdTime = 500 * time.Millisecond  // a refusal that took so long to come has stood in a queue
 	inputMost = 64 << 10
-	mostLine  = 4 << 20
+
+	failedLines = 5 // in the log, in a second
+	mostLine    = 4 << 20
 )
 
 var (
@@ -52,14 +54,16 @@
 	objects objects
 	timer   *netloop.Timer
 	askedAt time.Duration
-	told    bool // this watch has brought an object
-	heard   bool // some watch has
+	within  time.Duration // a call that has brought nothing new for so long has failed
+	told    bool          // this watch has brought an object
+	heard   bool          // some watch has
 	traffic stats.Traffic
+	failed  netloop.Sparse
 }
 
 // New makes a client that asks at addr. Zones are the names in the order of the settings.
 func New(loop *netloop.Loop, core Core, addr netip.AddrPort, zones []string) *Client {
-	return &Client{loop: loop, core: core, addr: addr, zones: zones}
+	return &Client{loop: loop, core: core, addr: addr, zones: zones, within: callTime, failed: netloop.Sparse{Most: failedLines}}
 }
 
 type listing struct {
@@ -131,11 +135,14 @@
 // Heard tells whether discovery has ever told a list or a change.
 func (c *Client) Heard() bool { return c.heard }
 
-// Subscribe begins a watch, unless one is on.
-func (c *Client) Subscribe() {
-	if c.nc != nil {
-		return
+// Subscribe begins a watch, unless one is on. A call that brings nothing for the time given has failed.
+func (c *Client) Subscribe(within time.Duration) {
+	if c.within = within; c.nc == nil {
+		c.ask()
 	}
+}
+
+func (c *Client) ask() {
 	c.answer, c.objects, c.told = http1.Response{}, objects{text: c.objects.text[:0]}, false
 	nc, err := c.loop.Dial(c.addr, c, inputMost)
 	if err != nil {
@@ -143,7 +150,7 @@
 		return
 	}
 	c.nc, c.askedAt = nc, c.loop.Now()
-	c.listen(c.askedAt + callTime)
+	c.listen(c.askedAt + min(c.within, callTime))
 }
 
 // Move asks at another address from now on, at once. The list, its version and all
@@ -154,7 +161,7 @@
 	}
 	c.addr = addr
 	c.drop()
-	c.Subscribe()
+	c.ask()
 }
 
 // Seq is the version of the list now.
@@ -163,7 +170,7 @@
 // Renew asks again at once, though a watch is on: it may tell nothing any more without being silent.
 func (c *Client) Renew() {
 	c.drop()
-	c.Subscribe()
+	c.ask()
 }
 
 // listen sets until when discovery must have been heard again.
@@ -175,7 +182,7 @@
 // fail ends the watch and tells the module, which asks again after
 // a while of its own choice.
 func (c *Client) fail(err error) {
-	log.Printf("event=discovery_failed err=%q told=%t seq=%d", err, c.told, c.seq)
+	c.failed.Printf(c.loop.Now(), "event=discovery_failed err=%q told=%t seq=%d", err, c.told, c.seq)
 	c.drop()
 	kind := policy.ListFailed
 	if errors.Is(err, errCrowd) {
@@ -209,6 +216,9 @@
 	n, err := c.answer.Feed(c.nc.Input(), c.data)
 	c.nc.Consume(n)
 	c.traffic.InBytes += uint64(n)
+	if !c.told {
+		c.listen(min(c.askedAt+callTime, c.loop.Now()+c.within))
+	}
 	switch {
 	case err != nil:
 	case c.answer.Headed && c.answer.Status != 200:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,7 +53,7 @@
 
 // Discovery asks for the list and its changes.
 type Discovery interface {
-	Subscribe()
+	Subscribe(within time.Duration)
 }
 
 // Acts hears what is done to databases.
@@ -564,7 +564,7 @@
 		token := a.Timer
 		g.loop.At(g.loop.Now()+a.After, func() { g.events = append(g.events, policy.Elapsed{Timer: token}) })
 	case policy.Subscribe:
-		g.discovery.Subscribe()
+		g.discovery.Subscribe(a.Within)
 	case policy.Log:
 		log.Printf("event=policy text=%q", a.Text)
 		if g.acts != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,10 @@
 	"initial": policy.ListRoleInitial, "delayed": policy.ListRoleDelayed,
 }
 
+var listSources = map[string]policy.ListSource{
+	"": policy.ListUnasked, "ask": policy.ListAsked, "push": policy.ListFromAgent,
+}
+
 var behinds = map[string]policy.Behind{
 	"": policy.BehindServe, "none": policy.BehindServe,
 	"reject": policy.BehindReject, "hold": policy.BehindHold,
@@ -133,7 +137,11 @@
 		}
 		value[path] = val
 	}
-	return read(value)
+	set, err := read(value)
+	if set.Policy.List == policy.ListFromAgent {
+		set.Policy.List = policy.ListUnasked // there is no agent: what it would be sent reaches the instance
+	}
+	return set, err
 }
 
 // FromJSON reads the nested form.
@@ -197,7 +205,7 @@
 		Routers:       s.count("Instances"),
 		Zone:          int(s.num("Zone")),
 		Tick:          s.time("ResolutionUs"),
-		AskForList:    s.value["Discovery"] == "ask",
+		List:          choice(s, "Discovery", listSources),
 		ListRole:      choice(s, "Domain.ShowsRole", listRoles),
 		PositionGrain: time.Millisecond,
 		Behind:        choice(s, "Domain.Behind", behinds),
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -28,7 +28,7 @@
 		t.Fatal(err)
 	}
 	set := b.Items[0].Settings
-	if !set.AskForList || !set.Remembered || set.Behind != policy.BehindHold ||
+	if set.List != policy.ListAsked || !set.Remembered || set.Behind != policy.BehindHold ||
 		set.ListRole != policy.ListRoleInitial || set.Classes[0].Bound != 500*time.Millisecond ||
 		set.Classes[1].Repeat != policy.DedupAll || set.Classes[1].Level != policy.Write {
 		t.Errorf("settings %+v", set)
--- a/policy/herd_test.go
+++ b/policy/herd_test.go
@@ -33,7 +33,7 @@
 func newService(t *testing.T, n int) *service {
 	s := &service{t: t, now: 100 * time.Second, served: map[int]bool{}}
 	set := base()
-	set.Routers, set.AskForList = n, true
+	set.Routers, set.List = n, ListAsked
 	for i := range n {
 		r, err := New(set, int64(i))
 		require.NoError(t, err)
--- a/policy/list.go
+++ b/policy/list.go
@@ -12,6 +12,12 @@
 		r.askForList(max(r.set.Routers, fewRouters))
 		return
 	}
+	if m.Kind != ListCached && !r.compared {
+		r.compared = true
+		for _, g := range r.groups {
+			r.stir(g)
+		}
+	}
 	listed := map[HostID]bool{}
 	for _, e := range m.Entries {
 		r.onMember(e)
@@ -24,13 +30,45 @@
 	}
 }
 
-// askForList asks at a random moment, lest all routers ask at once; later where a crowd has long kept it out.
+// askForList asks after a pause, which depends on whom it asks. routers is how many may be asking just then.
 func (r *Router) askForList(routers int) {
+	switch r.set.List {
+	case ListAsked:
+		r.subscribe(r.servicePause(routers), callMost)
+	case ListFromAgent:
+		r.subscribe(r.agentPause(), r.agentTime())
+	}
+}
+
+func (r *Router) subscribe(pause, within time.Duration) {
+	r.wakeAt(r.now+pause, func() { r.do(Subscribe{Within: within}) })
+}
+
+// servicePause ends at a random moment, lest all routers ask at once; later where a crowd has long kept this one out.
+func (r *Router) servicePause(routers int) time.Duration {
 	most := min(askMost<<min(max(0, r.crowded-crowdMost), 8), max(askMost, 2*r.set.MustAskIn))
 	span := min(askPace*time.Duration(max(0, routers)), most)
-	if r.set.AskForList {
-		r.wakeAt(r.now+time.Duration(r.rnd.Int64N(int64(span)+1)), func() { r.do(Subscribe{}) })
+	return time.Duration(r.rnd.Int64N(int64(span) + 1))
+}
+
+// agentTime is by when an agent has to go on with an answer. What it has counts as told whether it was heard or not, and a
+// drain binds after its grace: a call that hangs, a pause and the next call have to fit into that, and a hold-up besides.
+func (r *Router) agentTime() time.Duration {
+	return min(max(r.set.DrainGrace/agentPart, agentLeast), callMost)
+}
+
+// agentPause keeps calls that fail at once apart. The first of all does not wait.
+func (r *Router) agentPause() time.Duration {
+	if r.now == r.begunAt {
+		return 0
 	}
+	return r.agentTime() / 2
+}
+
+// mayAct tells whether requests may be sent by the list as it is known. What an agent has counts as told from the first
+// moment on, so the list of the start is compared with it before.
+func (r *Router) mayAct() bool {
+	return r.set.List != ListFromAgent || r.compared || r.now >= r.begunAt+CompareTime
 }
 
 func (r *Router) onMember(e Member) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,6 +16,9 @@
 	probeSoon        = 200 * time.Millisecond  // between probes of a member that is in doubt
 	askPace          = 100 * time.Millisecond  // between two calls to discovery, of all routers together
 	askMost          = 2500 * time.Millisecond // of waiting for such a call: what is told binds, heard or not
+	callMost         = 2500 * time.Millisecond // without an answer; discovery gives up on a call well before
+	agentPart        = 4                       // of the grace of a drain, in which an agent has to answer a call
+	agentLeast       = 20 * time.Millisecond   // for an answer from this machine, however short that grace is
 	crowdMost        = 4                       // calls in a row lost to a crowd, before they get rarer
 	probePace        = 25 * time.Millisecond   // between probes of a mute primary, of all routers together
 	fewRouters       = 8                       // so few hear of each host often, and may start at once
@@ -128,6 +131,8 @@
 	asked         float64          // work asked for since then, in the mean for a member of a group
 	ease          float64          // 0 to 1: how far cold hosts, all together, answer in good time
 	easeAt, since time.Duration
+	begunAt       time.Duration // the first Step; negative: there was none
+	compared      bool          // a list has been told since then, so that the one of the start is not acted on alone
 	fenced        bool          // no writes are taken
 	crowded       int           // calls in a row that discovery had no time for
 	away, missed  time.Duration // in which this process was not there to see what came: all in all, and now
@@ -143,7 +148,7 @@
 		set: set, rnd: rand.New(rand.NewPCG(uint64(seed), uint64(len(set.Classes)))),
 		hosts: map[HostID]*host{}, groups: map[GroupID]*group{}, requests: map[RequestID]*request{},
 		marks: map[SessionID]time.Duration{}, used: map[*group]bool{}, out: map[HostID]bool{},
-		timerAt: long, bound: long, admit: map[bool]float64{false: 1, true: 1},
+		timerAt: long, bound: long, begunAt: -1, admit: map[bool]float64{false: 1, true: 1},
 	}
 	r.wakeAt(0, func() {
 		r.since = r.now
@@ -166,6 +171,9 @@
 	if r.timerAt <= r.now {
 		r.timerAt = long
 	}
+	if r.begunAt < 0 {
+		r.begunAt = r.now
+	}
 	for _, e := range events {
 		switch e := e.(type) {
 		case Members:
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -489,7 +489,7 @@
 func TestListIsAskedForInTimeInAnyFleet(t *testing.T) {
 	for _, routers := range []int{1, 8, 25, 300, 3000} {
 		set := base()
-		set.AskForList, set.Routers, set.MustAskIn = true, routers, 10*time.Second
+		set.List, set.Routers, set.MustAskIn = ListAsked, routers, 10*time.Second
 		// waits is how long the router takes to ask again after the last of some failures.
 		waits := func(seed int64, kinds ...ListKind) (d time.Duration) {
 			r, err := New(set, seed)
@@ -530,7 +530,7 @@
 
 func TestSubscribesAgainAfterFailure(t *testing.T) {
 	set := base()
-	set.AskForList = true
+	set.List = ListAsked
 	g := newRig(t, set)
 	subscribed := func() (n int) {
 		for _, a := range g.got {
@@ -843,7 +843,7 @@
 func TestRandomEventsKeepTheRules(t *testing.T) {
 	for seed := range uint64(40) {
 		set := base()
-		set.AskForList = seed%2 == 0
+		set.List = ListSource(seed % 2)
 		set.Behind = Behind(seed % 3)
 		if seed%5 == 0 {
 			set.ListRole = ListRoleNone
--- a/policy/routing.go
+++ b/policy/routing.go
@@ -38,6 +38,9 @@
 	case !r.mayResend(q) || r.now >= q.useful || r.fenced && q.class.Level == Write:
 		r.giveUp(q)
 		return
+	case !r.mayAct():
+		r.wait(q, r.begunAt+CompareTime)
+		return
 	case r.mayTry(q):
 		r.send(q, q.g.primary)
 		return
--- a/policy/types.go
+++ b/policy/types.go
@@ -76,6 +76,19 @@
 	ListRoleDelayed
 )
 
+// ListSource is where the host list comes from.
+type ListSource uint8
+
+const (
+	ListUnasked   ListSource = iota // changes come by themselves, as in the simulator
+	ListAsked                       // one service answers the calls of all routers, one after another
+	ListFromAgent                   // an agent of this router's own holds what was sent to it, and answers at once
+)
+
+// CompareTime is how long a router that starts waits for its agent before it acts on the list that it was started with: an
+// agent is silent while discovery is down, and has nothing newer then that could be learned.
+const CompareTime = 2 * time.Second
+
 // Behind is what a host does with a read it is too far behind for.
 type Behind uint8
 
@@ -122,7 +135,7 @@
 	Routers       int // routers of this kind, itself included
 	Zone          int
 	Tick          time.Duration // shortest gap between batches
-	AskForList    bool          // the list comes only when asked for
+	List          ListSource
 	ListRole      ListRole
 	PositionGrain time.Duration
 	Behind        Behind
@@ -307,8 +320,8 @@
 		After time.Duration
 		Timer uint64
 	}
-	// Subscribe asks for the list and its changes.
-	Subscribe struct{}
+	// Subscribe asks for the list and its changes. A call that has brought nothing for a time of Within has failed.
+	Subscribe struct{ Within time.Duration }
 	// Log is a line for the operators.
 	Log struct{ Text string }
 )
