Remove what a kill has left of a write once nobody lives who might be writing it

Cause: the temporary file of a write that a kill cut short had no owner; the folder counts as memory of the gateway.

--- a/internal/handover/share.go
+++ b/internal/handover/share.go
@@ -19,6 +19,7 @@
 const (
 	statePath  = "lilaccove-state.json"
 	processes  = "lilaccove-process-"
+	halves     = "lilaccove-new-" // a state that is being written
 	mostState  = 1 << 20
 	seenDigits = 20
 
@@ -125,8 +126,12 @@
 		return s.beside
 	}
 	s.beside = s.beside[:0]
+	var written []string
 	for _, e := range entries {
 		path := filepath.Join(s.dir, e.Name())
+		if strings.HasPrefix(e.Name(), halves) {
+			written = append(written, path)
+		}
 		if !strings.HasPrefix(e.Name(), processes) || path == s.own.Name() {
 			continue
 		}
@@ -140,6 +145,11 @@
 			s.beside = append(s.beside, path)
 		}
 	}
+	if len(s.beside) == 0 { // nobody writes them any more
+		for _, path := range written {
+			_ = os.Remove(path)
+		}
+	}
 	return s.beside
 }
 
@@ -222,7 +232,7 @@
 	text, err := json.Marshal(s.state)
 	var f *os.File
 	if err == nil {
-		f, err = os.CreateTemp(s.dir, "lilaccove-new-")
+		f, err = os.CreateTemp(s.dir, halves)
 	}
 	if err == nil {
 		_, err = f.Write(text)
