--- a/cmd/lilaccove/rig_test.go
+++ b/cmd/lilaccove/rig_test.go
@@ -121,6 +121,7 @@
 	manage    string   // which
 	inherited *os.File // the clients' socket, held open by the test
 	fleet     string   // the path of its fleet file; empty: none
+	faults    string   // the path of the plan by which its system calls fail; empty: they do not
 }
 
 // newSite starts the program; change may alter what it is told before.
@@ -150,7 +151,11 @@
 func (s *site) start() {
 	t := s.t
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), "LILACCOVE_RUN=1", "GW_CONFIG="+s.config, "GW_DISCOVERY="+s.disc.Addr, "TMPDIR="+s.tmp)
+	if s.faults != "" {
+		cmd = exec.Command(faultyProgram(t))
+	}
+	cmd.Env = append(os.Environ(), "LILACCOVE_RUN=1", "GW_CONFIG="+s.config, "GW_DISCOVERY="+s.disc.Addr, "TMPDIR="+s.tmp,
+		"LILACCOVE_FAULTS="+s.faults)
 	if s.managed {
 		cmd.Env = append(cmd.Env, "GW_MANAGEMENT=127.0.0.1:0")
 	}
--- a/cmd/lilaccove/watch_test.go
+++ b/cmd/lilaccove/watch_test.go
@@ -30,6 +30,7 @@
 	calls []time.Time
 	do    func(c net.Conn, call int) // nil: the call is cut off
 	open  map[net.Conn]bool
+	last  string // the path of the last call
 }
 
 // listing makes a discovery of s that nobody else knows.
@@ -58,7 +59,7 @@
 			d.mu.Lock()
 			d.calls = append(d.calls, time.Now())
 			n, do := len(d.calls), d.do
-			d.open[c] = true
+			d.open[c], d.last = true, q.URL.String()
 			d.mu.Unlock()
 			if do != nil {
 				do(c, n)
@@ -74,6 +75,12 @@
 	d.do = do
 }
 
+func (d *lines) lastCall() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.last
+}
+
 // cut ends all calls that are out.
 func (d *lines) cut() {
 	d.mu.Lock()
--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -76,6 +76,13 @@
 		found = found || strings.HasPrefix(l, "libc.")
 	}
 	require.True(t, found, "no C library among %v", libs)
+
+	symbols, err := f.Symbols()
+	require.NoError(t, err)
+	for _, s := range symbols {
+		require.False(t, strings.HasPrefix(s.Name, "lilaccove/internal/sys.drawn"), "the program is built without the tag faults")
+		require.NotEqual(t, "lilaccove/internal/sys.plan", s.Name, "its system calls go by no plan")
+	}
 }
 
 // The tools beside the gateway use libraries; the gateway and the adapter gain no weight from them. What the
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -56,7 +56,7 @@
 func (w *world) Probe(h policy.HostID)               { w.probed = append(w.probed, h) }
 func (w *world) HangUp(h policy.HostID)              { w.hungUp = append(w.hungUp, h) }
 func (w *world) Withdraw(h policy.HostID)            { w.withdrawn = append(w.withdrawn, h) }
-func (w *world) Subscribe(time.Duration)                          { w.askedFor++ }
+func (w *world) Subscribe(time.Duration)             { w.askedFor++ }
 func (w *world) Listed(_ policy.ListKind, e []Entry) { w.listed += len(e) }
 
 func newWorld(t *testing.T) (*netloop.Loop, *Gateway, *script, *world) {
--- a/internal/handover/share.go
+++ b/internal/handover/share.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"lilaccove/internal/sys"
 )
 
 const (
@@ -45,7 +47,7 @@
 func Join(dir string) (*Share, error) {
 	s := &Share{dir: dir, state: State{Version: version, Suspended: map[string]Entry{}}}
 	for s.own == nil {
-		own, err := os.CreateTemp(dir, processes)
+		own, err := sys.CreateTemp(dir, processes)
 		if err != nil {
 			return nil, fmt.Errorf("handover: %w", err)
 		}
@@ -232,10 +234,10 @@
 	text, err := json.Marshal(s.state)
 	var f *os.File
 	if err == nil {
-		f, err = os.CreateTemp(s.dir, halves)
+		f, err = sys.CreateTemp(s.dir, halves)
 	}
 	if err == nil {
-		_, err = f.Write(text)
+		_, err = sys.WriteFile(f, text)
 		if info, e := f.Stat(); e == nil {
 			s.mtime, s.size = info.ModTime(), info.Size() // a rename keeps them
 		}
@@ -243,7 +245,7 @@
 			err = e
 		}
 		if err == nil {
-			err = os.Rename(f.Name(), s.path())
+			err = sys.Rename(f.Name(), s.path())
 		}
 		if err != nil {
 			_ = os.Remove(f.Name())
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"lilaccove/internal/sys"
 )
 
 // Handler is told what happens to a connection. After Ended it hears no more.
@@ -43,12 +45,12 @@
 	if l.Spare() <= 0 {
 		return nil, ErrDescriptors
 	}
-	fd, err := unix.Socket(family(addr), unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err := sys.Socket(family(addr), unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return nil, fmt.Errorf("socket: %w", err)
 	}
 	l.open++
-	err = unix.Connect(fd, sockaddr(addr))
+	err = sys.Connect(fd, sockaddr(addr))
 	if err != nil && err != unix.EINPROGRESS && err != unix.EINTR {
 		unix.Close(fd)
 		l.open--
@@ -157,7 +159,7 @@
 	if c.up && c.Pending() == 0 && total > 0 {
 		var err error
 		for {
-			if n, err = unix.Writev(c.fd, parts); err != unix.EINTR {
+			if n, err = sys.Writev(c.fd, parts); err != unix.EINTR {
 				break
 			}
 		}
@@ -249,7 +251,7 @@
 
 func (c *Conn) flush() error {
 	for c.Pending() > 0 {
-		n, err := unix.Write(c.fd, c.out[c.sent:])
+		n, err := sys.Write(c.fd, c.out[c.sent:])
 		switch err {
 		case nil:
 			c.sent += n
@@ -287,7 +289,7 @@
 			}
 			return ErrMemory
 		}
-		n, err := unix.Read(c.fd, room)
+		n, err := sys.Read(c.fd, room)
 		switch {
 		case err == unix.EINTR:
 			continue
@@ -380,7 +382,7 @@
 	}
 	c.interest = interest
 	e := unix.EpollEvent{Events: interest, Fd: int32(c.fd), Pad: c.loop.slots[c.fd].gen}
-	_ = unix.EpollCtl(c.loop.ep, unix.EPOLL_CTL_MOD, c.fd, &e)
+	_ = sys.EpollCtl(c.loop.ep, unix.EPOLL_CTL_MOD, c.fd, &e)
 }
 
 // Close ends the connection at once; what is pending is lost.
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"lilaccove/internal/sys"
 )
 
 const (
@@ -65,7 +67,7 @@
 // The descriptors that are open at that time count, too: taken tells how many.
 func New(descriptors, taken, buffered int) (*Loop, error) {
 	l := &Loop{base: time.Now(), limit: descriptors, open: taken, buffers: pool{most: buffered}}
-	l.epoch = time.Duration(l.base.UnixNano())
+	l.epoch = sys.WallClock()
 	l.tick()
 	var err error
 	if l.ep, err = unix.EpollCreate1(unix.EPOLL_CLOEXEC); err != nil {
@@ -153,9 +155,9 @@
 // poll waits in epoll. A wait that is cut short is asked again at once what is ready: one that a stop (SIGSTOP) fell into
 // ends so when the process goes on, whatever has come meanwhile, and timers must not judge before that is read.
 func (l *Loop) poll(patience int) (n int, err error) {
-	n, err = unix.EpollWait(l.ep, l.events[:], patience)
+	n, err = sys.EpollWait(l.ep, l.events[:], patience)
 	for err == unix.EINTR {
-		n, err = unix.EpollWait(l.ep, l.events[:], 0)
+		n, err = sys.EpollWait(l.ep, l.events[:], 0)
 	}
 	if err != nil {
 		return 0, fmt.Errorf("epoll_wait: %w", err)
@@ -233,7 +235,7 @@
 	}
 	l.slots[fd] = s
 	e := unix.EpollEvent{Events: interest, Fd: int32(fd), Pad: s.gen}
-	if err := unix.EpollCtl(l.ep, unix.EPOLL_CTL_ADD, fd, &e); err != nil {
+	if err := sys.EpollCtl(l.ep, unix.EPOLL_CTL_ADD, fd, &e); err != nil {
 		l.slots[fd] = slot{}
 		return fmt.Errorf("epoll_ctl: %w", err)
 	}
@@ -275,7 +277,7 @@
 // Listen accepts connections at addr; each is handed to take, which must set its
 // handler, or may close it.
 func (l *Loop) Listen(addr netip.AddrPort, take func(*Conn)) (*Listener, error) {
-	fd, err := unix.Socket(family(addr), unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err := sys.Socket(family(addr), unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return nil, fmt.Errorf("socket: %w", err)
 	}
@@ -349,7 +351,7 @@
 // Pause stops accepting and keeps the socket, so that Start can begin again.
 func (ln *Listener) Pause() {
 	ln.loop.slots[ln.fd] = slot{}
-	_ = unix.EpollCtl(ln.loop.ep, unix.EPOLL_CTL_DEL, ln.fd, nil)
+	_ = sys.EpollCtl(ln.loop.ep, unix.EPOLL_CTL_DEL, ln.fd, nil)
 }
 
 // take accepts what waits in the queue, so many in a round; it tells whether there may be more.
@@ -359,7 +361,7 @@
 			ln.rest()
 			return false
 		}
-		fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, err := sys.Accept(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch err {
 		case nil:
 		case unix.EINTR, unix.ECONNABORTED:
@@ -390,7 +392,7 @@
 	watch := func(interest uint32) {
 		if ln.fd >= 0 {
 			e := unix.EpollEvent{Events: interest, Fd: int32(ln.fd), Pad: ln.loop.slots[ln.fd].gen}
-			_ = unix.EpollCtl(ln.loop.ep, unix.EPOLL_CTL_MOD, ln.fd, &e)
+			_ = sys.EpollCtl(ln.loop.ep, unix.EPOLL_CTL_MOD, ln.fd, &e)
 		}
 	}
 	watch(0)
--- a/internal/netloop/packets.go
+++ b/internal/netloop/packets.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"lilaccove/internal/sys"
 )
 
 const (
@@ -91,7 +93,7 @@
 func (p *Packets) watch(interest uint32) {
 	if p.fd >= 0 {
 		e := unix.EpollEvent{Events: interest, Fd: int32(p.fd), Pad: p.loop.slots[p.fd].gen}
-		_ = unix.EpollCtl(p.loop.ep, unix.EPOLL_CTL_MOD, p.fd, &e)
+		_ = sys.EpollCtl(p.loop.ep, unix.EPOLL_CTL_MOD, p.fd, &e)
 	}
 }
 
--- a/internal/wordstore/wordstore.go
+++ b/internal/wordstore/wordstore.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sys/unix"
 
 	"lilaccove/internal/fleet/state"
+	"lilaccove/internal/sys"
 )
 
 const (
@@ -113,7 +114,7 @@
 
 // locked does something while no other process does. The system gives the lock back when a process ends.
 func (s *Store) locked(do func() error) error {
-	f, err := os.OpenFile(s.path()+".lock", os.O_CREATE|os.O_RDWR, 0o640)
+	f, err := sys.OpenFile(s.path()+".lock", os.O_CREATE|os.O_RDWR, 0o640)
 	if err != nil {
 		return err
 	}
@@ -169,7 +170,7 @@
 // aside renames the file, so that it can be looked at, and the next begins anew.
 func (s *Store) aside(what string, why error, now time.Time) error {
 	to := fmt.Sprintf("%s.%s.%d", s.path(), what, now.UnixMilli())
-	if err := os.Rename(s.path(), to); err != nil {
+	if err := sys.Rename(s.path(), to); err != nil {
 		return fmt.Errorf("%s: %w; it cannot be put aside: %w", s.path(), why, err)
 	}
 	return fmt.Errorf("%s: %w; it is now %s", s.path(), why, to)
@@ -293,15 +294,15 @@
 // replace puts a new file in the place of an old one: on the disk before it is renamed, and the renaming, too, before it returns.
 func replace(path string, text []byte) error {
 	next := path + ".next"
-	f, err := os.OpenFile(next, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o640)
+	f, err := sys.OpenFile(next, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o640)
 	if err != nil {
 		return err
 	}
-	if _, err = f.Write(text); err == nil {
-		err = f.Sync()
+	if _, err = sys.WriteFile(f, text); err == nil {
+		err = sys.Sync(f)
 	}
 	if err = errors.Join(err, f.Close()); err == nil {
-		err = os.Rename(next, path)
+		err = sys.Rename(next, path)
 	}
 	if err != nil {
 		_ = os.Remove(next)
