Ask epoll again for what it had no memory for, and take the whole queue before the listener closes

Cause: Loop.register and want took any error of epoll_ctl for good (Start's ended the process, a MOD's left a connection deaf for ever); Listener.rest could stay deaf likewise; Listener.Close stopped draining at any error of accept; a listener's socket was tried once. Listener and watch in files of their own.

--- a/cmd/lilaccove/faults_test.go
+++ b/cmd/lilaccove/faults_test.go
@@ -109,3 +109,58 @@
 	s.eventually("it is ready", s.ready)
 	assert.Less(t, time.Since(begun), patience)
 }
+
+// The system may have no socket for a process in the moment of its start.
+func TestNoSocketAtTheStart(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, failing(`{"call":"socket","error":"ENFILE","most":3}`))
+	assert.NotEmpty(t, s.client().ask(stmt("own", 1000, "")).value)
+}
+
+// Reads and writes may move less than was asked for, waits may be interrupted, connections break in all ways that the system
+// knows: each request has one whole answer or an error.
+func TestShortReadsAndWrites(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, failing(`{"call":"read","short":7,"share":0.9},{"call":"write","short":5,"share":0.9},`+
+		`{"call":"epoll_wait","error":"EINTR","share":0.2},{"call":"accept","error":"ECONNABORTED","share":0.5},`+
+		`{"call":"connect","error":"EADDRNOTAVAIL","share":0.1}`))
+	for range 10 {
+		c := s.client()
+		for range 3 {
+			c.write(query(stmt("own", 3000, "")))
+		}
+		for range 3 {
+			got := c.read()
+			assert.Equal(t, 1, got.rows+got.errs, "%+v", got)
+			assert.False(t, got.ended)
+		}
+	}
+	s.term()
+	s.exits()
+}
+
+// A connection may break with errors that tell of the way rather than of the peer.
+func TestConnectionsThatBreakOnTheWay(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, failing(`{"call":"read","error":"EHOSTUNREACH","share":0.05},{"call":"read","error":"ETIMEDOUT","share":0.05}`))
+	answered := 0
+	for range 60 {
+		c := s.raw()
+		c.write(string(pgwire.Startup("api", "ledger")) + query(stmt("write", 1000, "")))
+		c.read()
+		if got := c.read(); !got.ended {
+			answered++
+			assert.Equal(t, 1, got.rows+got.errs, "%+v", got)
+		}
+	}
+	assert.Greater(t, answered, 30)
+	counts := map[string]int{}
+	for _, text := range s.p.Statements() {
+		counts[text[:24]]++
+	}
+	for id, n := range counts {
+		assert.Equal(t, 1, n, "a write may have run: %s", id)
+	}
+	s.term()
+	s.exits()
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -35,6 +35,7 @@
 	mostUnread = 256 << 10                 // bytes of answers that it has not read, or that wait for their turns
 	mostPart   = 64 << 10                  // bytes of a value that comes in parts that it has not read
 	sweepTime  = 100 * time.Millisecond
+	queueRetry = 20 * time.Millisecond
 	longest    = 10 * time.Second       // that a packet may take from its first byte on, unless it is a large statement
 	goesOn     = 1 << 10                // bytes of a large statement that must come for its time to begin anew
 	pieceMost  = 64 << 10               // of a large statement read at once
@@ -140,8 +141,9 @@
 	if f.open {
 		return nil
 	}
-	f.open = true
-	return f.ln.Start()
+	err := f.ln.Start()
+	f.open = err == nil
+	return err
 }
 
 // Opened tells whether clients are accepted.
@@ -151,21 +153,33 @@
 // command that has begun the rest; nothing that begins later, or clients that go on sending would be owed answers without
 // end. All answers are given by the moment until.
 func (f *Front) Drain(until time.Duration) {
-	f.ln.Close()
-	f.until = until
+	f.until, f.closing = until, true
+	f.closeQueue()
 	for p := busy; p < leaving; p++ {
 		for _, c := range f.all(p) {
-			c.nc.Poll() // a request may have come that no round has read yet
-			c.serve()
+			c.takeLast()
 		}
 	}
-	f.closing = true
-	for p := busy; p < leaving; p++ {
-		for _, c := range f.all(p) {
-			c.last = c.last || len(c.nc.Input()) == 0 && c.pieces == nil
-			c.serve()
-		}
+}
+
+// closeQueue takes the connections that wait in the queue and stops listening, at the latest when no answer could be given
+// any more. While they cannot be taken it is tried again.
+func (f *Front) closeQueue() {
+	if !f.ln.Drain() && f.loop.Now()+queueRetry < f.until {
+		f.loop.At(f.loop.Now()+queueRetry, f.closeQueue)
+		return
 	}
+	f.ln.Close()
+}
+
+// takeLast takes what a client has sent by now, though the front closes, and the rest of a command that has begun.
+func (c *conn) takeLast() {
+	c.taking = true
+	c.nc.Poll() // a request may have come that no round has read yet
+	c.serve()
+	c.taking = false
+	c.last = c.last || len(c.nc.Input()) == 0 && c.pieces == nil
+	c.serve()
 }
 
 // Leave stops accepting, for others hold the queue, and lets each connection go behind its next answer. Who
@@ -237,10 +251,10 @@
 // SetMost changes how many clients there may be at once.
 func (f *Front) SetMost(most int) { f.opt.Most = most }
 
-// Quiet tells that no client is owed bytes.
+// Quiet tells that no client is owed bytes, or waits in the queue, once Drain was called.
 func (f *Front) Quiet() bool {
 	f.reread()
-	return f.queues[busy].Len() == 0 && f.queues[unread].Len() == 0
+	return f.ln.Closed() && f.queues[busy].Len() == 0 && f.queues[unread].Len() == 0
 }
 
 // reread looks whether those that are slow to read their answers go on reading: progress counts, not the
@@ -310,6 +324,9 @@
 		return
 	}
 	c.file()
+	if f.closing {
+		c.takeLast()
+	}
 }
 
 // roomy tells whether one more client may come where so many are the most. What databases
@@ -370,6 +387,7 @@
 	asked   bool          // it has sent a whole query
 	calls   []*call       // not answered to the client yet
 	kept    int           // bytes of answers that wait for their turns
+	taking  bool          // what has come is taken though the front closes
 	last    bool          // nothing more is taken: the connection ends when all is answered
 	pieces  *pieces       // of a large statement that has not come whole
 	begun   time.Duration // when it came to its place, whatever since says
@@ -575,7 +593,7 @@
 
 // query hands a statement to the core.
 func (c *conn) query(body []byte, n int) bool {
-	c.asked, c.last = true, c.front.closing
+	c.asked, c.last = true, c.front.closing && !c.taking
 	c.unfile() // its time in any place begins anew
 	text, err := pgwire.Text(body)
 	if err == nil && pgwire.Blank(text) {
--- a/internal/front/pieces.go
+++ b/internal/front/pieces.go
@@ -48,7 +48,7 @@
 	}
 	c.pieces = nil
 	c.nc.Widen(0)
-	c.asked, c.last = true, c.front.closing
+	c.asked, c.last = true, c.front.closing && !c.taking
 	c.unfile()
 	st, class, err := c.statement(p)
 	if err != nil {
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -381,8 +381,7 @@
 		return
 	}
 	c.interest = interest
-	e := unix.EpollEvent{Events: interest, Fd: int32(c.fd), Pad: c.loop.slots[c.fd].gen}
-	_ = sys.EpollCtl(c.loop.ep, unix.EPOLL_CTL_MOD, c.fd, &e)
+	_ = c.loop.watch(c.fd, interest)
 }
 
 // Close ends the connection at once; what is pending is lost.
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -21,7 +21,6 @@
 
 const (
 	perRound   = 256 // events taken from the kernel at once
-	acceptMost = 64  // connections taken from one listener in a round
 	readMost   = 4   // reads from one connection in a round: a fast peer holds up nobody
 	gatherMost = 64  // times that the kernel is asked again before a timer that is due
 )
@@ -54,15 +53,6 @@
 	events    [perRound]unix.EpollEvent
 }
 
-// slot is what a descriptor stands for. The generation tells an event of a closed
-// descriptor from one of the descriptor that has its number now.
-type slot struct {
-	gen  int32
-	conn *Conn
-	ln   *Listener
-	udp  *Packets
-}
-
 // New makes a loop that may hold so many descriptors and so many bytes of buffers.
 // The descriptors that are open at that time count, too: taken tells how many.
 func New(descriptors, taken, buffered int) (*Loop, error) {
@@ -227,21 +217,6 @@
 	return s.gen == e.Pad && (s.ln != nil && s.ln.reserve > 0 || s.conn != nil && s.conn.of != nil)
 }
 
-func (l *Loop) register(fd int, interest uint32, s slot) error {
-	l.gen++
-	s.gen = l.gen
-	for len(l.slots) <= fd {
-		l.slots = append(l.slots, slot{})
-	}
-	l.slots[fd] = s
-	e := unix.EpollEvent{Events: interest, Fd: int32(fd), Pad: s.gen}
-	if err := sys.EpollCtl(l.ep, unix.EPOLL_CTL_ADD, fd, &e); err != nil {
-		l.slots[fd] = slot{}
-		return fmt.Errorf("epoll_ctl: %w", err)
-	}
-	return nil
-}
-
 // release closes a descriptor; that takes it out of epoll as well.
 func (l *Loop) release(fd int) {
 	if fd < len(l.slots) {
@@ -262,158 +237,6 @@
 	unix.Close(l.ep)
 }
 
-// Listener accepts connections.
-type Listener struct {
-	loop    *Loop
-	fd      int
-	accept  func() (more bool)
-	shared  bool           // other processes hold it, too
-	reserve int            // descriptors for its connections alone; 0: they come from the loop's
-	held    int            // of reserve
-	room    func() bool    // frees one of them
-	Addr    netip.AddrPort // where it listens, the port found where 0 was asked for
-}
-
-// Listen accepts connections at addr; each is handed to take, which must set its
-// handler, or may close it.
-func (l *Loop) Listen(addr netip.AddrPort, take func(*Conn)) (*Listener, error) {
-	fd, err := sys.Socket(family(addr), unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return nil, fmt.Errorf("socket: %w", err)
-	}
-	// A gateway that starts again finds connections of its predecessor in TIME_WAIT.
-	err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
-	if err == nil {
-		err = unix.Bind(fd, sockaddr(addr))
-	}
-	if err == nil {
-		err = unix.Listen(fd, 4096)
-	}
-	var bound unix.Sockaddr
-	if err == nil {
-		bound, err = unix.Getsockname(fd)
-	}
-	ln := &Listener{loop: l, fd: fd, Addr: addrPort(bound)}
-	ln.accept = func() bool { return ln.take(take) }
-	if err == nil {
-		err = ln.Start()
-	}
-	if err != nil {
-		unix.Close(fd)
-		return nil, fmt.Errorf("listen at %s: %w", addr, err)
-	}
-	l.open++
-	return ln, nil
-}
-
-// ListenReserved is Listen with so many descriptors set aside for the connections, which are read
-// before all others. When all are in use room must free one, or the newcomer waits.
-func (l *Loop) ListenReserved(addr netip.AddrPort, most int, take func(*Conn), room func() bool) (*Listener, error) {
-	ln, err := l.Listen(addr, take)
-	if err == nil {
-		ln.reserve, ln.room = most, room
-		l.reserved += most
-		l.limit -= most
-	}
-	return ln, err
-}
-
-// Inherit takes over a listening socket that the process was started with, which other processes
-// may hold as well. It accepts nothing before Start.
-func (l *Loop) Inherit(fd int, addr netip.AddrPort, take func(*Conn)) (*Listener, error) {
-	ln := &Listener{loop: l, fd: fd, shared: true}
-	ln.accept = func() bool { return ln.take(take) }
-	listens, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN)
-	var bound unix.Sockaddr
-	if err == nil {
-		bound, err = unix.Getsockname(fd)
-	}
-	ln.Addr = addrPort(bound)
-	switch {
-	case err != nil:
-		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
-	case listens == 0:
-		return nil, fmt.Errorf("descriptor %d does not listen", fd)
-	case ln.Addr.Addr() != addr.Addr() || addr.Port() != 0 && ln.Addr.Port() != addr.Port():
-		return nil, fmt.Errorf("descriptor %d listens at %s, not at %s", fd, ln.Addr, addr)
-	}
-	// The flag is shared with all who hold the socket: it is set, and never taken back.
-	if err := unix.SetNonblock(fd, true); err != nil {
-		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
-	}
-	unix.CloseOnExec(fd)
-	return ln, nil
-}
-
-// Start begins to accept.
-func (ln *Listener) Start() error { return ln.loop.register(ln.fd, unix.EPOLLIN, slot{ln: ln}) }
-
-// Pause stops accepting and keeps the socket, so that Start can begin again.
-func (ln *Listener) Pause() {
-	ln.loop.slots[ln.fd] = slot{}
-	_ = sys.EpollCtl(ln.loop.ep, unix.EPOLL_CTL_DEL, ln.fd, nil)
-}
-
-// take accepts what waits in the queue, so many in a round; it tells whether there may be more.
-func (ln *Listener) take(take func(*Conn)) (more bool) {
-	for range acceptMost {
-		if ln.reserve == 0 && ln.loop.Spare() <= 0 || ln.reserve > 0 && ln.held >= ln.reserve && !ln.room() {
-			ln.rest()
-			return false
-		}
-		fd, err := sys.Accept(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-		switch err {
-		case nil:
-		case unix.EINTR, unix.ECONNABORTED:
-			continue
-		case unix.EAGAIN:
-			return false
-		default:
-			ln.rest()
-			return false
-		}
-		ln.loop.open++
-		if c, err := ln.loop.adopt(fd, unix.EPOLLIN|unix.EPOLLRDHUP); err == nil {
-			c.up = true
-			if ln.reserve > 0 {
-				c.of = ln
-				ln.held++
-				ln.loop.open--
-			}
-			take(c)
-		}
-	}
-	return true
-}
-
-// rest leaves new connections in the queue for a moment: epoll would go on reporting
-// them, and the loop would spin, while there is no descriptor for them.
-func (ln *Listener) rest() {
-	watch := func(interest uint32) {
-		if ln.fd >= 0 {
-			e := unix.EpollEvent{Events: interest, Fd: int32(ln.fd), Pad: ln.loop.slots[ln.fd].gen}
-			_ = sys.EpollCtl(ln.loop.ep, unix.EPOLL_CTL_MOD, ln.fd, &e)
-		}
-	}
-	watch(0)
-	ln.loop.At(ln.loop.now+20*time.Millisecond, func() { watch(unix.EPOLLIN) })
-}
-
-// Close takes what is still in the queue, then stops listening: the machine has
-// accepted those connections, and requests may have been written to them. A shared queue
-// is left to those who share it.
-func (ln *Listener) Close() {
-	if ln.fd < 0 {
-		return
-	}
-	for !ln.shared && ln.accept() {
-	}
-	ln.loop.release(ln.fd)
-	ln.fd = -1
-	ln.loop.reserved -= ln.reserve
-	ln.loop.limit += ln.reserve
-}
-
 // Timer is a moment at which something is to be done. Stop may be called at any time.
 type Timer struct {
 	at    time.Duration
--- a/internal/netloop/packets.go
+++ b/internal/netloop/packets.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"lilaccove/internal/sys"
 )
 
 const (
@@ -92,8 +90,7 @@
 
 func (p *Packets) watch(interest uint32) {
 	if p.fd >= 0 {
-		e := unix.EpollEvent{Events: interest, Fd: int32(p.fd), Pad: p.loop.slots[p.fd].gen}
-		_ = sys.EpollCtl(p.loop.ep, unix.EPOLL_CTL_MOD, p.fd, &e)
+		_ = p.loop.watch(p.fd, interest)
 	}
 }
 
