--- a/cmd/lilaccove/watch_test.go
+++ b/cmd/lilaccove/watch_test.go
@@ -267,3 +267,37 @@
 	s.drains(at)
 	assert.NotContains(t, s.logged(), "discovery_failed")
 }
+
+// A change of an older version than the list in force tells nothing new: it must not bring a database back. What a discovery
+// that went back has is asked for anew, as a whole.
+func TestOlderChangesBringNothingBack(t *testing.T) {
+	t.Parallel()
+	var d *lines
+	older := make(chan struct{})
+	s := newSite(t, func(s *site) {
+		s.a.Tell("terminating", time.Time{})
+		list := strings.Replace(string(s.world.List()), `"seq":2`, `"seq":50`, 1)
+		d = s.listing(func(c net.Conn, call int) {
+			if call == 1 {
+				_, _ = fmt.Fprintf(c, "%s%s\n", head, list)
+				<-older
+				s.a.Tell("in_service", time.Time{})
+				back := strings.Replace(string(s.world.List()), `"whole":true`, `"whole":false`, 1)
+				s.a.Tell("terminating", time.Time{})
+				_, _ = fmt.Fprintf(c, "%s\n", back)
+				hold(c)
+			}
+			tells(s.world, false)(c, call)
+		})
+	})
+	at := s.asked(d, time.Time{})
+	s.drains(at)
+	n, c := len(s.a.Statements()), s.client()
+	close(older)
+	for begun := time.Now(); time.Since(begun) < time.Second; {
+		c.ask(stmt("own", 1000, ""))
+	}
+	assert.Equal(t, n, len(s.a.Statements()), "it drains by the newest that was told")
+	s.asked(d, at.Add(time.Millisecond))
+	assert.Contains(t, d.lastCall(), "after=0", "the whole list is asked for")
+}
