Let a change of an older version take databases out only, and ask for the whole list then

Cause: discovery.object took any version as told, so that a change older than the list brought back what a newer one had draining. Change: of such a change only entries that take a database out are believed, the watch ends and the next call asks after version 0.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log"
 	"net/netip"
+	"slices"
 	"time"
 
 	"lilaccove/internal/gateway"
@@ -34,6 +35,7 @@
 	errLine  = errors.New("list is too long")
 	errEnded = errors.New("the answer ended")
 	errCrowd = errors.New("refused after a wait")
+	errOlder = errors.New("a change of an older version than the list")
 )
 
 // Core takes the news.
@@ -262,12 +264,24 @@
 	if err := json.Unmarshal(text, &l); err != nil {
 		return fmt.Errorf("list: %w", err)
 	}
+	c.traffic.InMessages++
+	if !l.Whole && l.Seq < c.seq {
+		return c.older(l)
+	}
 	kind := policy.ListDelta
 	if l.Whole {
 		kind = policy.ListFull
 	}
 	c.seq, c.told, c.heard = l.Seq, true, true
-	c.traffic.InMessages++
 	c.core.Listed(kind, c.entries(l.Hosts))
 	return nil
 }
+
+// older takes a change of an older version than the list in force, from a discovery that went back or was moved to. It may
+// take a database out and bring none back; the whole list is asked for.
+func (c *Client) older(l listing) error {
+	careful := slices.DeleteFunc(l.Hosts, func(e line) bool { return status(e.Health) == policy.Healthy })
+	c.core.Listed(policy.ListDelta, c.entries(careful))
+	c.seq = 0
+	return fmt.Errorf("%w: %d", errOlder, l.Seq)
+}
