--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -105,16 +105,16 @@
 	}
 	// Clients get half of the descriptors at most: idle ones must never keep the gateway
 	// from the databases, which get all but what discovery and turning clients away take.
-	clients := front.New(loop, core, front.Options{Classes: set.Classes, Most: sockets / 2, Reserve: sockets / 8, Large: memory / 6, Free: pool.DropIdle})
+	ops := &operations{loop: loop, core: core, side: side, watch: side.Watch, pool: pool, counts: side.Counts, links: side.Links, guard: side.Guard}
+	clients := front.New(loop, core, front.Options{
+		Classes: set.Classes, Most: sockets / 2, Reserve: sockets / 8, Large: memory / 6, Free: pool.DropIdle,
+		Guard: side.Guard, Servable: ops.servable,
+	})
 	side.Connect(pool)
-	ops := &operations{
-		loop: loop, front: clients, core: core, side: side, watch: side.Watch, pool: pool, counts: side.Counts, links: side.Links,
-		list: set.Policy.List, memory: memory, sockets: sockets, longest: longest(set.Policy.Classes), begunAt: loop.Now(),
-	}
+	ops.front, ops.list, ops.memory, ops.sockets = clients, set.Policy.List, memory, sockets
+	ops.longest, ops.begunAt = longest(set.Policy.Classes), loop.Now()
 	side.Join(ops.drainedByFleet)
-	if side.Links != nil {
-		clients.Hold(true) // until what operators told the fleet is known
-	}
+	clients.Hold(!ops.servable()) // until the list is compared, and what operators told the fleet is known
 	manage := ""
 	if cfg.Management != "" {
 		addr, err := netip.ParseAddrPort(cfg.Management)
--- a/cmd/lilaccove/operations.go
+++ b/cmd/lilaccove/operations.go
@@ -14,6 +14,7 @@
 	"lilaccove/internal/front"
 	"lilaccove/internal/gateway"
 	"lilaccove/internal/handover"
+	"lilaccove/internal/invariant"
 	"lilaccove/internal/netloop"
 	"lilaccove/internal/peer"
 	"lilaccove/internal/stats"
@@ -51,6 +52,7 @@
 	counts *stats.Counters
 	side   *control.Side
 	links  *peer.Links // to the fleet; nil: without a fleet file
+	guard  *invariant.Guard
 
 	list            policy.ListSource
 	memory, sockets int
@@ -134,6 +136,7 @@
 // await calls then when all agree on the words given so far, or after agreeTime.
 func (o *operations) await(then func(kept bool)) {
 	if o.agreed() {
+		o.guard.Keeping(o.share == nil || o.share.Kept())
 		then(true)
 		return
 	}
@@ -224,6 +227,7 @@
 // Metrics adds the figures.
 func (o *operations) Metrics(b []byte) []byte {
 	b = o.counts.Append(b, o.core.Figures())
+	b = o.front.Metrics(b)
 	return o.side.Metrics(b)
 }
 
@@ -381,6 +385,11 @@
 	return o.list == policy.ListFromAgent && !o.watch.Heard() && o.loop.Now() < o.begunAt+policy.CompareTime
 }
 
+// servable tells whether requests can be served: the list is known and compared, and so is what operators told the fleet.
+func (o *operations) servable() bool {
+	return !o.comparing() && (o.links == nil || o.links.CaughtUp())
+}
+
 // check is called behind each round: it begins to serve, and exits once nothing is owed.
 func (o *operations) check() {
 	if !o.ending {
--- a/cmd/lilaccove/rig_test.go
+++ b/cmd/lilaccove/rig_test.go
@@ -174,6 +174,7 @@
 	}, func() {}))
 	t.Cleanup(func() {
 		s.Kill()
+		assert.NotContains(t, s.logged(), "event=violation", "an invariant was violated")
 		if t.Failed() {
 			t.Log(s.logged())
 		}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -117,7 +117,9 @@
 	}
 	st := j.attempt.Statement.(*pgwire.Statement)
 	left := (j.until - c.pool.loop.Now() + time.Millisecond - 1) / time.Millisecond
-	digits := pgwire.AppendMillis(c.answer.digits[:0], int64(max(1, left)))
+	left = max(1, left)
+	c.pool.core.Begun(j.attempt, left*time.Millisecond)
+	digits := pgwire.AppendMillis(c.answer.digits[:0], int64(left))
 	before, behind := st.Head.Around(st.Text)
 	head := pgwire.QueryHead(st.Length() - len(st.Text) + len(before) + len(digits) + len(behind) + 1)
 	if len(st.More) == 0 {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -12,6 +12,7 @@
 	"lilaccove/internal/fleet"
 	"lilaccove/internal/fleet/state"
 	"lilaccove/internal/gateway"
+	"lilaccove/internal/invariant"
 	"lilaccove/internal/netloop"
 	"lilaccove/internal/peer"
 	"lilaccove/internal/settings"
@@ -25,6 +26,7 @@
 	Core   *gateway.Gateway
 	Watch  *discovery.Client
 	Counts *stats.Counters
+	Guard  *invariant.Guard
 	Ask    netip.AddrPort // where discovery was told to be
 	Links  *peer.Links    // to the fleet; nil: without a fleet file
 	Spans  *peer.Spans    // what was done; only with links
@@ -38,6 +40,16 @@
 	positions *peer.Positions
 	primaries *peer.Positions
 	subsets   *subsets
+	broken    netloop.Sparse
+}
+
+// violationLines are in the log in a second at most; the figures count all.
+const violationLines = 20
+
+// violated logs what must never be.
+func (s *Side) violated(v invariant.Violation) {
+	s.broken.Printf(s.Loop.Now(), "event=violation name=%s request=%q client=%d database=%s list=%d transition=%s by_ms=%d",
+		v.Name, v.Request, v.Client, v.Database, s.Watch.Seq(), v.Transition, v.By.Milliseconds())
 }
 
 // New makes one by a configuration, its settings as they were read, and a fleet file; nil: in no fleet.
@@ -50,9 +62,12 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Side{Loop: loop, Ask: ask, Counts: stats.New(set.Classes), cfg: cfg, set: set, party: party, alone: map[string]bool{}}
+	s := &Side{Loop: loop, Ask: ask, Counts: stats.New(set.Classes), cfg: cfg, set: set, party: party, alone: map[string]bool{},
+		broken: netloop.Sparse{Most: violationLines}}
 	s.Core = gateway.New(loop, router, set.MaxOpen, s.Counts)
 	s.Watch = discovery.New(loop, s.Core, ask, set.Zones)
+	s.Guard = invariant.New(set.Policy, s.violated)
+	s.Core.OnGuard(s.Guard)
 	if party == nil {
 		return s, nil
 	}
@@ -188,8 +203,12 @@
 	return all
 }
 
-// Metrics adds the figures of the fleet, a line each; without one there are none.
+// Metrics adds what was violated and given up, and the figures of the fleet, a line each; without one there are none.
 func (s *Side) Metrics(b []byte) []byte {
+	for n, name := range invariant.AllNames() {
+		b = fmt.Appendf(b, "edge_gw.violations.%s=%d\n", name, s.Guard.Count(invariant.Name(n)))
+	}
+	b = s.Core.GivenUp(b)
 	if s.Links == nil {
 		return b
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,8 +16,10 @@
 	"time"
 
 	"lilaccove/internal/gateway"
+	"lilaccove/internal/invariant"
 	"lilaccove/internal/netloop"
 	"lilaccove/internal/pgwire"
+	"lilaccove/internal/stats"
 	"lilaccove/policy"
 )
 
@@ -76,8 +78,36 @@
 	Reserve int         // descriptors left for databases and discovery
 	Large   int         // bytes of statements over pgwire.MostMessage at once
 	Free    func() bool // frees a descriptor that nobody needs just now, elsewhere; false: there is none
+
+	Guard    *invariant.Guard // nil: nothing is checked
+	Servable func() bool      // requests can be served; nil: they always can
 }
 
+// closed is why the front has ended a connection.
+type closed int
+
+const (
+	closedIdle        closed = iota // it has been idle for too long
+	closedSlow                      // it sent no whole command in time
+	closedUnread                    // it did not read its answer
+	closedDescriptors               // its descriptor was wanted
+	closedMemory                    // its buffer was wanted
+	closedBroken                    // a value broke off
+	closedBad                       // it sent what is not spoken here
+	closedDone                      // it has ended itself, or asked for no more than a cancel
+	closedDrain                     // the gateway ends, or is drained
+	closedReasons
+)
+
+var closedNames = [closedReasons]string{
+	"idle", "slow", "unread", "descriptors", "memory", "broken", "bad", "done", "drain",
+}
+
+// overstayed is why a connection ends that has been at its place for too long.
+var overstayed = [places]closed{idle: closedIdle, leaving: closedDone, unread: closedUnread, fresh: closedSlow, partial: closedSlow}
+
+const closedLines = 3 // in the log in a second, of those that are not usual
+
 // Front is all connections of clients.
 type Front struct {
 	loop    *netloop.Loop
@@ -100,13 +130,18 @@
 	drained bool          // the empty query is answered with a no
 	crowded netloop.Sparse
 	bad     netloop.Sparse
+	numbers uint64 // of connections so far
+	ended   *stats.Named
 }
 
+// Metrics adds the figures of connections that the gateway has ended, by reason.
+func (f *Front) Metrics(b []byte) []byte { return f.ended.Append(b) }
+
 // New makes a front that hands requests to core.
 func New(loop *netloop.Loop, core Core, opt Options) *Front {
 	f := &Front{
 		loop: loop, core: core, opt: opt, classes: map[string]int{}, ids: map[string]struct{}{}, streams: map[*conn]struct{}{},
-		keys: map[uint64]*conn{},
+		keys: map[uint64]*conn{}, ended: stats.NewNamed("closed", closedNames[:]), bad: netloop.Sparse{Most: closedLines},
 	}
 	var secret [32]byte
 	_, _ = crand.Read(secret[:]) // it never fails
@@ -227,7 +262,7 @@
 	for _, c := range f.all(idle)[:part] {
 		c.nc.Poll()
 		if c.place == idle && c.at != nil {
-			c.finish()
+			c.finish(closedDrain)
 		}
 	}
 }
@@ -270,8 +305,8 @@
 	}
 	for c := range f.streams {
 		if !c.reads() && f.loop.Now()-c.readAt >= limits[unread] {
-			f.bad.Printf(f.loop.Now(), "event=client_closed reason=unread pending=%d", c.nc.Pending())
-			c.cut()
+			f.bad.Printf(f.loop.Now(), "event=client_closed client=%d reason=unread pending=%d", c.number, c.nc.Pending())
+			c.cut(closedUnread)
 		}
 	}
 }
@@ -300,15 +335,16 @@
 				continue
 			}
 			if p != idle && p != leaving {
-				f.bad.Printf(now, "event=client_closed reason=slow started=%t pending=%d", c.started, c.nc.Pending())
+				f.bad.Printf(now, "event=client_closed client=%d reason=slow started=%t pending=%d", c.number, c.started, c.nc.Pending())
 			}
-			c.close()
+			c.close(overstayed[p])
 		}
 	}
 }
 
 func (f *Front) accept(nc *netloop.Conn) {
-	c := &conn{front: f, nc: nc}
+	f.numbers++
+	c := &conn{front: f, nc: nc, number: f.numbers}
 	nc.Handle(c, inputMost)
 	nc.OnFlush(c.flushed)
 	// Clients may hold a limited number of connections, too: idle ones that are kept until
@@ -320,7 +356,7 @@
 	if !room {
 		f.crowded.Printf(f.loop.Now(), "event=client_refused reason=descriptors spare=%d busy=%d", f.loop.Spare(), f.queues[busy].Len())
 		nc.Write(pgwire.AppendError(nil, "FATAL", pgwire.CodeTooManyConnections, "too many clients", ""))
-		c.finish()
+		c.finish(closedDescriptors)
 		return
 	}
 	c.file()
@@ -355,7 +391,7 @@
 		open := c.nc.Open()
 		c.nc.Poll() // what it has sent by now counts
 		if c.place == p && c.at == e {
-			c.close()
+			c.close(closedDescriptors)
 			if open {
 				return true
 			}
@@ -370,8 +406,8 @@
 	for p := fresh; p < idle && f.loop.Pressed(); p++ {
 		for _, x := range f.all(p) {
 			if x != c && x.nc.Held() > keepSmall && f.loop.Pressed() {
-				f.bad.Printf(f.loop.Now(), "event=client_closed reason=memory held=%d", x.nc.Held())
-				x.close()
+				f.bad.Printf(f.loop.Now(), "event=client_closed client=%d reason=memory held=%d", x.number, x.nc.Held())
+				x.close(closedMemory)
 			}
 		}
 	}
@@ -382,6 +418,8 @@
 type conn struct {
 	front   *Front
 	nc      *netloop.Conn
+	number  uint64        // for logs
+	bad     bool          // it sent what is not spoken here
 	started bool          // it has said hello
 	key     uint64        // told then
 	asked   bool          // it has sent a whole query
@@ -464,7 +502,8 @@
 }
 
 // cut ends a connection on which an answer has begun that will not become whole, or is not read.
-func (c *conn) cut() {
+func (c *conn) cut(why closed) {
+	c.front.ended.Add(int(why))
 	c.nc.Close()
 	c.Ended(nil)
 }
@@ -507,7 +546,7 @@
 	}
 	goes := c.front.easing != 0 && c.asked
 	if len(c.calls) == 0 && (c.last || goes && len(c.nc.Input()) == 0 && c.nc.Pending() == 0) {
-		c.finish()
+		c.finish(c.why())
 		return
 	}
 	c.file()
@@ -546,7 +585,7 @@
 		return c.query(body, n)
 	case pgwire.Terminate:
 		if c.last = true; len(c.calls) == 0 {
-			c.close()
+			c.close(closedDone)
 		}
 	default:
 		c.fatal(pgwire.CodeProtocolViolation, "only simple queries are spoken here, not message "+strconv.QuoteRune(rune(kind)))
@@ -565,7 +604,7 @@
 		if key, ok := pgwire.CancelKey(in[:n]); ok {
 			c.front.cancel(key)
 		}
-		c.close()
+		c.close(closedDone)
 	case kind == pgwire.HelloStart:
 		c.nc.Consume(n)
 		c.started, c.key = true, c.front.key.Uint64()
@@ -603,6 +642,7 @@
 		} else if c.front.drained {
 			c.say(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeCannotConnectNow, "the gateway is drained", "")))
 		} else {
+			c.front.opt.Guard.Starting(c.front.opt.Servable == nil || c.front.opt.Servable())
 			c.say(pgwire.AppendReady(pgwire.AppendEmpty(nil)))
 		}
 		return true
@@ -614,7 +654,7 @@
 	}
 	if err != nil {
 		c.nc.Consume(n)
-		c.bad(err)
+		c.refuse(err)
 		return true
 	}
 	// The buffer goes with the request: the statement is written out from where it was
@@ -640,8 +680,8 @@
 }
 
 // bad answers a statement that cannot be taken.
-func (c *conn) bad(err error) {
-	c.front.bad.Printf(c.front.loop.Now(), "event=bad_query err=%q", err)
+func (c *conn) refuse(err error) {
+	c.front.bad.Printf(c.front.loop.Now(), "event=bad_query client=%d err=%q", c.number, err)
 	c.say(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeProtocolViolation, err.Error(), "")))
 }
 
@@ -658,6 +698,7 @@
 	}
 	id := string(head.ID)
 	c.front.ids[id] = struct{}{}
+	q.Name, q.Origin = id, c.number
 	a := &call{conn: c, q: q, id: id, buffers: buffers, large: large}
 	q.Client, q.Statement = a, st
 	c.calls = append(c.calls, a)
@@ -676,12 +717,14 @@
 
 // fatal answers with an error, the last on this connection.
 func (c *conn) fatal(code, why string) {
-	c.front.bad.Printf(c.front.loop.Now(), "event=client_closed code=%s reason=%q", code, why)
+	c.bad = true
+	c.front.bad.Printf(c.front.loop.Now(), "event=client_closed client=%d code=%s reason=%q", c.number, code, why)
 	c.say(pgwire.AppendError(nil, "FATAL", code, why, ""))
 	c.last = true
 }
 
-func (c *conn) finish() {
+func (c *conn) finish(why closed) {
+	c.ending(why)
 	c.forget()
 	limit := limits[leaving]
 	if c.nc.Pending() > 0 {
@@ -695,7 +738,34 @@
 	c.file()
 }
 
-func (c *conn) close() {
+// why is the reason for an orderly end.
+func (c *conn) why() closed {
+	switch {
+	case c.bad:
+		return closedBad
+	case c.front.closing || c.front.easing != 0:
+		return closedDrain
+	}
+	return closedDone
+}
+
+// ending notes that the gateway ends the connection, and checks that it owes no answer. One that has left is noted no more.
+func (c *conn) ending(why closed) {
+	if c.place == leaving && c.at != nil {
+		return
+	}
+	c.front.ended.Add(int(why))
+	owed, request := 0, ""
+	for _, a := range c.calls {
+		if !a.done {
+			owed, request = owed+1, a.id
+		}
+	}
+	c.front.opt.Guard.Closing(c.number, request, owed)
+}
+
+func (c *conn) close(why closed) {
+	c.ending(why)
 	c.forget()
 	c.unfile()
 	c.dropPieces()
@@ -739,6 +809,7 @@
 // answer gives the client its answer when the turn has come, else keeps it.
 func (a *call) answer(message []byte) {
 	c := a.conn
+	c.front.opt.Guard.Answering(a.id, c.number, a.done)
 	a.over()
 	if c.nc.Closed() {
 		return
@@ -784,8 +855,8 @@
 func (a *call) Broken() {
 	a.over()
 	if c := a.conn; !c.nc.Closed() {
-		c.front.bad.Printf(c.front.loop.Now(), "event=client_closed reason=%q", "a value broke off")
-		c.cut()
+		c.front.bad.Printf(c.front.loop.Now(), "event=client_closed client=%d request=%q reason=%q", c.number, a.id, "a value broke off")
+		c.cut(closedBroken)
 	}
 }
 
--- a/internal/front/pieces.go
+++ b/internal/front/pieces.go
@@ -53,7 +53,7 @@
 	st, class, err := c.statement(p)
 	if err != nil {
 		c.front.free(p)
-		c.bad(err)
+		c.refuse(err)
 		return true
 	}
 	c.take(class, st, p.list, p.whole)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"lilaccove/internal/invariant"
 	"lilaccove/internal/netloop"
 	"lilaccove/internal/stats"
 	"lilaccove/policy"
@@ -22,6 +23,12 @@
 // does so a tick before; this guards the rule that each request gets its answer in time.
 const lateBy = 2 * time.Millisecond
 
+// Lines in the log in a second.
+const (
+	givenUpLines = 5
+	retryLines   = 5
+)
+
 // Client is the front's side of one request. Exactly one of the first four is called,
 // once, unless Gone came first.
 type Client interface {
@@ -78,14 +85,18 @@
 	Session   policy.SessionID
 	After     time.Duration // the position it must see; 0: none
 	Deadline  time.Duration
+	Name      string // as its client named it, for logs
+	Origin    uint64 // the number of the client's connection, for logs
 
 	id       policy.RequestID
 	attempts []*Attempt
 	out      int
-	over     bool     // it has its answer, or the client is gone
-	unwanted bool     // its client has cancelled it: no further attempt
-	mayRun   bool     // some attempt may have had its effect
-	stream   *Attempt // whose value is being passed on
+	over     bool          // it has its answer, or the client is gone
+	unwanted bool          // its client has cancelled it: no further attempt
+	mayRun   bool          // some attempt may have had its effect
+	mayRunAt time.Duration // when the first such was begun
+	leftAt   time.Duration // when its client left; 0: it has not
+	stream   *Attempt      // whose value is being passed on
 	overdue  *netloop.Timer
 }
 
@@ -101,6 +112,7 @@
 	number int
 	sentAt time.Duration
 	done   bool
+	begun  bool // its first byte was to be written
 	whole  bool // its last byte was written
 	told   bool // the module has its result: its value began to be passed on
 }
@@ -141,9 +153,13 @@
 	primary   func(host policy.HostID, at time.Duration)
 	acts      Acts // nil: nobody listens
 	suspended map[policy.HostID]bool
-	lost      time.Duration // as the module was told
-	sending   time.Duration // when what the last Step decided began to be carried out
-	decided   []func()      // called when the next Step is carried out
+	lost      time.Duration    // as the module was told
+	sending   time.Duration    // when what the last Step decided began to be carried out
+	decided   []func()         // called when the next Step is carried out
+	guard     *invariant.Guard // nil: nothing is checked
+	givenUp   *stats.Named
+	logGiven  netloop.Sparse
+	logRetry  netloop.Sparse
 }
 
 // New makes a gateway that holds at most so many unanswered requests; 0: no limit.
@@ -154,10 +170,25 @@
 	return &Gateway{
 		loop: loop, router: router, most: most, counts: counts,
 		requests: map[policy.RequestID]*Request{}, probes: map[policy.HostID]time.Duration{},
-		listed: map[policy.HostID]policy.Member{}, suspended: map[policy.HostID]bool{},
+		listed: map[policy.HostID]policy.Member{}, suspended: map[policy.HostID]bool{}, givenUp: stats.NewNamed("given_up", reasons()),
+		logGiven: netloop.Sparse{Most: givenUpLines}, logRetry: netloop.Sparse{Most: retryLines},
+	}
+}
+
+// reasons are the names of policy's.
+func reasons() (list []string) {
+	for r := range policy.Reasons {
+		list = append(list, r.String())
 	}
+	return list
 }
 
+// OnGuard has all that is done checked.
+func (g *Gateway) OnGuard(guard *invariant.Guard) { g.guard = guard }
+
+// GivenUp adds the figures of requests that were given up, by reason.
+func (g *Gateway) GivenUp(b []byte) []byte { return g.givenUp.Append(b) }
+
 // Connect sets what the gateway acts on.
 func (g *Gateway) Connect(b Backends, d Discovery) { g.backends, g.discovery = b, d }
 
@@ -191,6 +222,7 @@
 	if g.suspended[host] = out; !out {
 		delete(g.suspended, host)
 	}
+	g.guard.Suspended(host, out, g.loop.Now())
 	g.events = append(g.events, policy.Suspended{Host: host, Out: out})
 }
 
@@ -236,6 +268,7 @@
 		g.backends.Cancel(a)
 		return
 	}
+	q.leftAt = g.loop.Now()
 	if g.end(q) {
 		g.counts.Of(q.Class).Abandoned++
 		g.recall(q)
@@ -282,7 +315,8 @@
 
 func (g *Gateway) expire(q *Request) {
 	if g.end(q) {
-		log.Printf("event=overdue request=%s attempts=%d out=%d", q.id, len(q.attempts), q.out)
+		log.Printf("event=overdue request=%q attempts=%d out=%d", q.Name, len(q.attempts), q.out)
+		g.guard.Violated(invariant.Violation{Name: invariant.NeverAnswered, Request: q.Name, Client: q.Origin, Transition: "expire"})
 		g.fail(q)
 		g.events = append(g.events, policy.Lapsed{Request: q.id})
 		g.release(q)
@@ -294,6 +328,25 @@
 	q.Client.Failed()
 }
 
+// Begun tells that the first byte of an attempt is written now, and what time its database is told to have.
+func (g *Gateway) Begun(a *Attempt, told time.Duration) {
+	a.begun = true
+	if g.guard == nil {
+		return
+	}
+	q := a.q
+	s := invariant.Sending{
+		Now: g.loop.Clock(), Request: q.Name, Client: q.Origin, Database: a.Host, Class: q.Class, Deadline: q.Deadline, Told: told,
+		ClientEnded: q.leftAt, MayRun: q.mayRun, MayRunSince: q.mayRunAt, Answered: q.over && q.leftAt == 0,
+	}
+	for _, o := range q.attempts {
+		if o != a && o.begun && !o.done {
+			s.Others++
+		}
+	}
+	g.guard.Sending(&s)
+}
+
 // Written tells that the kernel has taken the last byte of an attempt; it may be told again.
 func (g *Gateway) Written(a *Attempt) {
 	if !a.whole {
@@ -346,7 +399,9 @@
 		g.counts.Of(q.Class).Passed++
 		q.Client.Served(r.Value)
 	}
-	q.mayRun = q.mayRun || slices.Contains([]policy.Outcome{policy.Error, policy.Timeout, policy.Reset, policy.Cancelled}, o)
+	if mayRun(o) && !q.mayRun {
+		q.mayRun, q.mayRunAt = true, a.sentAt
+	}
 	g.settle(q)
 	g.events = append(g.events, policy.Result{
 		Request: q.id, Attempt: a.number, Host: a.Host, Outcome: o, Latency: g.took(a.sentAt),
@@ -355,6 +410,11 @@
 	g.release(q)
 }
 
+// mayRun tells whether an attempt that ended so may have had its effect.
+func mayRun(o policy.Outcome) bool {
+	return o == policy.Error || o == policy.Timeout || o == policy.Reset || o == policy.Cancelled
+}
+
 // Late takes what a database answered to an attempt that was given up: that it is a replica counts as told. That it was
 // a primary may be older than what others have told since.
 func (g *Gateway) Late(host policy.HostID, r Reply) {
@@ -440,9 +500,15 @@
 		m.Entries[i] = e.Member
 	}
 	if kind == policy.ListFull || kind == policy.ListCached {
+		for host := range g.listed {
+			if !slices.ContainsFunc(entries, func(e Entry) bool { return e.Host == host }) {
+				g.guard.Listed(host, policy.Gone, g.loop.Now())
+			}
+		}
 		clear(g.listed)
 	}
 	for _, e := range entries {
+		g.guard.Listed(e.Host, e.Status, g.loop.Now())
 		if g.listed[e.Host] = e.Member; e.Status == policy.Gone {
 			delete(g.listed, e.Host)
 		}
@@ -540,12 +606,14 @@
 		g.send(a)
 	case policy.Refuse:
 		if q := g.requests[a.Request]; q != nil && g.end(q) {
+			g.gaveUp(q, a.Reason, true)
 			g.counts.Of(q.Class).Dropped++
 			q.Client.Refused(a.RetryAfter)
 			g.release(q)
 		}
 	case policy.Fail:
 		if q := g.requests[a.Request]; q != nil && g.end(q) {
+			g.gaveUp(q, a.Reason, false)
 			g.fail(q)
 			g.release(q)
 		}
@@ -573,6 +641,13 @@
 	}
 }
 
+// gaveUp counts and logs a request that the decisions have given up.
+func (g *Gateway) gaveUp(q *Request, why policy.Reason, refused bool) {
+	g.givenUp.Add(int(why))
+	g.logGiven.Printf(g.loop.Now(), "event=given_up request=%q client=%d class=%d group=%d reason=%s refused=%t attempts=%d",
+		q.Name, q.Origin, q.Class, q.Group, why, refused, len(q.attempts))
+}
+
 // send starts an attempt; the timeout becomes a deadline here. One for a request that
 // is over is never sent.
 func (g *Gateway) send(s policy.Send) {
@@ -599,6 +674,10 @@
 	if a.Begin = a.Deadline; s.Begin != 0 {
 		a.Begin = min(a.Begin, now+s.Begin)
 	}
+	if a.number > 0 {
+		g.logRetry.Printf(now, "event=retried request=%q client=%d class=%d attempt=%d database=%s before=%s may_run=%t",
+			q.Name, q.Origin, q.Class, a.number, a.Host, q.attempts[a.number-1].Host, q.mayRun)
+	}
 	q.attempts = append(q.attempts, a)
 	q.out++
 	if g.acts != nil {
--- /dev/null
+++ b/internal/gateway/guard_test.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"lilaccove/internal/invariant"
+	"lilaccove/policy"
+)
+
+// guarded is a gateway whose decisions are the test's, under a guard.
+type guarded struct {
+	*Gateway
+	t     *testing.T
+	r     *script
+	w     *world
+	names []invariant.Name
+}
+
+func newGuarded(t *testing.T) *guarded {
+	loop, g, r, w := newWorld(t)
+	x := &guarded{Gateway: g, t: t, r: r, w: w}
+	set := policy.Settings{DrainGrace: 250 * time.Millisecond, Classes: []policy.Class{{Repeat: policy.Fragile}}}
+	x.OnGuard(invariant.New(set, func(v invariant.Violation) { x.names = append(x.names, v.Name) }))
+	_ = loop
+	return x
+}
+
+// send has the decisions send a request to a host, and the backend begin on it with what is told of the time.
+func (x *guarded) send(q *Request, host policy.HostID, told time.Duration) *Attempt {
+	x.r.next = []policy.Action{policy.Send{Request: q.id, Host: host}}
+	x.events = append(x.events, policy.Elapsed{})
+	x.Step()
+	a := x.w.sent[len(x.w.sent)-1]
+	x.Begun(a, told)
+	return a
+}
+
+// Whatever the decisions get wrong shows where the attempt is begun: the guard is on the one path that all attempts take.
+func TestGuardSeesWhatTheDecisionsGetWrong(t *testing.T) {
+	entries := func(s policy.Status) []Entry {
+		return []Entry{{Member: policy.Member{Host: "a", Status: s}}}
+	}
+	for name, c := range map[string]struct {
+		want invariant.Name
+		do   func(x *guarded, q *Request)
+	}{
+		"two at once": {invariant.BesideAnother, func(x *guarded, q *Request) {
+			x.send(q, "a", 0)
+			x.send(q, "b", 0)
+		}},
+		"again after it may have run": {invariant.RepeatForbidden, func(x *guarded, q *Request) {
+			x.Resolved(x.send(q, "a", 0), policy.Reset, Reply{})
+			x.send(q, "b", 0)
+		}},
+		"at a draining host": {invariant.ToDraining, func(x *guarded, q *Request) {
+			x.Listed(policy.ListDelta, entries(policy.Draining))
+			time.Sleep(310 * time.Millisecond) // the grace is one of real time
+			x.send(q, "a", 0)
+		}},
+		"at a host that left the list": {invariant.ToDraining, func(x *guarded, q *Request) {
+			x.Listed(policy.ListFull, entries(policy.Healthy))
+			x.Listed(policy.ListFull, nil)
+			time.Sleep(310 * time.Millisecond)
+			x.send(q, "a", 0)
+		}},
+		"at a suspended host": {invariant.ToSuspended, func(x *guarded, q *Request) {
+			x.SetSuspended("a", true)
+			time.Sleep(310 * time.Millisecond)
+			x.send(q, "a", 0)
+		}},
+		"with too much time": {invariant.DeadlineTooLong, func(x *guarded, q *Request) { x.send(q, "a", 2*time.Second) }},
+		"behind the client's end": {invariant.BehindClient, func(x *guarded, q *Request) {
+			a := x.send(q, "a", 0)
+			x.Gone(q)
+			time.Sleep(110 * time.Millisecond)
+			x.Begun(a, 0)
+		}},
+		"behind the answer": {invariant.BehindAnswer, func(x *guarded, q *Request) {
+			a := x.send(q, "a", 0)
+			x.r.next = []policy.Action{policy.Fail{Request: q.id}}
+			x.events = append(x.events, policy.Elapsed{})
+			x.Step()
+			x.Begun(a, 0)
+		}},
+		"behind the deadline": {invariant.BehindDeadline, func(x *guarded, q *Request) {
+			a := x.send(q, "a", 0)
+			q.Deadline = x.loop.Clock() - time.Millisecond
+			x.Begun(a, 0)
+		}},
+		"left without an answer": {invariant.NeverAnswered, func(x *guarded, q *Request) {
+			x.late = append(x.late, q)
+			x.Step()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			x := newGuarded(t)
+			c.do(x, x.take(x.w, time.Second))
+			assert.Equal(t, []invariant.Name{c.want}, x.names)
+		})
+	}
+}
+
+// What the decisions get right violates nothing.
+func TestGuardIsSilentWhereAllIsRight(t *testing.T) {
+	x := newGuarded(t)
+	q := x.take(x.w, time.Second)
+	x.Resolved(x.send(q, "a", time.Second), policy.ConnectFailed, Reply{})
+	x.Resolved(x.send(q, "b", time.Second), policy.OK, Reply{})
+	assert.Empty(t, x.names)
+	assert.Equal(t, []string{"served ", "released"}, x.w.said)
+}
--- /dev/null
+++ b/internal/invariant/invariant.go
@@ -0,0 +1,240 @@
+// Package invariant checks at run time what a gateway must never do. It has one guard for sending, repeating, closing and
+// starting, through which every path goes, and knows only what it is told: it shares no state with the decisions that it
+// checks. A violation is counted and reported and stops nothing. There is no I/O and no clock here.
+package invariant
+
+import (
+	"time"
+
+	"lilaccove/policy"
+)
+
+// Name is what was violated.
+type Name uint8
+
+// The invariants.
+const (
+	RepeatForbidden  Name = iota // an attempt after one that may have run, of a class that must not run twice
+	BehindWindow                 // likewise, of a class that may be repeated within a window, behind that
+	BehindDeadline               // an attempt begun behind the deadline of its request
+	BehindClient                 // an attempt begun more than clientGrace behind the end of its client
+	BehindAnswer                 // an attempt begun though its request has its final answer
+	BesideAnother                // an attempt begun beside another one of its request
+	ToDraining                   // an attempt at a database that drains or is gone, behind the grace
+	ToSuspended                  // likewise, at one that operators have left out
+	DeadlineTooLong              // the database was told more time than the request has left
+	AnsweredTwice                // a second final answer
+	NeverAnswered                // the decisions left a request without an answer until its deadline
+	ClosedUnanswered             // a connection closed over a request that was read
+	WordNotKept                  // an operator was told yes for a word that a successor would not know
+	ReadyTooEarly                // ready was told before requests could be served
+	Names                        // how many there are
+)
+
+var texts = [Names]string{
+	"repeat_forbidden", "behind_window", "behind_deadline", "behind_client", "behind_answer", "beside_another", "to_draining",
+	"to_suspended", "deadline_too_long", "answered_twice", "never_answered", "closed_unanswered", "word_not_kept", "ready_too_early",
+}
+
+// String is the name in logs and metrics.
+func (n Name) String() string { return texts[n] }
+
+// AllNames are the names in logs and metrics, in order.
+func AllNames() []string { return texts[:] }
+
+// What the protocol allows beyond the rules.
+const (
+	slack       = 50 * time.Millisecond  // of every time limit on sockets
+	clientGrace = 100 * time.Millisecond // from the end of a client to the last attempt for it
+	toldSlack   = 150 * time.Millisecond // of the time that a database is told
+)
+
+// Violation is one that was found.
+type Violation struct {
+	Name       Name
+	Request    string // as its client named it
+	Client     uint64 // the number of its connection
+	Database   policy.HostID
+	Transition string        // what was done
+	By         time.Duration // past the limit; 0: there is none
+}
+
+// Guard checks one gateway. A nil guard checks nothing. It is not safe for concurrent use.
+type Guard struct {
+	set    policy.Settings
+	report func(Violation)
+	counts [Names]uint64
+	hosts  map[policy.HostID]*host
+}
+
+// host is what was told of a database.
+type host struct {
+	leaving   bool // it drains or is gone
+	leavingAt time.Duration
+	out       bool // operators have left it out
+	outAt     time.Duration
+}
+
+// New makes a guard by the settings of a gateway; each violation is reported.
+func New(set policy.Settings, report func(Violation)) *Guard {
+	return &Guard{set: set, report: report, hosts: map[policy.HostID]*host{}}
+}
+
+// Count is how often something was violated.
+func (g *Guard) Count(n Name) uint64 {
+	if g == nil {
+		return 0
+	}
+	return g.counts[n]
+}
+
+// violated counts and reports.
+func (g *Guard) violated(v Violation) {
+	g.counts[v.Name]++
+	g.report(v)
+}
+
+// Violated notes what was found elsewhere to be one.
+func (g *Guard) Violated(v Violation) {
+	if g != nil {
+		g.violated(v)
+	}
+}
+
+func (g *Guard) host(id policy.HostID) *host {
+	h := g.hosts[id]
+	if h == nil {
+		h = &host{}
+		g.hosts[id] = h
+	}
+	return h
+}
+
+// Listed notes what the list tells of a database since a moment: one that was told earlier stays.
+func (g *Guard) Listed(id policy.HostID, status policy.Status, now time.Duration) {
+	if g == nil {
+		return
+	}
+	leaving := status == policy.Draining || status == policy.Gone && !g.set.GoneIsAdvice
+	h := g.hosts[id]
+	switch {
+	case h == nil && !leaving:
+	case !leaving && status == policy.Healthy:
+		h.leaving = false
+	case leaving && (h == nil || !h.leaving):
+		h = g.host(id)
+		h.leaving, h.leavingAt = true, now
+	}
+}
+
+// Suspended notes an operator's word on a database.
+func (g *Guard) Suspended(id policy.HostID, out bool, now time.Duration) {
+	if g == nil {
+		return
+	}
+	h := g.host(id)
+	if out && !h.out {
+		h.outAt = now
+	}
+	h.out = out
+}
+
+// Sending is an attempt that is about to be written.
+type Sending struct {
+	Now         time.Duration
+	Request     string
+	Client      uint64
+	Database    policy.HostID
+	Class       int
+	Deadline    time.Duration // of the request, as its client counts it
+	Told        time.Duration // that the database is told to have
+	ClientEnded time.Duration // when its client left; 0: it has not
+	MayRun      bool          // an earlier attempt may have had its effect
+	MayRunSince time.Duration // when the first such was begun
+	Answered    bool
+	Others      int // attempts of the request that are out besides
+}
+
+// Sending checks an attempt. It is on the path of every request.
+func (g *Guard) Sending(s *Sending) {
+	if g == nil {
+		return
+	}
+	if s.MayRun {
+		g.repeating(s)
+	}
+	if by := s.Now - s.Deadline; by > 0 {
+		g.sent(s, BehindDeadline, by)
+	}
+	if s.ClientEnded > 0 && s.Now > s.ClientEnded+clientGrace {
+		g.sent(s, BehindClient, s.Now-s.ClientEnded-clientGrace)
+	}
+	if s.Answered {
+		g.sent(s, BehindAnswer, 0)
+	}
+	if s.Others > 0 {
+		g.sent(s, BesideAnother, 0)
+	}
+	if by := s.Told - toldSlack - max(0, s.Deadline-s.Now); by > 0 {
+		g.sent(s, DeadlineTooLong, by)
+	}
+	if h := g.hosts[s.Database]; h != nil {
+		g.reaching(s, h)
+	}
+}
+
+// repeating checks an attempt that follows one which may have run.
+func (g *Guard) repeating(s *Sending) {
+	if s.Class < 0 || s.Class >= len(g.set.Classes) {
+		return
+	}
+	switch c := &g.set.Classes[s.Class]; {
+	case c.Repeat == policy.Fragile:
+		g.sent(s, RepeatForbidden, 0)
+	case c.Repeat != policy.Retryable && s.Now > s.MayRunSince+c.DedupWindow+slack:
+		g.sent(s, BehindWindow, s.Now-s.MayRunSince-c.DedupWindow)
+	}
+}
+
+// reaching checks an attempt at a database that was to get nothing new.
+func (g *Guard) reaching(s *Sending, h *host) {
+	limit := g.set.DrainGrace + slack
+	if h.leaving && s.Now > h.leavingAt+limit {
+		g.sent(s, ToDraining, s.Now-h.leavingAt-limit)
+	}
+	if h.out && s.Now > h.outAt+limit {
+		g.sent(s, ToSuspended, s.Now-h.outAt-limit)
+	}
+}
+
+func (g *Guard) sent(s *Sending, n Name, by time.Duration) {
+	g.violated(Violation{Name: n, Request: s.Request, Client: s.Client, Database: s.Database, Transition: "send", By: by})
+}
+
+// Answering checks a final answer.
+func (g *Guard) Answering(request string, client uint64, already bool) {
+	if g != nil && already {
+		g.violated(Violation{Name: AnsweredTwice, Request: request, Client: client, Transition: "answer"})
+	}
+}
+
+// Closing checks that a connection which the gateway ends owes no answer.
+func (g *Guard) Closing(client uint64, request string, owed int) {
+	if g != nil && owed > 0 {
+		g.violated(Violation{Name: ClosedUnanswered, Client: client, Request: request, Transition: "close"})
+	}
+}
+
+// Starting checks a yes to whether requests can be served.
+func (g *Guard) Starting(servable bool) {
+	if g != nil && !servable {
+		g.violated(Violation{Name: ReadyTooEarly, Transition: "ready"})
+	}
+}
+
+// Keeping checks a yes to an operator's word.
+func (g *Guard) Keeping(kept bool) {
+	if g != nil && !kept {
+		g.violated(Violation{Name: WordNotKept, Transition: "word"})
+	}
+}
--- /dev/null
+++ b/internal/invariant/invariant_test.go
@@ -0,0 +1,131 @@
+package invariant
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"lilaccove/policy"
+)
+
+const (
+	ms  = time.Millisecond
+	now = 100 * time.Second
+)
+
+var set = policy.Settings{
+	DrainGrace: 250 * ms,
+	Classes: []policy.Class{
+		{Repeat: policy.Retryable}, {Repeat: policy.DedupGroup, DedupWindow: time.Second}, {Repeat: policy.Fragile},
+	},
+}
+
+// sound is an attempt that violates nothing.
+func sound() Sending {
+	return Sending{Now: now, Request: "r", Client: 7, Database: "d", Deadline: now + time.Second, Told: time.Second}
+}
+
+func TestSending(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(g *Guard, s *Sending)
+		want   []Name
+	}{
+		"a first attempt":            {change: func(*Guard, *Sending) {}},
+		"a repeat that is harmless":  {change: func(_ *Guard, s *Sending) { s.MayRun = true }},
+		"a repeat within its window": {change: func(_ *Guard, s *Sending) { s.MayRun, s.Class, s.MayRunSince = true, 1, now-time.Second }},
+		"a repeat behind its window": {change: func(_ *Guard, s *Sending) { s.MayRun, s.Class, s.MayRunSince = true, 1, now-time.Second-51*ms }, want: []Name{BehindWindow}},
+		"a repeat that must not be":  {change: func(_ *Guard, s *Sending) { s.MayRun, s.Class = true, 2 }, want: []Name{RepeatForbidden}},
+		"behind the deadline":        {change: func(_ *Guard, s *Sending) { s.Deadline, s.Told = now-ms, 0 }, want: []Name{BehindDeadline}},
+		"a little behind the client": {change: func(_ *Guard, s *Sending) { s.ClientEnded = now - 100*ms }},
+		"behind the client":          {change: func(_ *Guard, s *Sending) { s.ClientEnded = now - 101*ms }, want: []Name{BehindClient}},
+		"behind the answer":          {change: func(_ *Guard, s *Sending) { s.Answered = true }, want: []Name{BehindAnswer}},
+		"beside another":             {change: func(_ *Guard, s *Sending) { s.Others = 1 }, want: []Name{BesideAnother}},
+		"told a little much":         {change: func(_ *Guard, s *Sending) { s.Told += 150 * ms }},
+		"told too much":              {change: func(_ *Guard, s *Sending) { s.Told += 151 * ms }, want: []Name{DeadlineTooLong}},
+		"draining, within the grace": {change: func(g *Guard, _ *Sending) { g.Listed("d", policy.Draining, now-300*ms) }},
+		"draining":                   {change: func(g *Guard, _ *Sending) { g.Listed("d", policy.Draining, now-301*ms) }, want: []Name{ToDraining}},
+		"draining, told again": {change: func(g *Guard, _ *Sending) {
+			g.Listed("d", policy.Draining, now-time.Second)
+			g.Listed("d", policy.Gone, now)
+		}, want: []Name{ToDraining}},
+		"draining, and back": {change: func(g *Guard, _ *Sending) {
+			g.Listed("d", policy.Draining, now-time.Second)
+			g.Listed("d", policy.Healthy, now)
+		}},
+		"gone":                         {change: func(g *Guard, _ *Sending) { g.Listed("d", policy.Gone, now-time.Second) }, want: []Name{ToDraining}},
+		"gone, which is advice":        {change: func(g *Guard, _ *Sending) { g.set.GoneIsAdvice = true; g.Listed("d", policy.Gone, now-time.Second) }},
+		"left out":                     {change: func(g *Guard, _ *Sending) { g.Suspended("d", true, now-time.Second); g.Suspended("d", true, now) }, want: []Name{ToSuspended}},
+		"left out, and back":           {change: func(g *Guard, _ *Sending) { g.Suspended("d", true, now-time.Second); g.Suspended("d", false, now) }},
+		"two at once":                  {change: func(_ *Guard, s *Sending) { s.Others, s.Answered = 1, true }, want: []Name{BehindAnswer, BesideAnother}},
+		"a class that nobody has told": {change: func(_ *Guard, s *Sending) { s.MayRun, s.Class = true, 9 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var got []Name
+			g := New(set, func(v Violation) {
+				assert.Equal(t, "r", v.Request)
+				assert.Equal(t, policy.HostID("d"), v.Database)
+				got = append(got, v.Name)
+			})
+			s := sound()
+			c.change(g, &s)
+			g.Sending(&s)
+			assert.Equal(t, c.want, got)
+			for n := range Names {
+				assert.Equal(t, count(c.want, n), g.Count(n), n)
+			}
+		})
+	}
+}
+
+func count(list []Name, n Name) (times uint64) {
+	for _, x := range list {
+		if x == n {
+			times++
+		}
+	}
+	return times
+}
+
+func TestOtherGuards(t *testing.T) {
+	var got []Name
+	g := New(set, func(v Violation) { got = append(got, v.Name) })
+	g.Answering("r", 1, false)
+	g.Closing(1, "r", 0)
+	g.Starting(true)
+	g.Keeping(true)
+	assert.Empty(t, got)
+	g.Answering("r", 1, true)
+	g.Closing(1, "r", 2)
+	g.Starting(false)
+	g.Keeping(false)
+	g.Violated(Violation{Name: NeverAnswered})
+	assert.Equal(t, []Name{AnsweredTwice, ClosedUnanswered, ReadyTooEarly, WordNotKept, NeverAnswered}, got)
+	for _, text := range AllNames() {
+		assert.NotEmpty(t, text)
+	}
+}
+
+// A gateway without a guard checks nothing.
+func TestNoGuard(t *testing.T) {
+	var g *Guard
+	s := sound()
+	g.Sending(&s)
+	g.Listed("d", policy.Draining, now)
+	g.Suspended("d", true, now)
+	g.Answering("", 0, true)
+	g.Closing(0, "", 1)
+	g.Starting(false)
+	g.Keeping(false)
+	g.Violated(Violation{})
+	assert.Zero(t, g.Count(AnsweredTwice))
+}
+
+func BenchmarkSending(b *testing.B) {
+	g := New(set, func(Violation) {})
+	g.Listed("d", policy.Draining, now)
+	s := sound()
+	for b.Loop() {
+		g.Sending(&s)
+	}
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -24,13 +24,18 @@
 type Lab struct {
 	Plan     *plan.Plan
 	Arrivals []plan.Arrival
-	Gateway  []string  // the command of a gateway
-	Env      []string  // more of its environment
-	Log      io.Writer // what gateways say; nil: nowhere
-	History  *History  // nil: nowhere
-	Apart    []int     // gateways that ask at a discovery of their own, see Discovery
-	Twins    []int     // gateways of which a second process may be started, for Twin
-	Rumours  []int     // gateways without the plan's budget of bytes, as before a change-over
+	Gateway  []string                   // the command of a gateway
+	Env      []string                   // more of its environment
+	Log      io.Writer                  // what gateways say; nil: nowhere
+	History  *History                   // nil: nowhere
+	Apart    []int                      // gateways that ask at a discovery of their own, see Discovery
+	Twins    []int                      // gateways of which a second process may be started, for Twin
+	Rumours  []int                      // gateways without the plan's budget of bytes, as before a change-over
+	Held     []int                      // gateways whose clients' sockets the lab holds open, so that two processes may serve side by side
+	Pushed   bool                       // gateways take discovery for an agent of their own
+	Hear     func(n *Node, line string) // each line of each gateway's log; nil: nobody listens
+	Judge    func(run.Sample)           // each request; nil: nobody listens
+	Patience time.Duration              // of clients beyond their deadlines
 
 	world *standin.World
 	apart map[int]*standin.Discovery
@@ -43,6 +48,9 @@
 	nodes  []*Node // the newest process of each gateway, then of each twin
 	all    []*Node
 	faults []string
+	dirs   map[string]string
+	socks  map[string]held // clients' sockets that are held
+	kept   []io.Closer
 }
 
 const (
@@ -81,8 +89,12 @@
 	if l.dir, err = os.MkdirTemp("", "lilacload-"); err != nil {
 		return err
 	}
+	l.dirs, l.socks = map[string]string{}, map[string]held{}
 	slots := p.Lab.Gateways + len(l.Twins)
 	l.nodes = make([]*Node, slots)
+	if err = l.hold(); err != nil {
+		return err
+	}
 	if p.Lab.Fleet {
 		names := make([]string, slots)
 		for i := range names {
@@ -123,6 +135,9 @@
 	if l.world != nil {
 		l.world.Close()
 	}
+	for _, c := range l.kept {
+		c.Close()
+	}
 	if l.dir != "" {
 		os.RemoveAll(l.dir)
 	}
@@ -158,8 +173,11 @@
 func (l *Lab) Run(ctx context.Context) (*run.Report, error) {
 	p := l.Plan
 	rec := run.NewRecorder(p)
-	r := &run.Runner{Plan: p, Arrivals: l.Arrivals, Pick: l.front.Pick, Sample: func(s run.Sample) {
+	r := &run.Runner{Plan: p, Arrivals: l.Arrivals, Pick: l.front.Pick, Patience: l.Patience, Sample: func(s run.Sample) {
 		rec.Add(s)
+		if l.Judge != nil {
+			l.Judge(s)
+		}
 		l.History.Add(Happening{
 			Kind: "request", What: string(s.Outcome), Class: p.Classes[s.Arrival.Class].Name, DueMS: millis(s.Arrival.At), TookMS: millis(s.Latency), Tries: s.Tries,
 		})
@@ -289,7 +307,14 @@
 
 // Config is what the platform would tell a gateway of this plan.
 func (l *Lab) Config(i int) map[string]any {
-	return Config(l.Plan, l.name(i), l.Discovery(i).Addr, l.Plan.Seed+uint64(i)+1, l.world.List())
+	c := Config(l.Plan, l.name(i), l.Discovery(i).Addr, l.Plan.Seed+uint64(i)+1, l.world.List())
+	if l.Pushed {
+		c["settings"].(map[string]any)["Discovery"] = "push"
+	}
+	if s, ok := l.socks[l.name(i)]; ok {
+		c["listen"] = s.addr
+	}
+	return c
 }
 
 // Config is what the platform would tell a gateway of a plan that asks at a discovery; known is the list to start from.
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -27,6 +28,7 @@
 	Clients string         // where clients connect
 	Manage  string         // the operators' address
 	Peers   netip.AddrPort // where other gateways find it; invalid without a fleet
+	Config  string         // the path of its configuration
 
 	*Process
 	slot   int
@@ -61,9 +63,53 @@
 func (l *Lab) Twin(k int) (*Node, error) { return l.Start(l.Plan.Lab.Gateways + k) }
 
 // Start runs a gateway and waits until it says where it listens.
-func (l *Lab) Start(i int) (*Node, error) {
+func (l *Lab) Start(i int) (*Node, error) { return l.StartAs(i, l.Gateway) }
+
+// folder is the private directory of a gateway's process. Processes that share a socket share it as well.
+func (l *Lab) folder(i int) (string, error) {
+	name := l.name(i)
+	if _, ok := l.socks[name]; !ok {
+		return os.MkdirTemp(l.dir, name+"-")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dirs[name] == "" {
+		dir, err := os.MkdirTemp(l.dir, name+"-")
+		if err != nil {
+			return "", err
+		}
+		l.dirs[name] = dir
+	}
+	return l.dirs[name], nil
+}
+
+// held is a clients' socket that the lab holds open.
+type held struct {
+	*os.File
+	addr string
+}
+
+// hold opens the clients' sockets that the lab holds.
+func (l *Lab) hold() error {
+	for _, i := range l.Held {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		f, err := ln.(*net.TCPListener).File()
+		if err != nil {
+			return err
+		}
+		l.socks[l.name(i)] = held{f, ln.Addr().String()}
+		l.kept = append(l.kept, ln, f)
+	}
+	return nil
+}
+
+// StartAs is Start with another command, and more of an environment.
+func (l *Lab) StartAs(i int, command []string, env ...string) (*Node, error) {
 	name := l.name(i)
-	dir, err := os.MkdirTemp(l.dir, name+"-")
+	dir, err := l.folder(i)
 	if err != nil {
 		return nil, err
 	}
@@ -75,8 +121,13 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return nil, err
 	}
-	n := &Node{Name: name, Process: NewProcess(exec.Command(l.Gateway[0], l.Gateway[1:]...)), slot: i}
+	n := &Node{Name: name, Process: NewProcess(exec.Command(command[0], command[1:]...)), slot: i, Config: path}
 	n.cmd.Env = append(append(os.Environ(), "GW_CONFIG="+path, "TMPDIR="+dir, "GW_MANAGEMENT=127.0.0.1:0"), l.Env...)
+	n.cmd.Env = append(n.cmd.Env, env...)
+	if s, ok := l.socks[name]; ok {
+		n.cmd.ExtraFiles = []*os.File{nil, s.File} // descriptor 4
+		n.cmd.Env = append(n.cmd.Env, "GW_INHERITED_FD=4")
+	}
 	if l.mesh != nil {
 		file := filepath.Join(dir, "fleet.yaml")
 		if err := os.WriteFile(file, l.fleetFile(i), 0o600); err != nil {
@@ -116,6 +167,9 @@
 		fmt.Fprintf(l.Log, "%s/%d %s\n", n.Name, n.Pid(), line)
 		l.mu.Unlock()
 	}
+	if l.Hear != nil {
+		l.Hear(n, line)
+	}
 	_, event, _ := strings.Cut(line, " event=")
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -125,6 +179,9 @@
 	case kind == "started":
 		n.Clients, n.Manage = Field(event, "listen"), Field(event, "management")
 	}
+	if strings.HasPrefix(event, "violation ") {
+		l.Fault("gateway %s: %s", n.Name, event)
+	}
 	if strings.HasPrefix(event, "fleet_") || strings.HasPrefix(event, "policy ") {
 		n.events = append(n.events, event)
 		l.History.Add(Happening{Kind: "log", Gateway: n.Name, What: event})
--- a/internal/load/run/run.go
+++ b/internal/load/run/run.go
@@ -47,6 +47,17 @@
 	Service  time.Duration // of the last try, from when it was really sent
 	Lateness time.Duration // the generator's own
 	Tries    int
+	Last     Try // the last of them
+}
+
+// Try is one request as a gateway had it.
+type Try struct {
+	Target  string    // whom it was sent to; empty: nobody
+	Begun   time.Time // when it was written
+	Ended   time.Time
+	Reused  bool // on a connection that had carried others
+	Unheard bool // the connection ended, or the client's patience, without an answer
+	ID      string
 }
 
 // Runner plays one schedule.
@@ -56,6 +67,7 @@
 	Targets  []string
 	Pick     func(session int) (target string, ok bool) // whom a session is sent to; nil: one of Targets for good
 	Sample   func(Sample)                               // called from many goroutines
+	Patience time.Duration                              // beyond its deadline in which an answer is still waited for
 	Stalled  func(time.Duration)                        // before each request is handed out; for tests of the generator itself
 
 	pools   map[string]*pool
@@ -152,13 +164,13 @@
 // one is the life of a request, with its retries.
 func (r *Runner) one(a plan.Arrival, due time.Time) Sample {
 	class := &r.Plan.Classes[a.Class]
-	ctx, cancel := context.WithDeadline(context.Background(), due.Add(class.Deadline))
+	ctx, cancel := context.WithDeadline(context.Background(), due.Add(class.Deadline+r.Patience))
 	defer cancel()
 	s := Sample{Arrival: a}
 	for {
 		s.Tries++
-		outcome, after, service := r.try(ctx, a, class, s.Tries > 1)
-		s.Service = service
+		outcome, after, service, last := r.try(ctx, a, class, s.Tries > 1)
+		s.Service, s.Last = service, last
 		if s.Outcome = outcome; outcome != Refused && outcome != RefusedFor && outcome != NoConn || s.Tries > r.Plan.Retries {
 			break
 		}
@@ -167,7 +179,9 @@
 		}
 	}
 	s.Latency = time.Since(due)
-	if s.Outcome == InAim && s.Latency > class.Aim {
+	if s.Outcome == InAim && s.Latency > class.Deadline {
+		s.Outcome = GaveUp // it was heard out and earns nothing
+	} else if s.Outcome == InAim && s.Latency > class.Aim {
 		s.Outcome = Late
 	}
 	return s
@@ -185,29 +199,32 @@
 }
 
 // try sends the request once; service counts from when it really goes out, on a connection that is up.
-func (r *Runner) try(ctx context.Context, a plan.Arrival, class *plan.Class, again bool) (o Outcome, after, service time.Duration) {
+func (r *Runner) try(ctx context.Context, a plan.Arrival, class *plan.Class, again bool) (o Outcome, after, service time.Duration, last Try) {
 	p := r.pool(a.Session)
 	if p == nil {
-		return NoConn, 0, 0
+		return NoConn, 0, 0, last
 	}
-	c, err := p.get(ctx)
+	c, reused, err := p.get(ctx)
 	if err != nil {
 		if ctx.Err() != nil {
-			return GaveUp, 0, 0
+			return GaveUp, 0, 0, last
 		}
-		return NoConn, 0, 0
+		return NoConn, 0, 0, last
 	}
-	left := time.Until(deadline(ctx))
+	left := time.Until(deadline(ctx)) - r.Patience
 	if left <= 0 {
 		p.put(c)
-		return GaveUp, 0, 0
+		return GaveUp, 0, 0, last
 	}
-	begun := time.Now()
-	results, err := c.Exec(ctx, r.statement(a, class, left, again)).ReadAll()
-	service = time.Since(begun)
+	text, id := r.statement(a, class, left, again)
+	last = Try{Target: p.target, Begun: time.Now(), Reused: reused, ID: id}
+	results, err := c.Exec(ctx, text).ReadAll()
+	last.Ended = time.Now()
+	var said *pgconn.PgError
+	last.Unheard = err != nil && !errors.As(err, &said)
 	p.put(c)
 	o, after = r.outcome(ctx, a, results, err)
-	return o, after, service
+	return o, after, last.Ended.Sub(last.Begun), last
 }
 
 // outcome is what an answer comes to.
@@ -248,11 +265,12 @@
 	}
 }
 
-// statement is what a client of the platform writes.
-func (r *Runner) statement(a plan.Arrival, class *plan.Class, left time.Duration, again bool) string {
+// statement is what a client of the platform writes, and the id in it.
+func (r *Runner) statement(a plan.Arrival, class *plan.Class, left time.Duration, again bool) (text, id string) {
 	r.mu.Lock()
 	r.nonce++
-	head := fmt.Sprintf("id=%016x,c=%s,d=%d,cluster=%d", r.nonce, class.Name, max(1, left.Milliseconds()), a.Group)
+	id = fmt.Sprintf("%016x", r.nonce)
+	head := fmt.Sprintf("id=%s,c=%s,d=%d,cluster=%d", id, class.Name, max(1, left.Milliseconds()), a.Group)
 	if after := r.commits[a.Session]; after > 0 && class.Kind == plan.SessionRead {
 		head += fmt.Sprintf(",after=%d", after)
 	}
@@ -265,9 +283,9 @@
 		key = fmt.Sprintf("%016x", a.Session)
 	}
 	if class.Kind == plan.Write {
-		return fmt.Sprintf(`/* %s */ INSERT INTO rows (handle, blob) VALUES ('%s', '\x9f03') RETURNING blob`, head, key)
+		return fmt.Sprintf(`/* %s */ INSERT INTO rows (handle, blob) VALUES ('%s', '\x9f03') RETURNING blob`, head, key), id
 	}
-	return fmt.Sprintf("/* %s */ SELECT blob FROM rows WHERE handle = '%s'", head, key)
+	return fmt.Sprintf("/* %s */ SELECT blob FROM rows WHERE handle = '%s'", head, key), id
 }
 
 // pool finds the connections to a session's gateway; nil: there is none.
@@ -295,11 +313,12 @@
 	closed bool
 }
 
-func (p *pool) get(ctx context.Context) (*pgconn.PgConn, error) {
+// get waits for a connection; reused tells that it has carried requests.
+func (p *pool) get(ctx context.Context) (_ *pgconn.PgConn, reused bool, _ error) {
 	select {
 	case p.slots <- struct{}{}:
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return nil, false, ctx.Err()
 	}
 	for {
 		p.mu.Lock()
@@ -312,7 +331,7 @@
 		p.idle = p.idle[:n-1]
 		p.mu.Unlock()
 		if silent(c.Conn()) {
-			return c, nil
+			return c, true, nil
 		}
 		p.end(c) // the gateway has closed it meanwhile
 	}
@@ -324,9 +343,9 @@
 	}
 	if err != nil {
 		<-p.slots
-		return nil, err
+		return nil, false, err
 	}
-	return c, nil
+	return c, false, nil
 }
 
 func (p *pool) put(c *pgconn.PgConn) {
--- a/internal/standin/script.go
+++ b/internal/standin/script.go
@@ -231,3 +231,10 @@
 		do(c)
 	}
 }
+
+// Replica tells whether the database is in service and no primary.
+func (h *Host) Replica() bool {
+	h.w.mu.Lock()
+	defer h.w.mu.Unlock()
+	return !h.primary && h.health == "in_service"
+}
--- a/internal/wan/loop.go
+++ b/internal/wan/loop.go
@@ -21,6 +21,7 @@
 	r       *Relay
 	rnd     *rand.Rand
 	queue   []parcel // a heap by due
+	arrived int64    // when the last datagram came
 	number  uint64
 	free    []*[most]byte
 	in, out vector
@@ -181,6 +182,10 @@
 	if at == 0 {
 		at = time.Now().UnixNano()
 	}
+	// The system begins to stamp datagrams a moment after it was asked to; one that it has not stamped bears the time of its
+	// reading, which is later than the stamps of those read behind it.
+	at = max(at, l.arrived)
+	l.arrived = at
 	at += int64(link.Delay)
 	if link.Jitter > 0 {
 		at += l.rnd.Int64N(int64(link.Jitter))
--- a/internal/wan/wan_test.go
+++ b/internal/wan/wan_test.go
@@ -128,25 +128,30 @@
 	r, s := open(t, 2, []int{0, 1}, seed)
 	r.Set(0, 1, Link{Loss: 0.3})
 	var b [4]byte
-	read := func(s socket) (got []uint32) {
-		for {
-			text, _ := s.hear(quiet)
-			if text == "" {
+	// read takes in what comes until all that was said so far is accounted for, however long this machine takes.
+	read := func(s socket, said, before uint64) (got []uint32) {
+		for late := time.Now().Add(soon); ; {
+			c := r.Counts()
+			if c.Passed+c.Lost+c.Overflowed >= said && c.Passed-before == uint64(len(got)) || time.Now().After(late) {
 				return got
 			}
-			got = append(got, binary.BigEndian.Uint32([]byte(text)))
+			if text, _ := s.hear(quiet); text != "" {
+				got = append(got, binary.BigEndian.Uint32([]byte(text)))
+			}
 		}
 	}
 	for i := range n {
 		binary.BigEndian.PutUint32(b[:], uint32(i))
 		s[0].say(r.Dial(0, 1), string(b[:]))
 	}
-	there = read(s[1])
+	there = read(s[1], uint64(n), 0)
 	for i := range n {
 		binary.BigEndian.PutUint32(b[:], uint32(i))
 		s[1].say(r.Dial(1, 0), string(b[:]))
 	}
-	return there, read(s[0]), r.Counts().Lost
+	back = read(s[0], uint64(2*n), uint64(len(there)))
+	assert.Zero(t, r.Counts().Overflowed)
+	return there, back, r.Counts().Lost
 }
 
 func TestScaleRelayLosesByItsSeed(t *testing.T) {
--- a/internal/wordstore/wordstore_test.go
+++ b/internal/wordstore/wordstore_test.go
@@ -192,3 +192,18 @@
 	require.NoError(t, err)
 	assert.Empty(t, s.State().Err)
 }
+
+// A disk that failed once is tried again soon, not only when the next word or stamp is due.
+func TestWordsAreSavedSoonAfterTheDiskFailed(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "words")
+	s, _ := open(t, options(dir))
+	require.NoError(t, os.Rename(dir, dir+"-away"))
+	_, err := keep(t, s, out)
+	require.Error(t, err)
+	require.NoError(t, os.Rename(dir+"-away", dir))
+	require.Eventually(t, func() bool { return s.State().Saved == 1 }, 10*time.Second, 5*time.Millisecond)
+	next := options(dir)
+	next.Session = 8
+	_, words := open(t, next)
+	assert.Equal(t, []state.Word{out}, words)
+}
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -24,10 +24,10 @@
 }
 
 // giveUp gives the final answer at once: a refusal where trying again is harmless for certain, or a failure.
-func (r *Router) giveUp(q *request) {
-	var a Action = Fail{Request: q.ID}
+func (r *Router) giveUp(q *request, why Reason) {
+	var a Action = Fail{Request: q.ID, Reason: why}
 	if q.class.Repeat == Retryable || q.class.Repeat == DedupAll || !q.mayRun && q.out == 0 {
-		a = Refuse{Request: q.ID, RetryAfter: r.jitter(min(r.set.MaxRetryAfter*4/5, q.class.Deadline/4))}
+		a = Refuse{Request: q.ID, Reason: why, RetryAfter: r.jitter(min(r.set.MaxRetryAfter*4/5, q.class.Deadline/4))}
 	}
 	r.do(a)
 	r.finish(q)
--- a/policy/routing.go
+++ b/policy/routing.go
@@ -20,7 +20,7 @@
 	}
 	r.requests[e.ID] = q
 	if q.g == nil {
-		r.giveUp(q)
+		r.giveUp(q, UnknownGroup)
 		return
 	}
 	r.used[q.g] = true
@@ -35,8 +35,14 @@
 	switch {
 	case q.done || q.out > 0:
 		return
-	case !r.mayResend(q) || r.now >= q.useful || r.fenced && q.class.Level == Write:
-		r.giveUp(q)
+	case !r.mayResend(q):
+		r.giveUp(q, RetryForbidden)
+		return
+	case r.now >= q.useful:
+		r.giveUp(q, NoTimeLeft)
+		return
+	case r.fenced && q.class.Level == Write:
+		r.giveUp(q, FencedOff)
 		return
 	case !r.mayAct():
 		r.wait(q, r.begunAt+CompareTime)
@@ -53,7 +59,7 @@
 		case r.admits(q, h):
 			r.send(q, h)
 		case q.g.open || r.admit[true] < 1 || r.heavy(q):
-			r.giveUp(q)
+			r.giveUp(q, Shed)
 		default: // replicas are crowded, by long reads perhaps, while primaries admit all
 			r.routePrimary(q)
 		}
@@ -83,14 +89,14 @@
 		r.send(q, first)
 	case g.open && q.onlyPrimary():
 		r.doubt(g)
-		r.giveUp(q)
+		r.giveUp(q, BreakerOpen)
 	case g.open:
 		r.wait(q, q.arrived+q.class.Aim)
 	case p == nil || !r.mayTake(p, q.class.Level == Write):
 		if h := r.leastKnown(q); h != nil {
 			r.send(q, h)
 		} else if q.missed || q.onlyPrimary() && r.now-g.lostAt > q.class.Aim {
-			r.giveUp(q)
+			r.giveUp(q, NoPrimary)
 		} else {
 			r.doubt(g)
 			r.wait(q, q.arrived+q.class.Aim/2)
@@ -98,7 +104,7 @@
 	case p.strain < easy && r.now < q.arrived+q.class.Aim/8 && !r.room(p, q):
 		r.wait(q, q.arrived+q.class.Aim/8) // a burst: p is short of nothing
 	case !r.room(p, q) || !r.coldRoom(p, q) || !r.admits(q, p):
-		r.giveUp(q) // held, it would take the room of newer ones and end late
+		r.giveUp(q, Shed) // held, it would take the room of newer ones and end late
 	default:
 		r.send(q, p)
 	}
@@ -111,7 +117,7 @@
 		until = min(until, q.arrived+q.Budget/2-r.set.Tick)
 	}
 	if until <= r.now {
-		r.giveUp(q)
+		r.giveUp(q, WaitedInVain)
 		return
 	}
 	if !q.waiting {
@@ -128,7 +134,7 @@
 	switch {
 	case q.done:
 	case r.now >= q.deadline-r.set.Tick:
-		r.giveUp(q)
+		r.giveUp(q, NoTimeLeft)
 	case q.waiting:
 		q.waiting = false
 		r.route(q)
--- a/policy/types.go
+++ b/policy/types.go
@@ -98,6 +98,33 @@
 	BehindHold                 // Miss, after waiting Settings.Patience to catch up
 )
 
+// Reason is why a request was given up.
+type Reason uint8
+
+const (
+	RetryForbidden Reason = iota // it has failed, and another attempt may not be made
+	RetryPointless               // it has failed, and another attempt would fail as well, or add load where there is no room
+	NoTimeLeft                   // an answer would earn nothing any more
+	UnknownGroup                 // the list names no host of its group
+	FencedOff                    // this process takes no writes
+	BreakerOpen                  // it needs the primary, whose breaker is open
+	NoPrimary                    // it needs the primary, which nobody knows
+	Shed                         // there is no room for it
+	WaitedInVain                 // no host that fits was found in the time in which a refusal is cheap
+	Reasons                      // how many there are
+)
+
+// String is the name in logs and metrics.
+func (r Reason) String() string {
+	names := [Reasons]string{
+		"retry_forbidden", "retry_pointless", "no_time_left", "unknown_group", "fenced_off", "breaker_open", "no_primary", "shed", "waited_in_vain",
+	}
+	if r >= Reasons {
+		return "unknown"
+	}
+	return names[r]
+}
+
 // Status is a host's standing in the list.
 type Status uint8
 
@@ -300,10 +327,14 @@
 	// Refuse is a final answer: trying again is harmless, best after RetryAfter.
 	Refuse struct {
 		Request    RequestID
+		Reason     Reason
 		RetryAfter time.Duration
 	}
 	// Fail is a final answer that promises nothing.
-	Fail struct{ Request RequestID }
+	Fail struct {
+		Request RequestID
+		Reason  Reason
+	}
 	// Cancel stops waiting for one attempt.
 	Cancel struct {
 		Request RequestID
