--- a/internal/wordstore/wordstore.go
+++ b/internal/wordstore/wordstore.go
@@ -33,6 +33,7 @@
 	lockWait   = 2 * time.Second        // for another process of this gateway that saves
 	lockPause  = 5 * time.Millisecond   // between two tries
 	stampEvery = time.Minute            // how often it is noted that the process lives
+	retryEvery = time.Second            // and behind a failure
 	logEvery   = 10 * time.Second       // a disk that goes on failing is told so often
 	stampPart  = 4                      // and in a horizon at least so often
 	leastStamp = 100 * time.Millisecond // whatever the horizon
@@ -266,7 +267,11 @@
 		for _, do := range then {
 			do(more, err)
 		}
-		tick.Reset(every)
+		pause := every
+		if err != nil {
+			pause = min(every, retryEvery)
+		}
+		tick.Reset(pause)
 	}
 }
 
