Add a failing test: buffers that run out close connections which are owed answers

Found by reading all paths that close a client's connection (docs/promises.md): netloop.Conn.read ends a connection with ErrMemory, which the front takes for its client's leaving; Front.relieve closes over unread bytes, which resets the answer just written.

--- a/cmd/lilaccove/edges_test.go
+++ b/cmd/lilaccove/edges_test.go
@@ -210,3 +210,26 @@
 	assert.True(t, s.ready())
 	s.serves()
 }
+
+// Clients that send more while their requests are worked on can fill the buffers. Then they are not read for a while; a
+// connection that is owed an answer is never closed for want of memory.
+func TestBuffersRunOutUnderRequestsThatAreOwed(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, func(s *site) { s.memory = 16 }) // a quarter of it is for buffers
+	release := s.p.waits()
+	more := query("/* " + strings.Repeat("x", 60_000) + " */")
+	var all []*client
+	for range 100 {
+		c := s.client()
+		c.write(query(stmt("write", 3000, "")) + more[:55_000])
+		all = append(all, c)
+	}
+	s.eventually("some are at the database", func() bool { return len(s.p.Statements()) > 0 })
+	time.Sleep(200 * time.Millisecond) // for what was sent to fill the buffers
+	close(release)
+	for _, c := range all {
+		got := c.read()
+		assert.Equal(t, 1, got.rows+got.errs, "%+v", got)
+	}
+	assert.NotContains(t, s.logged(), "event=violation")
+}
