Read clients later when buffers run out instead of closing connections that are owed answers

Cause: Conn.read ended a connection with ErrMemory where no buffer was free; the front took that for its client's leaving, so requests that were read had no answer. Front.relieve closed over unread bytes, and the reset took the answer just written along. Change: such a connection is read again 5 ms later (what has come waits with the system); accepted connections leave the last eighth of the buffers to answers of databases and discovery; relieve ends connections in order.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -407,7 +407,7 @@
 		for _, x := range f.all(p) {
 			if x != c && x.nc.Held() > keepSmall && f.loop.Pressed() {
 				f.bad.Printf(f.loop.Now(), "event=client_closed client=%d reason=memory held=%d", x.number, x.nc.Held())
-				x.close(closedMemory)
+				x.finish(closedMemory) // a plain close over unread bytes would take an answer along that was just written
 			}
 		}
 	}
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -10,6 +10,9 @@
 	"lilaccove/internal/sys"
 )
 
+// starveTime is the pause before a connection is read again for which there was no buffer.
+const starveTime = 5 * time.Millisecond
+
 // Handler is told what happens to a connection. After Ended it hears no more.
 type Handler interface {
 	Connected()      // a dialled connection is up
@@ -36,6 +39,8 @@
 	of       *Listener // whose own descriptors it is one of; nil: it is one of the loop's
 	flushed  func()    // see OnFlush
 	paused   bool      // nothing is read
+	starved  bool      // nothing is read for a moment, for want of a buffer
+	accepted bool      // the peer has dialled
 	least    int       // how large the input buffer is at least
 }
 
@@ -136,6 +141,19 @@
 	c.want()
 }
 
+// starve reads on in a moment: there is no buffer to spare just now, and what has come waits with the system. The connection
+// may be owed an answer, so it is not ended for that.
+func (c *Conn) starve() {
+	if c.starved {
+		return
+	}
+	c.starved = true
+	c.loop.At(c.loop.now+starveTime, func() {
+		c.starved = false
+		c.want()
+	})
+}
+
 // Resume reads on.
 func (c *Conn) Resume() {
 	c.paused = false
@@ -215,6 +233,9 @@
 		}
 	}
 	if c.fd >= 0 {
+		if c.starved {
+			events &^= unix.EPOLLRDHUP // what came before the end is still to be read
+		}
 		if c.interest&unix.EPOLLIN == 0 && events&(unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
 			c.end(ErrPeerClosed) // reading has stopped: its input is full
 			return
@@ -287,7 +308,8 @@
 			if len(c.Input()) >= c.most {
 				return nil
 			}
-			return ErrMemory
+			c.starve()
+			return nil
 		}
 		n, err := sys.Read(c.fd, room)
 		switch {
@@ -345,6 +367,9 @@
 		c.in = nil
 	}
 	if c.in == nil {
+		if c.accepted && c.loop.buffers.scarce() {
+			return nil
+		}
 		if c.in = c.loop.buffers.get(max(1, c.least)); c.in == nil {
 			return nil
 		}
@@ -353,7 +378,7 @@
 		c.in = c.in[:copy(c.in, c.in[c.r:])]
 		c.r = 0
 	}
-	if len(c.in) == cap(c.in) && len(c.in) < c.most {
+	if len(c.in) == cap(c.in) && len(c.in) < c.most && !(c.accepted && c.loop.buffers.scarce()) {
 		c.in = c.loop.buffers.grow(c.in)
 	}
 	if end := min(cap(c.in), c.most); end > len(c.in) {
@@ -369,7 +394,7 @@
 	}
 	interest := uint32(unix.EPOLLRDHUP)
 	switch {
-	case c.paused && c.linger == nil:
+	case (c.paused || c.starved) && c.linger == nil:
 		interest = 0 // an end of the peer's may stand behind much that is not read yet
 	case len(c.Input()) < c.most || c.linger != nil:
 		interest |= unix.EPOLLIN
@@ -456,6 +481,10 @@
 	keepMost = 64
 )
 
+// scarce tells that the last eighth is in use. It is for what this process has asked for: peers who send without being asked
+// must not keep it from reading answers.
+func (p *pool) scarce() bool { return p.held >= p.most*7/8 }
+
 func class(n int) int {
 	k := 0
 	for smallest<<k < n && k < sizes-1 {
--- a/internal/netloop/listener.go
+++ b/internal/netloop/listener.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		return
 	}
-	c.up = true
+	c.up, c.accepted = true, true
 	if ln.reserve > 0 {
 		c.of = ln
 		ln.held++
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -29,7 +29,6 @@
 var (
 	ErrPeerClosed  = errors.New("peer closed the connection")
 	ErrDescriptors = errors.New("no descriptor to spare")
-	ErrMemory      = errors.New("no buffer memory to spare")
 	ErrLinger      = errors.New("peer kept a closed connection open")
 )
 
