--- a/cmd/lilaccove/faults_test.go
+++ b/cmd/lilaccove/faults_test.go
@@ -164,3 +164,22 @@
 	s.term()
 	s.exits()
 }
+
+// A process may stand still in the middle of a round, between its look at the clock and the write. What would begin behind its
+// request's time is not begun then.
+func TestNothingBeginsBehindAHoldUp(t *testing.T) {
+	t.Parallel()
+	const held = 700 * time.Millisecond
+	s := newSite(t, failing(`{"call":"read","delay_ms":700,"from_ms":500}`))
+	c := s.client()
+	s.eventually("reads take long", func() bool { // and there are connections at rest
+		begun := time.Now()
+		c.ask(stmt("own", 1500, ""))
+		return time.Since(begun) >= held
+	})
+	before := len(s.a.Statements()) + len(s.b.Statements()) + len(s.p.Statements())
+	c.write(query(stmt("own", 500, "")))
+	got := c.read()
+	assert.Equal(t, 1, got.errs, "%+v", got)
+	assert.Equal(t, before, len(s.a.Statements())+len(s.b.Statements())+len(s.p.Statements()))
+}
--- a/cmd/lilacload/main.go
+++ b/cmd/lilacload/main.go
@@ -205,6 +205,6 @@
 			return run.Compare(c.OutOrStdout(), &r[0], &r[1])
 		},
 	}
-	root.AddCommand(check, record, play, world, compare, hollowCommand(), scaleCommand(), calibrateCommand(), datapathCommand(), capacityCommand())
+	root.AddCommand(check, record, play, world, compare, hollowCommand(), scaleCommand(), calibrateCommand(), datapathCommand(), capacityCommand(), soakCommand())
 	return root
 }
--- /dev/null
+++ b/internal/soak/troubles.go
@@ -0,0 +1,474 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"lilaccove/internal/lab"
+	"lilaccove/internal/load/plan"
+	"lilaccove/internal/standin"
+)
+
+// kind is how one trouble is done.
+type kind struct {
+	gateways int // to how many; 0: to none of them
+	do       func(s *soak, t Trouble) error
+}
+
+// kinds are all troubles by their names.
+var kinds map[string]kind
+
+func init() { // the functions read the table of names through Draw
+	kinds = map[string]kind{
+		"kill":                {2, (*soak).kill},
+		"end":                 {2, (*soak).end},
+		"stand-still":         {2, (*soak).standStill},
+		"reload":              {4, (*soak).reload},
+		"upgrade":             {1, (*soak).upgrade},
+		"successor-killed":    {1, (*soak).successorKilled},
+		"system-calls":        {2, (*soak).systemCalls},
+		"drain-gateway":       {1, (*soak).drainGateway},
+		"partition":           {3, (*soak).partition},
+		"lossy-links":         {0, (*soak).lossyLinks},
+		"suspend-database":    {1, (*soak).suspendDatabase},
+		"drain-database":      {0, (*soak).drainDatabase},
+		"replace-database":    {0, (*soak).replaceDatabase},
+		"databases-hang":      {0, (*soak).databasesHang},
+		"databases-hang-up":   {0, (*soak).databasesHangUp},
+		"connections-late":    {0, (*soak).connectionsLate},
+		"fail-over":           {0, (*soak).failOver},
+		"resets":              {0, answers(standin.Faults{ResetBefore: 0.1, ResetAfter: 0.1})},
+		"silence":             {0, answers(standin.Faults{Silence: 0.08})},
+		"spoilt-answers":      {0, answers(standin.Faults{Spoil: 0.08, Errors: 0.08})},
+		"discovery-silent":    {0, (*soak).discoverySilent},
+		"discovery-down":      {0, (*soak).discoveryDown},
+		"discovery-spoilt":    {0, (*soak).discoverySpoilt},
+		"clients-leave":       {2, clients((*client).leave)},
+		"clients-cancel":      {2, clients((*client).cancel)},
+		"clients-stop-midway": {2, clients((*client).stopMidway)},
+		"clients-pipeline":    {2, clients((*client).pipeline)},
+		"clients-rest":        {2, clients((*client).rest)},
+	}
+}
+
+// restartPause is how long a gateway is away between two processes.
+const restartPause = 200 * time.Millisecond
+
+// take reserves a gateway, so that two troubles do not start and end processes of it at once; false: it has one.
+func (s *soak) take(i int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.busy[i] {
+		return false
+	}
+	s.busy[i] = true
+	return true
+}
+
+func (s *soak) giveBack(i int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.busy, i)
+}
+
+// each does something to each gateway of a trouble that no other trouble has just now, side by side.
+func (s *soak) each(t Trouble, do func(i int) error) error {
+	results := make(chan error, len(t.Gateways))
+	n := 0
+	for _, i := range t.Gateways {
+		if !s.take(i) {
+			continue
+		}
+		n++
+		go func() {
+			defer s.giveBack(i)
+			results <- do(i)
+		}()
+	}
+	var first error
+	for range n {
+		if err := <-results; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+func (s *soak) kill(t Trouble) error {
+	return s.each(t, func(i int) error {
+		defer s.judge.excuse(s.lab.Node(i).Name)()
+		s.lab.Node(i).Kill()
+		standin.Sleep(t.For/2, s.stop)
+		return s.start(i)
+	})
+}
+
+// end ends a process in order. What it has read it owes; nothing is excused but the time in which nobody listens.
+func (s *soak) end(t Trouble) error {
+	return s.each(t, func(i int) error {
+		node := s.lab.Node(i)
+		if err := node.Term(); err != nil {
+			s.judge.violated("no_end", 1, "%v", err)
+		}
+		standin.Sleep(restartPause, s.stop)
+		return s.start(i)
+	})
+}
+
+func (s *soak) standStill(t Trouble) error {
+	return s.each(t, func(i int) error {
+		node := s.lab.Node(i)
+		defer s.judge.excuse(node.Name)()
+		if err := node.Stop(); err != nil {
+			return err
+		}
+		standin.Sleep(t.For, s.stop)
+		if err := node.Continue(); err != nil {
+			return err
+		}
+		standin.Sleep(restartPause, s.stop) // what it stood still with is answered late
+		return nil
+	})
+}
+
+// reload moves a gateway from one address of discovery to the other and back, signals in quick succession.
+func (s *soak) reload(t Trouble) error {
+	for _, i := range t.Gateways {
+		node := s.lab.Node(i)
+		for k := range 5 {
+			text, err := os.ReadFile(node.Config)
+			if err != nil {
+				return err
+			}
+			var config map[string]any
+			if err := json.Unmarshal(text, &config); err != nil {
+				return err
+			}
+			config["discovery"] = s.discoveries[k%2].Addr
+			if text, err = json.Marshal(config); err != nil {
+				return err
+			}
+			if err := os.WriteFile(node.Config, text, 0o600); err != nil {
+				return err
+			}
+			if err := node.Signal(syscall.SIGHUP); err != nil {
+				return err
+			}
+			standin.Sleep(t.For/20, s.stop)
+		}
+	}
+	return nil
+}
+
+// heldOf is a gateway whose socket the lab holds, in a trouble's place for one.
+func (s *soak) heldOf(t Trouble) int { return s.lab.Held[t.Gateways[0]%len(s.lab.Held)] }
+
+func (s *soak) upgrade(t Trouble) error {
+	i := s.heldOf(t)
+	if !s.take(i) {
+		return nil
+	}
+	defer s.giveBack(i)
+	old := s.lab.Node(i)
+	if err := s.start(i); err != nil {
+		return err
+	}
+	s.ready(s.lab.Node(i))
+	if err := old.Term(); err != nil {
+		s.judge.violated("no_end", 1, "%v", err)
+	}
+	return nil
+}
+
+// successorKilled kills the process beside an old one that has begun to leave to it.
+func (s *soak) successorKilled(t Trouble) error {
+	i := s.heldOf(t)
+	if !s.take(i) {
+		return nil
+	}
+	defer s.giveBack(i)
+	old := s.lab.Node(i)
+	if err := s.start(i); err != nil {
+		return err
+	}
+	next := s.lab.Node(i)
+	s.ready(next)
+	ended := make(chan error, 1)
+	go func() { ended <- old.Term() }()
+	standin.Sleep(t.For/10, s.stop)
+	defer s.judge.excuse(old.Name)()
+	next.Kill()
+	err := s.start(i)
+	if err := <-ended; err != nil {
+		s.judge.violated("no_end", 1, "%v", err)
+	}
+	return err
+}
+
+// systemCalls has a gateway's process followed by one whose system calls fail for a while.
+func (s *soak) systemCalls(t Trouble) error {
+	if s.opt.Faulty == "" {
+		return nil
+	}
+	rnd := rand.New(rand.NewPCG(s.opt.Seed, uint64(t.Number)))
+	return s.each(t, func(i int) error {
+		if err := s.lab.Node(i).Term(); err != nil {
+			s.judge.violated("no_end", 1, "%v", err)
+		}
+		path := filepath.Join(s.folder, fmt.Sprintf("faults-%d-%d.json", t.Number, i))
+		text, err := json.Marshal(map[string]any{"seed": s.opt.Seed, "faults": systemFaults(rnd, t.For)})
+		if err == nil {
+			err = os.WriteFile(path, text, 0o600)
+		}
+		if err != nil {
+			return err
+		}
+		_, err = s.startAs(i, []string{s.opt.Faulty}, "LILACCOVE_FAULTS="+path)
+		return err
+	})
+}
+
+// systemFaults are ways in which calls fail now and then, for so long.
+func systemFaults(rnd *rand.Rand, length time.Duration) (list []map[string]any) {
+	for _, f := range []map[string]any{
+		{"call": "accept", "error": "ECONNABORTED"}, {"call": "accept", "error": "ENFILE"}, {"call": "accept", "error": "EPROTO"},
+		{"call": "socket", "error": "ENFILE"}, {"call": "connect", "error": "EADDRNOTAVAIL"}, {"call": "connect", "error": "ENETUNREACH"},
+		{"call": "epoll_add", "error": "ENOSPC"}, {"call": "epoll_mod", "error": "ENOMEM"}, {"call": "epoll_wait", "error": "EINTR"},
+		{"call": "epoll_wait", "delay_ms": 100}, {"call": "read", "short": 9}, {"call": "write", "short": 9},
+		{"call": "create", "error": "ENOSPC"}, {"call": "write_file", "error": "ENOSPC"}, {"call": "rename", "error": "EIO"},
+	} {
+		if rnd.IntN(2) == 0 {
+			f["share"], f["for_ms"] = 0.05+0.2*rnd.Float64(), length.Milliseconds()
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
+func (s *soak) drainGateway(t Trouble) error {
+	return s.each(t, func(i int) error {
+		node := s.lab.Node(i)
+		if _, err := node.Call("PUT", "/v1/gateway/drain"); err != nil {
+			return err
+		}
+		standin.Sleep(t.For, s.stop)
+		_, err := node.Call("PUT", "/v1/gateway/activate")
+		return err
+	})
+}
+
+// partition cuts some gateways off from the others.
+func (s *soak) partition(t Trouble) error {
+	side := map[int]bool{}
+	for _, i := range t.Gateways {
+		side[i] = true
+	}
+	var rest []int
+	for i := range s.opt.Gateways {
+		if !side[i] {
+			rest = append(rest, i)
+		}
+	}
+	s.lab.Mesh().Partition([][]int{t.Gateways, rest}, true)
+	standin.Sleep(t.For, s.stop)
+	s.lab.Mesh().Partition([][]int{t.Gateways, rest}, false)
+	return nil
+}
+
+func (s *soak) lossyLinks(t Trouble) error {
+	s.links(plan.Link{Loss: 0.15, Duplicate: 0.1, Reorder: 0.2, Corrupt: 0.02, Delay: 20 * time.Millisecond, Jitter: 30 * time.Millisecond})
+	standin.Sleep(t.For, s.stop)
+	s.links(plan.Link{})
+	return nil
+}
+
+func (s *soak) links(l plan.Link) {
+	for i := range s.opt.Gateways {
+		for j := range s.opt.Gateways {
+			if i != j {
+				s.lab.Mesh().Set(i, j, l)
+			}
+		}
+	}
+}
+
+// suspendDatabase has one gateway leave a database out, while others use it, and takes it back.
+func (s *soak) suspendDatabase(t Trouble) error {
+	members := s.lab.World().Members()
+	path := "/v1/databases/" + members[t.Number%len(members)].ID
+	return s.each(t, func(i int) error {
+		node := s.lab.Node(i)
+		if _, err := node.Call("PUT", path+"/suspend"); err != nil {
+			return nil // it may have left the list meanwhile
+		}
+		standin.Sleep(t.For, s.stop)
+		_, err := node.Call("PUT", path+"/resume")
+		return err
+	})
+}
+
+// replica is one that a trouble may have, not always the same.
+func (s *soak) replica(t Trouble) *standin.Host {
+	members := s.lab.World().Members()
+	for k := range members {
+		if h := members[(t.Number*7+k)%len(members)]; h.Replica() {
+			return h
+		}
+	}
+	return members[0]
+}
+
+func (s *soak) drainDatabase(t Trouble) error {
+	h := s.replica(t)
+	h.Tell("terminating", time.Time{})
+	standin.Sleep(t.For+3*time.Second, s.stop) // beyond the grace
+	h.Tell("in_service", time.Time{})
+	return nil
+}
+
+func (s *soak) replaceDatabase(t Trouble) error {
+	return s.lab.World().Replace(s.replica(t), 4*time.Second, nil)
+}
+
+func (s *soak) databasesHang(t Trouble) error {
+	resume := s.lab.World().Pause(0.1)
+	standin.Sleep(t.For, s.stop)
+	resume()
+	return nil
+}
+
+func (s *soak) databasesHangUp(t Trouble) error {
+	for until := time.Now().Add(t.For); time.Now().Before(until); standin.Sleep(t.For/10, s.stop) {
+		for k, h := range s.lab.World().Members() {
+			if k%3 == t.Number%3 {
+				h.HangUp()
+			}
+		}
+	}
+	return nil
+}
+
+func (s *soak) connectionsLate(t Trouble) error {
+	members := s.lab.World().Members()
+	for k, h := range members {
+		if k%3 == 0 {
+			h.Late(t.For / 4)
+		}
+	}
+	standin.Sleep(t.For, s.stop)
+	for _, h := range members {
+		h.Late(0)
+	}
+	return nil
+}
+
+func (s *soak) failOver(Trouble) error {
+	s.lab.World().FailOver(0.12)
+	return nil
+}
+
+// answers is a trouble in which databases' answers go wrong.
+func answers(f standin.Faults) func(s *soak, t Trouble) error {
+	return func(s *soak, t Trouble) error {
+		s.lab.World().SetFaults(f)
+		standin.Sleep(t.For, s.stop)
+		s.lab.World().SetFaults(standin.Faults{})
+		return nil
+	}
+}
+
+func (s *soak) discoverySilent(Trouble) error {
+	s.lab.World().Mute()
+	return nil
+}
+
+func (s *soak) discoveryDown(t Trouble) error {
+	s.lab.World().Down(true)
+	standin.Sleep(t.For, s.stop)
+	s.lab.World().Down(false)
+	return nil
+}
+
+func (s *soak) discoverySpoilt(t Trouble) error {
+	for _, line := range []string{"no JSON\n", `{"seq":1,"whole":false,"hosts":[{"host":` + "\n", strings.Repeat(" ", 100) + "\n"} {
+		s.lab.World().Say(line)
+		standin.Sleep(t.For/3, s.stop)
+	}
+	return nil
+}
+
+// clients is a trouble in which bad clients come to gateways, one after the other.
+func clients(do func(c *client)) func(s *soak, t Trouble) error {
+	return func(s *soak, t Trouble) error {
+		until := time.Now().Add(t.For)
+		done := make(chan struct{})
+		for _, i := range t.Gateways {
+			go func() {
+				defer func() { done <- struct{}{} }()
+				for time.Now().Before(until) {
+					if c, err := s.client(i); err == nil {
+						do(c)
+						c.Close()
+					}
+					standin.Sleep(badClientPause, s.stop)
+				}
+			}()
+		}
+		for range t.Gateways {
+			<-done
+		}
+		return nil
+	}
+}
+
+// start runs a gateway anew.
+func (s *soak) start(i int) error {
+	_, err := s.startAs(i, s.lab.Gateway)
+	return err
+}
+
+// startAs is start with another program. A process that does not start in time is one that crashed.
+func (s *soak) startAs(i int, command []string, env ...string) (*lab.Node, error) {
+	begun := time.Now()
+	n, err := s.lab.StartAs(i, command, env...)
+	if err != nil {
+		s.judge.violated("no_start", 1, "%v", err)
+		return nil, nil
+	}
+	s.judge.started(n)
+	s.mu.Lock()
+	s.restarts++
+	s.mu.Unlock()
+	s.work.Add(1)
+	go func() {
+		defer s.work.Done()
+		if s.ready(n) {
+			s.mu.Lock()
+			s.readyTimes = append(s.readyTimes, time.Since(begun))
+			s.mu.Unlock()
+		}
+	}()
+	return n, nil
+}
+
+const readyMost = 10 * time.Second
+
+// ready waits until a process says that it serves; false: it ends first, or does not in time.
+func (s *soak) ready(n *lab.Node) bool {
+	for late := time.Now().Add(readyMost); n.Alive(); time.Sleep(20 * time.Millisecond) {
+		if _, err := n.Call("GET", "/v1/readyz"); err == nil {
+			return true
+		}
+		if time.Now().After(late) {
+			s.judge.violated("not_ready", 1, "%s within %v", n.Name, readyMost)
+			return false
+		}
+	}
+	return false
+}
--- a/internal/sys/faults.go
+++ b/internal/sys/faults.go
@@ -150,7 +150,9 @@
 	if err := f.fails(); err != nil {
 		return -1, err
 	}
-	return unix.Read(fd, f.cut(b))
+	n, err := unix.Read(fd, f.cut(b))
+	f.delays()
+	return n, err
 }
 
 // Write writes to a socket.
