Begin no attempt behind its time when the process stood still in the middle of a round

Change: they go by the clock in that moment, one more look at it for each attempt. Left: a drain that comes while a process stands still in the middle of a round binds with the next round only.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -116,7 +116,7 @@
 		return
 	}
 	st := j.attempt.Statement.(*pgwire.Statement)
-	left := (j.until - c.pool.loop.Now() + time.Millisecond - 1) / time.Millisecond
+	left := (j.until - c.pool.loop.Clock() + time.Millisecond - 1) / time.Millisecond
 	left = max(1, left)
 	c.pool.core.Begun(j.attempt, left*time.Millisecond)
 	digits := pgwire.AppendMillis(c.answer.digits[:0], int64(left))
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -270,8 +270,8 @@
 // place finds a connection for j: the one used last, or else a new one, or one that
 // comes free before that is up.
 func (p *Pool) place(j *job) {
-	h, now := j.host, p.loop.Now()
-	if h == nil || j.begin <= now {
+	h := j.host
+	if h == nil || p.late(j) {
 		p.finish(j, policy.ConnectFailed, gateway.Reply{}) // not a byte was written
 		return
 	}
@@ -290,6 +290,10 @@
 	p.fill(h)
 }
 
+// late tells that a job must not begin any more. It goes by the clock, not by the begin of the round: the process may have
+// stood still since then.
+func (p *Pool) late(j *job) bool { return j.begin <= p.loop.Clock() }
+
 // expect gives up on j where no connection is there for it within d. Time that this process has lost does not count, and
 // where there is no more of it, or of descriptors, the host is not to be blamed.
 func (p *Pool) expect(j *job, d time.Duration) {
@@ -399,7 +403,7 @@
 			return
 		}
 		h.waiting = h.waiting[1:]
-		if j.begin > p.loop.Now() {
+		if !p.late(j) {
 			c.start(j)
 			return
 		}
