--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -230,7 +230,7 @@
 // Recall gives an attempt back if its last byte is not with the kernel: it has not run and must not any more.
 func (p *Pool) Recall(a *gateway.Attempt) {
 	if j, ok := a.Link.(*job); ok && (j.conn == nil || j.conn.owes()) {
-		p.abandon(j, policy.Moot)
+		p.abandon(j, policy.NotSent)
 	}
 }
 
@@ -255,7 +255,7 @@
 		list := h.waiting
 		h.waiting = nil
 		for _, j := range list {
-			p.finish(j, policy.Moot, gateway.Reply{})
+			p.finish(j, policy.NotSent, gateway.Reply{})
 		}
 	}
 }
@@ -302,14 +302,14 @@
 		o, more := policy.ConnectFailed, p.loop.Lost()-lost
 		switch {
 		case j.begin < j.until && p.loop.Now() >= j.begin:
-			o = policy.Moot // a repeat whose window is over
+			o = policy.NotSent // a repeat whose window is over
 		case p.over(j.host, j.until) >= 0:
 			o = policy.Full // the host is well: there is no connection to be had
 		case more > 0 && p.loop.Now() < j.begin:
 			p.expect(j, more)
 			return
 		case more > 0 || j.host.shortAt >= begun:
-			o = policy.Moot
+			o = policy.NotSent
 		}
 		p.abandon(j, o)
 	})
@@ -407,7 +407,7 @@
 			c.start(j)
 			return
 		}
-		p.finish(j, policy.Moot, gateway.Reply{})
+		p.finish(j, policy.NotSent, gateway.Reply{})
 	}
 	c.idleAt = p.loop.Now()
 	h.idle = append(h.idle, c)
@@ -417,7 +417,7 @@
 // answer may yet come on it. What was not written whole cannot have run.
 func (p *Pool) abandon(j *job, o policy.Outcome) {
 	if c := j.conn; c != nil {
-		if c.owes() && o != policy.Moot {
+		if c.owes() && o != policy.NotSent {
 			o = policy.ConnectFailed
 		}
 		if c.job = nil; o == policy.Timeout || o == policy.Cancelled {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,11 +50,11 @@
 type Backends interface {
 	Send(a *Attempt)
 	Cancel(a *Attempt)
-	Recall(a *Attempt) // gives it back as Moot if it is not written whole: nothing has run
+	Recall(a *Attempt) // gives it back as NotSent if it is not written whole: nothing has run
 	Resume(a *Attempt) // its value may go on
 	Probe(host policy.HostID)
 	HangUp(host policy.HostID)
-	Withdraw(host policy.HostID) // HangUp, and what waits for a connection is given back as Moot
+	Withdraw(host policy.HostID) // HangUp, and what waits for a connection is given back as NotSent
 	Listed(kind policy.ListKind, entries []Entry)
 }
 
@@ -419,7 +419,7 @@
 // a primary may be older than what others have told since.
 func (g *Gateway) Late(host policy.HostID, r Reply) {
 	if r.Role == policy.Replica {
-		g.events = append(g.events, policy.Result{Host: host, Attempt: -1, Outcome: policy.Moot, Finished: true, Role: r.Role})
+		g.events = append(g.events, policy.Result{Host: host, Attempt: -1, Outcome: policy.NotSent, Finished: true, Role: r.Role})
 	}
 }
 
@@ -660,7 +660,7 @@
 			q.attempts = append(q.attempts, &Attempt{q: q, number: n, done: true})
 		}
 		g.events = append(g.events, policy.Result{
-			Request: s.Request, Attempt: n, Host: s.Host, Outcome: policy.Moot, Finished: true,
+			Request: s.Request, Attempt: n, Host: s.Host, Outcome: policy.NotSent, Finished: true,
 		})
 		return
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -105,7 +105,7 @@
 	assert.Equal(t, []string{"served v"}, w.said)
 	g.Step()
 	moot := r.heard[0].(policy.Result)
-	assert.Equal(t, policy.Moot, moot.Outcome)
+	assert.Equal(t, policy.NotSent, moot.Outcome)
 	assert.Equal(t, 2, moot.Attempt)
 
 	g.Resolved(w.sent[0], policy.OK, Reply{Value: []byte("w")})
@@ -172,7 +172,7 @@
 	assert.Equal(t, 3, w.listed)
 	assert.Equal(t, 1, w.askedFor)
 	g.Step()
-	assert.Equal(t, policy.Moot, r.heard[0].(policy.Result).Outcome)
+	assert.Equal(t, policy.NotSent, r.heard[0].(policy.Result).Outcome)
 	g.Probed("a", policy.OK, Reply{})
 	assert.NoError(t, loop.Run(func() bool {
 		g.Step()
@@ -193,5 +193,5 @@
 	assert.Empty(t, r.heard)
 	g.Late("p", Reply{Role: policy.Replica})
 	g.Step()
-	assert.Equal(t, []policy.Event{policy.Result{Host: "p", Attempt: -1, Outcome: policy.Moot, Finished: true, Role: policy.Replica}}, r.heard)
+	assert.Equal(t, []policy.Event{policy.Result{Host: "p", Attempt: -1, Outcome: policy.NotSent, Finished: true, Role: policy.Replica}}, r.heard)
 }
--- a/internal/wire/fields.go
+++ b/internal/wire/fields.go
@@ -88,7 +88,7 @@
 }
 
 var outcomes = map[string]policy.Outcome{
-	"0": policy.OK, "1": policy.Miss, "249": policy.Moot, "250": policy.Cancelled,
+	"0": policy.OK, "1": policy.Miss, "249": policy.NotSent, "250": policy.Cancelled,
 	"251": policy.Reset, "252": policy.ConnectFailed, "253": policy.Timeout,
 	"254": policy.Full, "255": policy.Error,
 }
--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -14,7 +14,7 @@
 	case Bounded:
 		if h := r.hosts[e.Host]; h != nil {
 			h.bounded, h.most = true, e.Most
-			r.stir(h.group)
+			r.retryWaiting(h.group)
 		}
 	case Told:
 		h := r.hosts[e.Host]
--- a/policy/list.go
+++ b/policy/list.go
@@ -15,7 +15,7 @@
 	if m.Kind != ListCached && !r.compared {
 		r.compared = true
 		for _, g := range r.groups {
-			r.stir(g)
+			r.retryWaiting(g)
 		}
 	}
 	listed := map[HostID]bool{}
@@ -41,7 +41,7 @@
 }
 
 func (r *Router) subscribe(pause, within time.Duration) {
-	r.wakeAt(r.now+pause, func() { r.do(Subscribe{Within: within}) })
+	r.wakeAt(r.now+pause, func() { r.emit(Subscribe{Within: within}) })
 }
 
 // servicePause ends at a random moment, lest all routers ask at once; later where a crowd has long kept this one out.
@@ -82,14 +82,14 @@
 		h = &host{id: e.Host, group: g, roleAt: -1, judgedAt: r.now, gap: 2 * seldom, status: e.Status,
 			first: e.Zone == r.set.Zone, sentAt: -time.Duration(r.rnd.Int64N(1 << 20)),
 			toldAt: -r.set.DrainGrace} // one that drains may have done so for long
-		r.anew(h, e.StartedAt)
+		r.resetHost(h, e.StartedAt)
 		r.hosts[e.Host] = h
 		r.order = append(r.order, h)
 		g.hosts = append(g.hosts, h)
 	}
 	h.zone = e.Zone
 	if e.StartedAt > h.startedAt {
-		r.anew(h, e.StartedAt)
+		r.resetHost(h, e.StartedAt)
 		r.learnRole(h, Replica, e.StartedAt)
 	}
 	r.setStatus(h, e.Status)
@@ -99,11 +99,11 @@
 		h.group.primary = nil
 		r.learnRole(h, Primary, max(0, h.roleAt))
 	}
-	r.stir(h.group)
+	r.retryWaiting(h.group)
 }
 
-// anew begins to learn of a process of h: its log position stands; in a large fleet it begins as average.
-func (r *Router) anew(h *host, startedAt time.Duration) {
+// resetHost begins to learn of a process of h: its log position stands; in a large fleet it begins as average.
+func (r *Router) resetHost(h *host, startedAt time.Duration) {
 	h.startedAt, h.strain, h.fails, h.budget, h.budgetAt = startedAt, 0, 0, 0, r.now
 	h.limit, h.slow = 1+8/float64(max(r.set.Routers, 1)), float64(min(1, r.set.Routers/(fewRouters+1)))
 }
@@ -112,14 +112,14 @@
 func (r *Router) onSuspended(e Suspended) {
 	r.out[e.Host] = e.Out
 	if e.Out {
-		r.do(Withdraw{Host: e.Host})
+		r.emit(Withdraw{Host: e.Host})
 	}
 	if h := r.hosts[e.Host]; h != nil {
 		r.learnRole(h, Replica, r.now)
-		if r.anew(h, r.now); !e.Out {
+		if r.resetHost(h, r.now); !e.Out {
 			h.roleAt = -1
 		}
-		r.stir(h.group)
+		r.retryWaiting(h.group)
 	}
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -70,15 +70,17 @@
 
 // group is one primary with its replicas, and the breaker on that primary.
 type group struct {
-	hosts                        []*host
-	primary                      *host // nil: unknown
-	lostAt                       time.Duration
-	fails                        int
-	openedAt                     time.Duration
-	trips                        int // of the breaker on this primary without a success between
-	waiting                      []*request
-	doubtAt                      time.Duration // when its primary came into doubt
-	open, stirred, seeking, dark bool          // stirred: one waits that may go; dark: no fresh one found
+	hosts          []*host
+	primary        *host // nil: unknown
+	lostAt         time.Duration
+	fails          int
+	openedAt       time.Duration
+	trips          int // of the breaker on this primary without a success between
+	waiting        []*request
+	doubtAt        time.Duration // when its primary came into doubt
+	open, seeking  bool
+	retrying       bool // its waiting requests are tried again at the end of the step
+	noFreshReplica bool // a read has found none
 }
 
 type attempt struct {
@@ -90,14 +92,14 @@
 
 type request struct {
 	Request
-	class     *Class
-	g         *group
-	useful    time.Duration // after this an answer earns nothing
-	attempts  []*attempt
-	out       int
-	mayRun    bool          // some attempt may have had its effect
-	mayRunAt  time.Duration // when the first such was sent
-	lookUntil time.Duration // it waits so long for fresher positions
+	class          *Class
+	g              *group
+	useful         time.Duration // after this an answer earns nothing
+	attempts       []*attempt
+	out            int
+	mayRun         bool          // some attempt may have had its effect
+	mayRunAt       time.Duration // when the first such was sent
+	positionsUntil time.Duration // it waits so long for fresher positions
 
 	waitUntil, arrived, deadline  time.Duration
 	missed, waiting, done, failed bool // failed: some attempt was
@@ -117,7 +119,7 @@
 	base          time.Duration               // marks up to here were forgotten
 	wakes         alarm.Queue
 	repeats       repeats.Bound
-	stirred       []*group
+	retryGroups   []*group // whose waiting requests are tried again at the end of the step
 	seq           uint64
 	timerAt       time.Duration    // earliest timer asked for; long if none
 	bound         time.Duration    // the tightest of a Recent class
@@ -195,30 +197,30 @@
 		}
 	}
 	r.wakes.Run(r.now)
-	for ; len(r.stirred) > 0; r.stirred = r.stirred[1:] {
-		g := r.stirred[0]
+	for ; len(r.retryGroups) > 0; r.retryGroups = r.retryGroups[1:] {
+		g := r.retryGroups[0]
 		list := g.waiting
-		g.stirred, g.waiting = false, nil
+		g.retrying, g.waiting = false, nil
 		for _, q := range list {
 			r.onWake(q)
 		}
 	}
 	if at := r.wakes.Next(); at < r.timerAt {
 		r.timerAt, r.seq = at, r.seq+1
-		r.do(Timer{After: max(0, r.timerAt-r.now), Timer: r.seq})
+		r.emit(Timer{After: max(0, r.timerAt-r.now), Timer: r.seq})
 	}
 	return r.actions
 }
 
-func (r *Router) do(a Action) { r.actions = append(r.actions, a) }
+func (r *Router) emit(a Action) { r.actions = append(r.actions, a) }
 
 func (r *Router) wakeAt(at time.Duration, do func()) { r.wakes.Add(at, do) }
 
-// stir has the waiting requests of g tried again at the end of the step.
-func (r *Router) stir(g *group) {
-	if !g.stirred && len(g.waiting) > 0 {
-		g.stirred = true
-		r.stirred = append(r.stirred, g)
+// retryWaiting has the waiting requests of g tried again at the end of the step.
+func (r *Router) retryWaiting(g *group) {
+	if !g.retrying && len(g.waiting) > 0 {
+		g.retrying = true
+		r.retryGroups = append(r.retryGroups, g)
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -188,7 +188,7 @@
 	g.at(300*ms, Probed{Host: "p"}).ask("r", recent)
 	g.wantSend("p")
 	g.at(125*ms, Result{Request: "r", Host: "p", Outcome: Timeout, Latency: 125 * ms})
-	g.at(10*ms, Result{Host: "p", Attempt: -1, Outcome: Moot, Finished: true, Role: Replica})
+	g.at(10*ms, Result{Host: "p", Attempt: -1, Outcome: NotSent, Finished: true, Role: Replica})
 	g.at(5*probeSoon, Probed{Host: "p"}).ask("s", recent)
 	g.wantSend()
 	g.at(10*probeSoon, Probed{Host: "p"}).ask("t", latest)
@@ -885,7 +885,7 @@
 	if h := g.r.hosts["p"]; h.fails != 1 {
 		t.Errorf("%d failures, though the aim has passed", h.fails)
 	}
-	g.at(0, Probed{Host: "p", Outcome: Moot})
+	g.at(0, Probed{Host: "p", Outcome: NotSent})
 	if g.r.lost != 0 {
 		t.Error("a probe that this process could not see to counts as lost")
 	}
--- a/policy/primary.go
+++ b/policy/primary.go
@@ -21,12 +21,12 @@
 		return
 	case g.primary != h:
 		g.primary, g.fails, g.trips = h, 0, 0
-		r.stir(g)
+		r.retryWaiting(g)
 	}
 	held := r.now-g.openedAt < probeSoon<<min(g.trips, 5)-probeSoon
 	if role == Primary && g.open && at > g.openedAt && !held {
 		g.open, g.fails = false, 0
-		r.stir(g)
+		r.retryWaiting(g)
 	}
 }
 
@@ -36,8 +36,8 @@
 	if g := h.group; g.primary == h && !g.open {
 		if g.fails++; g.fails >= breakerThreshold {
 			g.open, g.openedAt, g.trips = true, r.now, g.trips+1
-			r.do(Log{Text: "breaker opens on " + string(h.id)})
-			r.stir(g)
+			r.emit(Log{Text: "breaker opens on " + string(h.id)})
+			r.retryWaiting(g)
 		}
 		r.doubt(g)
 	}
@@ -62,7 +62,7 @@
 	fresh, few := false, r.set.Routers <= fewRouters
 	for _, h := range q.g.hosts {
 		switch {
-		case few && (!q.g.dark || r.now-h.sentAt < 5*seldom):
+		case few && (!q.g.noFreshReplica || r.now-h.sentAt < 5*seldom):
 		case h == q.g.primary || !r.mayTake(h, false) || h.fails > 0 && r.now-h.judgedAt < 2*seldom:
 		case h.pos > r.now-r.bound/2:
 			fresh = true
--- a/policy/probe.go
+++ b/policy/probe.go
@@ -25,12 +25,12 @@
 	soon := r.warmth(h) < 1 && r.now-h.probedAt < r.set.FallTime
 	if r.set.Probes && !h.probing && !r.left(h) && !r.out[h.id] && !soon {
 		h.probing, h.probedAt = true, r.now
-		r.do(Probe{Host: h.id})
+		r.emit(Probe{Host: h.id})
 	}
 }
 
-// look asks the two replicas that are likeliest to fit for their positions; false: there is none to wait for.
-func (r *Router) look(q *request) bool {
+// probeForPositions asks the two replicas that are likeliest to fit for their positions; false: there is none to wait for.
+func (r *Router) probeForPositions(q *request) bool {
 	var likely []*host
 	for _, i := range r.rnd.Perm(len(q.g.hosts)) {
 		if h := q.g.hosts[i]; h != q.g.primary && r.mayTake(h, false) && !r.mute && r.shouldFit(q, h) {
@@ -52,7 +52,7 @@
 		return
 	}
 	h.probing = false
-	r.stir(h.group)
+	r.retryWaiting(h.group)
 	r.onReport(h, e.Report)
 	lost, mute := 1.0, e.Report.Role == RoleUnknown
 	if e.Outcome == OK || e.Outcome == Full {
@@ -62,7 +62,7 @@
 	}
 	// A failed probe counts only after a failed request, and not while those of other hosts fail too.
 	switch {
-	case e.Outcome == Moot:
+	case e.Outcome == NotSent:
 	case h.fails == 0:
 		r.lost += smooth * (lost - r.lost)
 	case lost > 0 && h.group.fails > 0 && !r.blind():
--- a/policy/replica.go
+++ b/policy/replica.go
@@ -12,7 +12,7 @@
 	h.lag = r.now - pos
 	if pos > h.pos {
 		h.pos = pos
-		r.stir(h.group)
+		r.retryWaiting(h.group)
 	}
 }
 
--- a/policy/result.go
+++ b/policy/result.go
@@ -26,11 +26,11 @@
 	if len(h.out) == 0 && h.gap > seldom {
 		r.wakeAt(h.sentAt+seldom, func() {
 			if len(h.out) == 0 && r.now-h.sentAt >= seldom {
-				r.do(HangUp{Host: h.id})
+				r.emit(HangUp{Host: h.id})
 			}
 		})
 	}
-	r.stir(h.group)
+	r.retryWaiting(h.group)
 	if e.Outcome == OK && e.Role == Primary {
 		// It stood at the present then. A hung primary turns work away as primary: no word on its log.
 		r.learnPosition(h, a.sentAt)
@@ -51,7 +51,7 @@
 	if !q.mayRun && q.out == 0 {
 		q.mayRunAt = 0
 	}
-	q.failed = q.failed || !slices.Contains([]Outcome{OK, Miss, Moot}, e.Outcome)
+	q.failed = q.failed || !slices.Contains([]Outcome{OK, Miss, NotSent}, e.Outcome)
 	q.missed = q.missed || e.Outcome == Miss && q.class.Level == Write
 	switch {
 	case e.Finished || e.Outcome == OK || q.done:
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -29,7 +29,7 @@
 	if q.class.Repeat == Retryable || q.class.Repeat == DedupAll || !q.mayRun && q.out == 0 {
 		a = Refuse{Request: q.ID, Reason: why, RetryAfter: r.jitter(min(r.set.MaxRetryAfter*4/5, q.class.Deadline/4))}
 	}
-	r.do(a)
+	r.emit(a)
 	r.finish(q)
 }
 
@@ -37,7 +37,7 @@
 func (r *Router) finish(q *request) {
 	for i, a := range q.attempts {
 		if !q.done && !a.resolved && r.set.Cancels {
-			r.do(Cancel{Request: q.ID, Attempt: i})
+			r.emit(Cancel{Request: q.ID, Attempt: i})
 		}
 	}
 	q.done, q.waiting = true, false
--- a/policy/routing.go
+++ b/policy/routing.go
@@ -65,13 +65,13 @@
 		}
 		return
 	}
-	q.g.dark = q.g.dark || q.class.Level == Recent
-	if r.set.Behind == BehindServe && q.lookUntil == 0 && r.look(q) {
+	q.g.noFreshReplica = q.g.noFreshReplica || q.class.Level == Recent
+	if r.set.Behind == BehindServe && q.positionsUntil == 0 && r.probeForPositions(q) {
 		// Positions age faster than probes come: they are asked for before the primary is burdened.
-		q.lookUntil = r.now + q.class.Aim/8
+		q.positionsUntil = r.now + q.class.Aim/8
 	}
-	if r.now < q.lookUntil && !q.g.open {
-		r.wait(q, q.lookUntil)
+	if r.now < q.positionsUntil && !q.g.open {
+		r.wait(q, q.positionsUntil)
 		return
 	}
 	r.routePrimary(q)
@@ -159,7 +159,7 @@
 	if q.mayRun && q.class.Repeat != Retryable {
 		begin = q.mayRunAt + q.class.DedupWindow - r.set.Tick - r.now
 	}
-	r.do(Send{Request: q.ID, Host: h.id, Timeout: timeout, Begin: begin})
+	r.emit(Send{Request: q.ID, Host: h.id, Timeout: timeout, Begin: begin})
 	a := &attempt{q: q, h: h, sentAt: r.now, away: r.away}
 	q.attempts = append(q.attempts, a)
 	h.out = append(h.out, a)
--- a/policy/suspend_test.go
+++ b/policy/suspend_test.go
@@ -123,7 +123,7 @@
 	g := suspendedRig(t)
 	g.ask("q", fragile)
 	s := g.got[0].(Send)
-	g.at(ms, Suspended{Host: s.Host, Out: true}, Result{Request: "q", Host: s.Host, Outcome: Moot})
+	g.at(ms, Suspended{Host: s.Host, Out: true}, Result{Request: "q", Host: s.Host, Outcome: NotSent})
 	for _, a := range g.got {
 		if _, failed := a.(Fail); failed {
 			t.Errorf("a write that never ran is failed: %v", g.got)
--- a/policy/types.go
+++ b/policy/types.go
@@ -33,7 +33,7 @@
 	ConnectFailed         // no connection; it never ran
 	Reset                 // the connection dropped; it may have run
 	Cancelled             // called off by the router; it may have run
-	Moot                  // never sent
+	NotSent               // never sent
 	Miss                  // turned away untouched: not the primary, or too far behind
 )
 
@@ -344,7 +344,7 @@
 	Probe struct{ Host HostID }
 	// HangUp closes the idle connections to a host.
 	HangUp struct{ Host HostID }
-	// Withdraw does so, too, and gives back as Moot what waits for a connection to it.
+	// Withdraw does so, too, and gives back as NotSent what waits for a connection to it.
 	Withdraw struct{ Host HostID }
 	// Timer asks for Elapsed.
 	Timer struct {
