--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -271,9 +271,13 @@
 // comes free before that is up.
 func (p *Pool) place(j *job) {
 	h := j.host
-	if h == nil || p.late(j) {
+	switch {
+	case h == nil:
 		p.finish(j, policy.ConnectFailed, gateway.Reply{}) // not a byte was written
 		return
+	case p.late(j):
+		p.finish(j, policy.NotSent, gateway.Reply{}) // by this process's fault
+		return
 	}
 	p.trim(h, j.until)
 	for n := len(h.idle); n > 0; n = len(h.idle) {
