--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -32,7 +32,7 @@
 	quietLeast = 1 * time.Second // before the first trouble
 	quietMost  = 5 * time.Second
 	waveLeast  = 1500 * time.Millisecond // from the begin of some troubles to that of the next
-	waveMost   = 4 * time.Second
+	waveMost   = 3 * time.Second
 	waveSpread = 800 * time.Millisecond // within which the troubles of a wave begin
 	lastLeast  = 300 * time.Millisecond // how long one lasts
 	lastMost   = 2500 * time.Millisecond
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -37,7 +37,7 @@
 // Bounds of a run.
 const (
 	groupSize     = 4   // databases
-	rate          = 150 // requests a second for each twelve gateways
+	rate          = 300 // requests a second for each twelve gateways
 	heldGateways  = 3   // of which two processes may serve side by side
 	processesMost = 300
 	memoryPart    = 2                      // of the machine's: half of it
