--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -139,6 +139,7 @@
 
 // reload moves a gateway from one address of discovery to the other and back, signals in quick succession.
 func (s *soak) reload(t Trouble) error {
+	s.lab.World().Disturb()
 	for _, i := range t.Gateways {
 		node := s.lab.Node(i)
 		for k := range 5 {
@@ -324,10 +325,13 @@
 	return members[0]
 }
 
+// drainMore is how much longer than other troubles a drain lasts: beyond what any disturbance of watches excuses, and the grace.
+const drainMore = 9 * time.Second
+
 func (s *soak) drainDatabase(t Trouble) error {
 	h := s.replica(t)
 	h.Tell("terminating", time.Time{})
-	standin.Sleep(t.For+3*time.Second, s.stop) // beyond the grace
+	standin.Sleep(t.For+drainMore, s.stop)
 	h.Tell("in_service", time.Time{})
 	return nil
 }
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -99,6 +99,7 @@
 func (w *World) Mute() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.disturbed = time.Now()
 	for ch := range w.watch {
 		w.muted[ch] = true
 	}
--- a/internal/standin/script.go
+++ b/internal/standin/script.go
@@ -188,12 +188,30 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.down = yes
+	w.disturbed = time.Now()
+}
+
+// Disturb tells that gateways may lose their watches about now, for other reasons than those of this world.
+func (w *World) Disturb() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.disturbed = time.Now()
+}
+
+// toldLate is how much later than at once a change of some moment may count as told: watches were disturbed since, or a
+// little before, as one that fell silent is noticed only when its next message is due.
+func (w *World) toldLate(change time.Time) time.Duration {
+	if w.down || w.disturbed.After(change.Add(-toldWithin)) {
+		return toldWithin
+	}
+	return 0
 }
 
 // Say sends a line as it is to all that watch.
 func (w *World) Say(line string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.disturbed = time.Now()
 	w.pass([]byte(line))
 }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -73,20 +73,21 @@
 	mu  sync.Mutex
 	rnd *rand.Rand
 
-	hosts  []*Host
-	seq    int
-	named  int
-	watch  map[chan []byte]*Discovery
-	muted  map[chan []byte]bool
-	tried  map[string]bool // clients' tries that came
-	ran    map[string]int
-	counts Counts
-	faults Faults
-	closed bool
-	done   chan struct{} // closed at the end
-	wg     sync.WaitGroup
-	discs  []*Discovery // the first is that of the start
-	down   bool         // they refuse all calls
+	hosts     []*Host
+	seq       int
+	named     int
+	watch     map[chan []byte]*Discovery
+	muted     map[chan []byte]bool
+	tried     map[string]bool // clients' tries that came
+	ran       map[string]int
+	counts    Counts
+	faults    Faults
+	closed    bool
+	done      chan struct{} // closed at the end
+	wg        sync.WaitGroup
+	discs     []*Discovery // the first is that of the start
+	down      bool         // they refuse all calls
+	disturbed time.Time    // when watches were last made to fail or to fall silent
 }
 
 // Host is one database.
