--- a/cmd/lilaccove/faults_test.go
+++ b/cmd/lilaccove/faults_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"os/exec"
@@ -183,3 +184,31 @@
 	assert.Equal(t, 1, got.errs, "%+v", got)
 	assert.Equal(t, before, len(s.a.Statements())+len(s.b.Statements())+len(s.p.Statements()))
 }
+
+// stepped has the wall clock of a site's process differ from that of the others.
+func stepped(by time.Duration) func(*site) {
+	return func(s *site) {
+		s.faults = filepath.Join(s.tmp, "plan.json")
+		require.NoError(s.t, os.WriteFile(s.faults, fmt.Appendf(nil, `{"wall_step_ms":%d}`, by.Milliseconds()), 0o600))
+	}
+}
+
+// A process that was started after its machine's wall clock was stepped lives with that clock. Replicas go on serving reads
+// of bounded age that are fresh by what databases tell, whichever way the clock is off.
+func TestReplicasServeOverAClockStep(t *testing.T) {
+	t.Parallel()
+	for _, step := range []time.Duration{-time.Hour, -3 * time.Second, 3 * time.Second, time.Hour} {
+		t.Run(step.String(), func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, func(s *site) {
+				s.t = t
+				stepped(step)(s)
+			})
+			c := s.client()
+			s.eventually("replicas serve", func() bool {
+				c.ask(stmt("browse", 1000, ""))
+				return len(s.a.Statements())+len(s.b.Statements()) > 3
+			})
+		})
+	}
+}
