Add a failing test: old data is read behind a clock step, and mend the one on replicas over a step

The first version of TestReplicasServeOverAClockStep was wrong: it failed without a step as well, for no read had told positions. TestNoOldDataOverAClockStep: a process whose clock is 3 s behind reads replicas that are 5 s behind where 3 s are allowed; the other steps keep the bound.

--- a/cmd/lilaccove/faults_test.go
+++ b/cmd/lilaccove/faults_test.go
@@ -197,7 +197,7 @@
 // of bounded age that are fresh by what databases tell, whichever way the clock is off.
 func TestReplicasServeOverAClockStep(t *testing.T) {
 	t.Parallel()
-	for _, step := range []time.Duration{-time.Hour, -3 * time.Second, 3 * time.Second, time.Hour} {
+	for _, step := range []time.Duration{0, -time.Hour, -3 * time.Second, 3 * time.Second, time.Hour} {
 		t.Run(step.String(), func(t *testing.T) {
 			t.Parallel()
 			s := newSite(t, func(s *site) {
@@ -206,9 +206,34 @@
 			})
 			c := s.client()
 			s.eventually("replicas serve", func() bool {
+				c.ask(stmt("own", 1000, "")) // any member answers, and tells how far it has come
+				before := len(s.a.Statements()) + len(s.b.Statements())
 				c.ask(stmt("browse", 1000, ""))
-				return len(s.a.Statements())+len(s.b.Statements()) > 3
+				return len(s.a.Statements())+len(s.b.Statements()) > before
 			})
 		})
 	}
 }
+
+// Nor do such processes read data that is older than a class allows: its bound is three seconds here.
+func TestNoOldDataOverAClockStep(t *testing.T) {
+	t.Parallel()
+	for _, step := range []time.Duration{0, -time.Hour, -3 * time.Second, 3 * time.Second, time.Hour} {
+		t.Run(step.String(), func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, func(s *site) {
+				s.t = t
+				stepped(step)(s)
+			})
+			s.a.Fall(5 * time.Second)
+			s.b.Fall(5 * time.Second)
+			c := s.client()
+			for range 60 {
+				c.ask(stmt("own", 1000, "")) // any member answers, and tells how far it has come
+				before := len(s.a.Statements()) + len(s.b.Statements())
+				c.ask(stmt("browse", 1000, ""))
+				assert.Equal(t, before, len(s.a.Statements())+len(s.b.Statements()), "both replicas are five seconds behind")
+			}
+		})
+	}
+}
