--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -112,10 +112,7 @@
 // end ends a process in order. What it has read it owes; nothing is excused but the time in which nobody listens.
 func (s *soak) end(t Trouble) error {
 	return s.each(t, func(i int) error {
-		node := s.lab.Node(i)
-		if err := node.Term(); err != nil {
-			s.judge.violated("no_end", 1, "%v", err)
-		}
+		s.term(s.lab.Node(i))
 		standin.Sleep(restartPause, s.stop)
 		return s.start(i)
 	})
@@ -170,7 +167,8 @@
 // heldOf is a gateway whose socket the lab holds, in a trouble's place for one.
 func (s *soak) heldOf(t Trouble) int { return s.lab.Held[t.Gateways[0]%len(s.lab.Held)] }
 
-func (s *soak) upgrade(t Trouble) error {
+// beside starts a second process of a gateway whose socket the lab holds, waits until it is ready, and does something to both.
+func (s *soak) beside(t Trouble, do func(i int, old, next *lab.Node) error) error {
 	i := s.heldOf(t)
 	if !s.take(i) {
 		return nil
@@ -180,36 +178,40 @@
 	if err := s.start(i); err != nil {
 		return err
 	}
-	s.ready(s.lab.Node(i))
-	if err := old.Term(); err != nil {
+	next := s.lab.Node(i)
+	s.ready(next)
+	return do(i, old, next)
+}
+
+// term ends a process in order; one that does not end in time is a violation.
+func (s *soak) term(n *lab.Node) {
+	if err := n.Term(); err != nil {
 		s.judge.violated("no_end", 1, "%v", err)
 	}
-	return nil
+}
+
+func (s *soak) upgrade(t Trouble) error {
+	return s.beside(t, func(_ int, old, _ *lab.Node) error {
+		s.term(old)
+		return nil
+	})
 }
 
 // successorKilled kills the process beside an old one that has begun to leave to it.
 func (s *soak) successorKilled(t Trouble) error {
-	i := s.heldOf(t)
-	if !s.take(i) {
-		return nil
-	}
-	defer s.giveBack(i)
-	old := s.lab.Node(i)
-	if err := s.start(i); err != nil {
+	return s.beside(t, func(i int, old, next *lab.Node) error {
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			s.term(old)
+		}()
+		standin.Sleep(t.For/10, s.stop)
+		defer s.judge.excuse(old.Name)()
+		next.Kill()
+		err := s.start(i)
+		<-ended
 		return err
-	}
-	next := s.lab.Node(i)
-	s.ready(next)
-	ended := make(chan error, 1)
-	go func() { ended <- old.Term() }()
-	standin.Sleep(t.For/10, s.stop)
-	defer s.judge.excuse(old.Name)()
-	next.Kill()
-	err := s.start(i)
-	if err := <-ended; err != nil {
-		s.judge.violated("no_end", 1, "%v", err)
-	}
-	return err
+	})
 }
 
 // systemCalls has a gateway's process followed by one whose system calls fail for a while.
@@ -219,9 +221,7 @@
 	}
 	rnd := rand.New(rand.NewPCG(s.opt.Seed, uint64(t.Number)))
 	return s.each(t, func(i int) error {
-		if err := s.lab.Node(i).Term(); err != nil {
-			s.judge.violated("no_end", 1, "%v", err)
-		}
+		s.term(s.lab.Node(i))
 		path := filepath.Join(s.folder, fmt.Sprintf("faults-%d-%d.json", t.Number, i))
 		text, err := json.Marshal(map[string]any{"seed": s.opt.Seed, "faults": systemFaults(rnd, t.For)})
 		if err == nil {
