--- a/internal/calibrate/calibrate.go
+++ b/internal/calibrate/calibrate.go
@@ -11,7 +11,6 @@
 	"math"
 	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -384,11 +383,7 @@
 		return s, err
 	}
 	s.cpu, s.monitor = all-monitor, monitor
-	if text, err = os.ReadFile(fmt.Sprintf("/proc/%d/statm", n.Pid())); err != nil {
-		return s, err
-	}
-	pages, _ := strconv.ParseFloat(strings.Fields(string(text))[1], 64)
-	s.memory = pages * float64(os.Getpagesize()) / (1 << 20)
+	s.memory = lab.Resident(n.Pid()) / (1 << 20)
 	return s, nil
 }
 
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -10,8 +10,6 @@
 	"path/filepath"
 	"runtime"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -426,7 +424,7 @@
 
 // sample looks at the run itself each second, and ends it where it would pass its bounds.
 func (r *Run) sample(cancel context.CancelCauseFunc) {
-	total := machineMemory()
+	total := lab.MachineMemory()
 	var late wan.Lateness
 	done := make(chan struct{})
 	defer close(done)
@@ -510,18 +508,6 @@
 	return list
 }
 
-// machineMemory in bytes.
-func machineMemory() float64 {
-	text, _ := os.ReadFile("/proc/meminfo")
-	_, rest, _ := strings.Cut(string(text), "MemTotal:")
-	f := strings.Fields(rest)
-	if len(f) == 0 {
-		return 0
-	}
-	kb, _ := strconv.ParseFloat(f[0], 64)
-	return kb * 1024
-}
-
 // close ends all that was started.
 func (r *Run) close() {
 	r.load.close()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -6,10 +6,7 @@
 	"fmt"
 	"io"
 	"os"
-	"path/filepath"
-	"runtime"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -300,19 +297,19 @@
 // measure watches how many processes there are and what memory they and this one hold; beyond the bounds the run is invalid.
 func (s *soak) measure() {
 	defer s.work.Done()
-	most := machineMemory() / memoryPart
+	most := lab.MachineMemory() / memoryPart
 	for {
-		processes, memory := 0, residentMB(os.Getpid())
+		processes, bytes := 0, lab.Resident(os.Getpid())
 		for i := range s.opt.Gateways {
 			if n := s.lab.Node(i); n.Alive() {
 				processes++
-				memory += residentMB(n.Pid())
+				bytes += lab.Resident(n.Pid())
 			}
 		}
 		s.mu.Lock()
-		s.processes, s.memory = max(s.processes, processes), max(s.memory, memory)
-		if most > 0 && memory > most {
-			s.invalid = fmt.Sprintf("%d MB are held, %d are the most", memory, most)
+		s.processes, s.memory = max(s.processes, processes), max(s.memory, int(bytes)>>20)
+		if most > 0 && bytes > most {
+			s.invalid = fmt.Sprintf("%.0f bytes of memory are held, %.0f are the most", bytes, most)
 		}
 		s.mu.Unlock()
 		if !standin.Sleep(time.Second, s.stop) {
@@ -320,28 +317,3 @@
 		}
 	}
 }
-
-// residentMB is what a process holds of the machine's memory; 0: it has ended.
-func residentMB(pid int) int {
-	text, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "statm"))
-	fields := strings.Fields(string(text))
-	if err != nil || len(fields) < 2 {
-		return 0
-	}
-	pages, _ := strconv.Atoi(fields[1])
-	return pages * os.Getpagesize() >> 20
-}
-
-// machineMemory is the machine's, in MB; 0: nobody knows.
-func machineMemory() int {
-	if runtime.GOOS != "linux" {
-		return 0
-	}
-	text, err := os.ReadFile("/proc/meminfo")
-	fields := strings.Fields(string(text))
-	if err != nil || len(fields) < 2 {
-		return 0
-	}
-	kb, _ := strconv.Atoi(fields[1])
-	return kb >> 10
-}
