--- a/policy/list.go
+++ b/policy/list.go
@@ -44,15 +44,17 @@
 	r.wakeAt(r.now+pause, func() { r.emit(Subscribe{Within: within}) })
 }
 
-// servicePause ends at a random moment, lest all routers ask at once; later where a crowd has long kept this one out.
+// servicePause ends at a random moment, lest all routers ask at once; later where a crowd has long kept this
+// one out.
 func (r *Router) servicePause(routers int) time.Duration {
 	most := min(askMost<<min(max(0, r.crowded-crowdMost), 8), max(askMost, 2*r.set.MustAskIn))
 	span := min(askPace*time.Duration(max(0, routers)), most)
 	return time.Duration(r.rnd.Int64N(int64(span) + 1))
 }
 
-// agentTime is by when an agent has to go on with an answer. What it has counts as told whether it was heard or not, and a
-// drain binds after its grace: a call that hangs, a pause and the next call have to fit into that, and a hold-up besides.
+// agentTime is by when an agent has to go on with an answer. What it has counts as told whether it was heard or
+// not, and a drain binds after its grace: a call that hangs, a pause and the next call have to fit into that, and
+// a hold-up besides.
 func (r *Router) agentTime() time.Duration {
 	return min(max(r.set.DrainGrace/agentPart, agentLeast), callMost)
 }
@@ -65,8 +67,8 @@
 	return r.agentTime() / 2
 }
 
-// mayAct tells whether requests may be sent by the list as it is known. What an agent has counts as told from the first
-// moment on, so the list of the start is compared with it before.
+// mayAct tells whether requests may be sent by the list as it is known. What an agent has counts as told from
+// the first moment on, so the list of the start is compared with it before.
 func (r *Router) mayAct() bool {
 	return r.set.List != ListFromAgent || r.compared || r.now >= r.begunAt+CompareTime
 }
@@ -102,7 +104,8 @@
 	r.retryWaiting(h.group)
 }
 
-// resetHost begins to learn of a process of h: its log position stands; in a large fleet it begins as average.
+// resetHost begins to learn of a process of h: its log position stands; in a large fleet it begins as
+// average.
 func (r *Router) resetHost(h *host, startedAt time.Duration) {
 	h.startedAt, h.strain, h.fails, h.budget, h.budgetAt = startedAt, 0, 0, 0, r.now
 	h.limit, h.slow = 1+8/float64(max(r.set.Routers, 1)), float64(min(1, r.set.Routers/(fewRouters+1)))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -17,7 +17,7 @@
 	askPace          = 100 * time.Millisecond  // between two calls to discovery, of all routers together
 	askMost          = 2500 * time.Millisecond // of waiting for such a call: what is told binds, heard or not
 	callMost         = 2500 * time.Millisecond // without an answer; discovery gives up on a call well before
-	agentPart        = 4                       // of the grace of a drain, in which an agent has to answer a call
+	agentPart        = 4                       // of a drain's grace, in which an agent has to answer
 	agentLeast       = 20 * time.Millisecond   // for an answer from this machine, however short that grace is
 	crowdMost        = 4                       // calls in a row lost to a crowd, before they get rarer
 	probePace        = 25 * time.Millisecond   // between probes of a mute primary, of all routers together
@@ -134,7 +134,7 @@
 	ease          float64          // 0 to 1: how far cold hosts, all together, answer in good time
 	easeAt, since time.Duration
 	begunAt       time.Duration // the first Step; negative: there was none
-	compared      bool          // a list has been told since then, so that the one of the start is not acted on alone
+	compared      bool          // a list has been told since then
 	fenced        bool          // no writes are taken
 	crowded       int           // calls in a row that discovery had no time for
 	away, missed  time.Duration // in which this process was not there to see what came: all in all, and now
--- a/policy/result.go
+++ b/policy/result.go
@@ -58,7 +58,8 @@
 		r.finish(q)
 	case q.out > 0:
 	case again, q.missed && q.g.primary != nil && q.tried(q.g.primary), e.Outcome == Full && h == q.g.primary:
-		r.giveUp(q, RetryPointless) // the request itself fails, most likely, or a retry would add load where there is no room
+		// The request itself fails, most likely, or a retry would add load where there is no room.
+		r.giveUp(q, RetryPointless)
 	default:
 		r.route(q)
 	}
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -27,7 +27,8 @@
 func (r *Router) giveUp(q *request, why Reason) {
 	var a Action = Fail{Request: q.ID, Reason: why}
 	if q.class.Repeat == Retryable || q.class.Repeat == DedupAll || !q.mayRun && q.out == 0 {
-		a = Refuse{Request: q.ID, Reason: why, RetryAfter: r.jitter(min(r.set.MaxRetryAfter*4/5, q.class.Deadline/4))}
+		after := r.jitter(min(r.set.MaxRetryAfter*4/5, q.class.Deadline/4))
+		a = Refuse{Request: q.ID, Reason: why, RetryAfter: after}
 	}
 	r.emit(a)
 	r.finish(q)
