--- a/policy/list.go
+++ b/policy/list.go
@@ -52,9 +52,9 @@
 	return time.Duration(r.rnd.Int64N(int64(span) + 1))
 }
 
-// agentTime is by when an agent has to go on with an answer. What it has counts as told whether it was heard or
-// not, and a drain binds after its grace: a call that hangs, a pause and the next call have to fit into that, and
-// a hold-up besides.
+// agentTime is by when an agent has to go on with an answer. What it has counts as told whether it was heard
+// or not, and a drain binds after its grace: a call that hangs, a pause and the next call have to fit into
+// that, and a hold-up besides.
 func (r *Router) agentTime() time.Duration {
 	return min(max(r.set.DrainGrace/agentPart, agentLeast), callMost)
 }
--- a/policy/probe.go
+++ b/policy/probe.go
@@ -29,8 +29,8 @@
 	}
 }
 
-// probeForPositions asks the two replicas that are likeliest to fit for their positions; false: there is none to
-// wait for.
+// probeForPositions asks the two replicas that are likeliest to fit for their positions; false: there is none
+// to wait for.
 func (r *Router) probeForPositions(q *request) bool {
 	var likely []*host
 	for _, i := range r.rnd.Perm(len(q.g.hosts)) {
