--- a/internal/handover/faults_test.go
+++ b/internal/handover/faults_test.go
@@ -98,3 +98,25 @@
 	join(t, dir).Poll(ignore)
 	assert.NoFileExists(t, half)
 }
+
+// A word of another process that is read while this one takes a word of its own is acted on by the next poll, and until then
+// the other is not told that it was.
+func TestWordReadBesideAnotherIsActedOn(t *testing.T) {
+	for name, say := range map[string]func(s *Share){
+		"suspend": func(s *Share) { s.Suspend("a", true, 2*sec) },
+		"drain":   func(s *Share) { s.Drain(true, 2*sec) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			old, next := join(t, dir), join(t, dir)
+			next.Suspend("b", true, sec)
+			say(old)
+			assert.False(t, next.Agreed(), "the old process has not acted on it")
+			var seen State
+			old.Poll(func(s State) { seen = s })
+			assert.True(t, seen.Suspended["b"].On)
+			next.Poll(ignore)
+			assert.True(t, next.Agreed())
+		})
+	}
+}
