Hand over words that were read while another was taken, and tell of them as acted on only then

Cause: Share.Suspend and Drain read the state since words are placed behind all known ones; what that merged was neither handed over by a poll, as the state's time was noted, nor held back from acted. Change: read notes that there are words to hand over, Poll does so, acted waits. The comment of others says what it does.

--- a/internal/handover/share.go
+++ b/internal/handover/share.go
@@ -30,16 +30,17 @@
 
 // Share is this process's part of the directory.
 type Share struct {
-	dir    string
-	state  State
-	own    *os.File // locked as long as this process lives; holds the newest word that it has acted on
-	mtime  time.Time
-	size   int64
-	owed   bool     // state has words that the directory may lack: a write failed
-	acked  int64    // the newest word that own holds
-	beside []string // the other processes that lived when they were last looked at
-	odd    string   // the last thing found wrong, which is not logged again at once
-	oddAt  time.Time
+	dir     string
+	state   State
+	own     *os.File // locked as long as this process lives; holds the newest word that it has acted on
+	mtime   time.Time
+	size    int64
+	unacted bool     // state has words of others that Poll has not handed over
+	owed    bool     // state has words that the directory may lack: a write failed
+	acked   int64    // the newest word that own holds
+	beside  []string // the other processes that lived when they were last looked at
+	odd     string   // the last thing found wrong, which is not logged again at once
+	oddAt   time.Time
 }
 
 // Join enters the directory and takes over the state that lies there. One that cannot be read is
@@ -59,6 +60,7 @@
 		} // else another process looked at it before it was locked, and took it for a dead one's
 	}
 	s.read()
+	s.unacted = false // the caller begins with State
 	s.acted()
 	return s, nil
 }
@@ -94,9 +96,11 @@
 // that this one did not know. It calls act with what is agreed on then. What failed before is tried again.
 func (s *Share) Poll(act func(State)) (others bool) {
 	if info, err := os.Stat(s.path()); err == nil && (info.ModTime() != s.mtime || info.Size() != s.size) {
-		if s.read() {
-			act(s.state)
-		}
+		s.read()
+	}
+	if s.unacted {
+		act(s.state)
+		s.unacted = false
 	}
 	if s.owed {
 		s.write()
@@ -119,8 +123,8 @@
 
 func (s *Share) path() string { return filepath.Join(s.dir, statePath) }
 
-// others are the files of the other processes that live. Those that the dead left are removed. What cannot be looked at just
-// now says nothing: it is taken for what it was before, for one that lives if it is new.
+// others are the files of the other processes that live. Those that the dead left are removed. A file that cannot be looked at
+// just now is taken for a living one's, and where the directory cannot be read all is as it was.
 func (s *Share) others() []string {
 	entries, err := os.ReadDir(s.dir)
 	if err != nil {
@@ -187,7 +191,7 @@
 // acted writes the newest word that this process has acted on where the others look, unless it stands there.
 func (s *Share) acted() {
 	newest := s.state.at()
-	if newest == s.acked {
+	if s.unacted || newest == s.acked {
 		return
 	}
 	if _, err := s.own.WriteAt(fmt.Appendf(nil, "%0*d", seenDigits, newest), 0); err != nil {
@@ -197,11 +201,11 @@
 	s.acked = newest
 }
 
-// read merges what lies in the directory; it tells whether there was anything new.
-func (s *Share) read() (changed bool) {
+// read merges what lies in the directory. Words that this process did not know are for Poll to hand over, whoever reads them.
+func (s *Share) read() {
 	info, err := os.Stat(s.path())
 	if errors.Is(err, fs.ErrNotExist) {
-		return false
+		return
 	}
 	var text []byte
 	if err == nil && info.Size() > mostState {
@@ -211,7 +215,7 @@
 	}
 	if err != nil && (info == nil || info.Size() <= mostState) {
 		s.complain(err) // it may be readable the next time
-		return false
+		return
 	}
 	s.mtime, s.size = info.ModTime(), info.Size()
 	var found State
@@ -220,13 +224,12 @@
 	}
 	if err != nil {
 		s.complain(err)
-		return false
+		return
 	}
-	changed = s.state.merge(found)
+	s.unacted = s.state.merge(found) || s.unacted
 	if found.merge(State{Suspended: s.state.Suspended, Drained: s.state.Drained}) {
 		s.write() // another process wrote at the same time and did not know ours
 	}
-	return changed
 }
 
 // write puts the state in place whole: a reader finds the old one or the new one.
