Give operators' answers, violations and outcomes that may have run one place each

Read once more: the guard of an operator's yes stood behind the very check that it repeats and a drain's yes went round it; now all answers to words go through operations.tell. What counts as may have run stood in policy and in gateway (Outcome.MayHaveRun); violations were formatted beside stats.Named; the hold of the empty query repeated servable; two checks of drains and two set-ups of clock steps in tests are one each, with their assertions.

--- a/cmd/lilaccove/agent_test.go
+++ b/cmd/lilaccove/agent_test.go
@@ -20,18 +20,6 @@
 	s.settings = strings.Replace(s.settings, `"DrainGraceUs":2000000`, `"DrainGraceUs":250000`, 1)
 }
 
-// leaves checks that a database gets nothing new from a moment on, however many ask.
-func (s *site) leaves(d *database, from time.Time) {
-	s.t.Helper()
-	time.Sleep(time.Until(from))
-	n := len(d.Statements())
-	c := s.client()
-	for range 20 {
-		assert.NotEmpty(s.t, c.ask(stmt("own", 1000, "")).value)
-	}
-	assert.Len(s.t, d.Statements(), n, "it drains")
-}
-
 // What an agent has counts as told whether or not a watch is open. So it is asked again within the grace of a drain, however
 // it failed and however many gateways there are: it is this machine's own.
 func TestAgentIsAskedAgainAtOnce(t *testing.T) {
--- a/cmd/lilaccove/faults_test.go
+++ b/cmd/lilaccove/faults_test.go
@@ -43,9 +43,14 @@
 
 // failing has the system calls of a site's process go wrong.
 func failing(faults string) func(*site) {
+	return planned(`{"seed":7,"faults":[` + faults + `]}`)
+}
+
+// planned has a site's process read a plan.
+func planned(text string) func(*site) {
 	return func(s *site) {
 		s.faults = filepath.Join(s.tmp, "plan.json")
-		require.NoError(s.t, os.WriteFile(s.faults, []byte(`{"seed":7,"faults":[`+faults+`]}`), 0o600))
+		require.NoError(s.t, os.WriteFile(s.faults, []byte(text), 0o600))
 	}
 }
 
@@ -187,53 +192,49 @@
 
 // stepped has the wall clock of a site's process differ from that of the others.
 func stepped(by time.Duration) func(*site) {
-	return func(s *site) {
-		s.faults = filepath.Join(s.tmp, "plan.json")
-		require.NoError(s.t, os.WriteFile(s.faults, fmt.Appendf(nil, `{"wall_step_ms":%d}`, by.Milliseconds()), 0o600))
-	}
+	return planned(fmt.Sprintf(`{"wall_step_ms":%d}`, by.Milliseconds()))
 }
 
-// A process that was started after its machine's wall clock was stepped lives with that clock. Replicas go on serving reads
-// of bounded age that are fresh by what databases tell, whichever way the clock is off.
-func TestReplicasServeOverAClockStep(t *testing.T) {
-	t.Parallel()
+// overClockSteps starts a site behind each of some steps, none among them, and does something with it.
+func overClockSteps(t *testing.T, do func(t *testing.T, s *site)) {
 	for _, step := range []time.Duration{0, -time.Hour, -3 * time.Second, 3 * time.Second, time.Hour} {
 		t.Run(step.String(), func(t *testing.T) {
 			t.Parallel()
-			s := newSite(t, func(s *site) {
+			do(t, newSite(t, func(s *site) {
 				s.t = t
 				stepped(step)(s)
-			})
-			c := s.client()
-			s.eventually("replicas serve", func() bool {
-				c.ask(stmt("own", 1000, "")) // any member answers, and tells how far it has come
-				before := len(s.a.Statements()) + len(s.b.Statements())
-				c.ask(stmt("browse", 1000, ""))
-				return len(s.a.Statements())+len(s.b.Statements()) > before
-			})
+			}))
 		})
 	}
 }
 
+// A process that was started after its machine's wall clock was stepped lives with that clock. Replicas go on serving reads
+// of bounded age that are fresh by what databases tell, whichever way the clock is off.
+func TestReplicasServeOverAClockStep(t *testing.T) {
+	t.Parallel()
+	overClockSteps(t, func(_ *testing.T, s *site) {
+		c := s.client()
+		s.eventually("replicas serve", func() bool {
+			c.ask(stmt("own", 1000, "")) // any member answers, and tells how far it has come
+			before := len(s.a.Statements()) + len(s.b.Statements())
+			c.ask(stmt("browse", 1000, ""))
+			return len(s.a.Statements())+len(s.b.Statements()) > before
+		})
+	})
+}
+
 // Nor do such processes read data that is older than a class allows: its bound is three seconds here.
 func TestNoOldDataOverAClockStep(t *testing.T) {
 	t.Parallel()
-	for _, step := range []time.Duration{0, -time.Hour, -3 * time.Second, 3 * time.Second, time.Hour} {
-		t.Run(step.String(), func(t *testing.T) {
-			t.Parallel()
-			s := newSite(t, func(s *site) {
-				s.t = t
-				stepped(step)(s)
-			})
-			s.a.Fall(5 * time.Second)
-			s.b.Fall(5 * time.Second)
-			c := s.client()
-			for range 60 {
-				c.ask(stmt("own", 1000, "")) // any member answers, and tells how far it has come
-				before := len(s.a.Statements()) + len(s.b.Statements())
-				c.ask(stmt("browse", 1000, ""))
-				assert.Equal(t, before, len(s.a.Statements())+len(s.b.Statements()), "both replicas are five seconds behind")
-			}
-		})
-	}
+	overClockSteps(t, func(t *testing.T, s *site) {
+		s.a.Fall(5 * time.Second)
+		s.b.Fall(5 * time.Second)
+		c := s.client()
+		for range 60 {
+			c.ask(stmt("own", 1000, "")) // any member answers, and tells how far it has come
+			before := len(s.a.Statements()) + len(s.b.Statements())
+			c.ask(stmt("browse", 1000, ""))
+			assert.Equal(t, before, len(s.a.Statements())+len(s.b.Statements()), "both replicas are five seconds behind")
+		}
+	})
 }
--- a/cmd/lilaccove/operations.go
+++ b/cmd/lilaccove/operations.go
@@ -128,16 +128,24 @@
 	o.agree(now)
 }
 
+// kept tells whether a successor would know all words that were given here.
+func (o *operations) kept() bool { return o.share == nil || o.share.Kept() }
+
+// tell answers an operator. All answers to words go through it, so that a yes for one that is not kept shows.
+func (o *operations) tell(then func(kept bool), yes bool) {
+	o.guard.Keeping(!yes || o.kept())
+	then(yes)
+}
+
 // agreed tells whether all words that were given here are kept, and have been acted on by the process beside this one.
 func (o *operations) agreed() bool {
-	return o.share == nil || o.share.Kept() && (!o.beside || o.share.Agreed())
+	return o.kept() && (!o.beside || o.share.Agreed())
 }
 
 // await calls then when all agree on the words given so far, or after agreeTime.
 func (o *operations) await(then func(kept bool)) {
 	if o.agreed() {
-		o.guard.Keeping(o.share == nil || o.share.Kept())
-		then(true)
+		o.tell(then, true)
 		return
 	}
 	o.agreeing = append(o.agreeing, agreement{until: o.loop.Now() + agreeTime, then: then})
@@ -196,7 +204,7 @@
 // agree gives the answers that have waited long enough.
 func (o *operations) agree(now time.Duration) {
 	for len(o.agreeing) > 0 && o.agreeing[0].until <= now {
-		o.agreeing[0].then(o.share.Kept())
+		o.tell(o.agreeing[0].then, o.share.Kept())
 		o.agreeing = o.agreeing[1:]
 	}
 }
@@ -322,13 +330,11 @@
 	log.Printf("event=drain on=%t clients=%d owed=%d", on, o.front.Clients(), o.core.Owed())
 	o.drainHere = on
 	o.drain()
-	if o.share == nil {
-		then(true)
-		return
+	if o.share != nil {
+		o.share.Drain(on, o.loop.Now())
 	}
-	o.share.Drain(on, o.loop.Now())
-	if o.share.Kept() { // the process beside this one is not waited for: it lets clients go as soon as it knows
-		then(true)
+	if o.kept() { // the process beside this one is not waited for: it lets clients go as soon as it knows
+		o.tell(then, true)
 		return
 	}
 	o.await(then)
@@ -393,7 +399,7 @@
 // check is called behind each round: it begins to serve, and exits once nothing is owed.
 func (o *operations) check() {
 	if !o.ending {
-		o.front.Hold(o.comparing() || o.links != nil && (!o.links.CaughtUp() || o.links.Fenced()))
+		o.front.Hold(!o.servable() || o.links != nil && o.links.Fenced())
 		if err := o.open(); err != nil {
 			log.Printf("event=not_open err=%q", err)
 			o.loop.Stop()
--- a/cmd/lilaccove/watch_test.go
+++ b/cmd/lilaccove/watch_test.go
@@ -139,13 +139,19 @@
 // drains has a leave discovery's list for the draining ones, and checks that it gets nothing once that binds.
 func (s *site) drains(binding time.Time) {
 	s.t.Helper()
-	time.Sleep(time.Until(binding.Add(2 * time.Second))) // the grace in the settings
-	n := len(s.a.Statements())
+	s.leaves(s.a, binding.Add(2*time.Second)) // the grace in the settings
+}
+
+// leaves checks that a database gets nothing new from a moment on, however many ask.
+func (s *site) leaves(d *database, from time.Time) {
+	s.t.Helper()
+	time.Sleep(time.Until(from))
+	n := len(d.Statements())
 	c := s.client()
 	for range 20 {
 		assert.NotEmpty(s.t, c.ask(stmt("own", 1000, "")).value)
 	}
-	assert.Len(s.t, s.a.Statements(), n, "it drains")
+	assert.Len(s.t, d.Statements(), n, "it drains")
 }
 
 // A watch that says nothing any more is opened anew before what it does not tell binds, however it came to fall silent,
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -205,10 +205,7 @@
 
 // Metrics adds what was violated and given up, and the figures of the fleet, a line each; without one there are none.
 func (s *Side) Metrics(b []byte) []byte {
-	for n, name := range invariant.AllNames() {
-		b = fmt.Appendf(b, "edge_gw.violations.%s=%d\n", name, s.Guard.Count(invariant.Name(n)))
-	}
-	b = s.Core.GivenUp(b)
+	b = s.Core.GivenUp(s.Guard.Metrics(b))
 	if s.Links == nil {
 		return b
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -399,7 +399,7 @@
 		g.counts.Of(q.Class).Passed++
 		q.Client.Served(r.Value)
 	}
-	if mayRun(o) && !q.mayRun {
+	if o.MayHaveRun() && !q.mayRun {
 		q.mayRun, q.mayRunAt = true, a.sentAt
 	}
 	g.settle(q)
@@ -410,11 +410,6 @@
 	g.release(q)
 }
 
-// mayRun tells whether an attempt that ended so may have had its effect.
-func mayRun(o policy.Outcome) bool {
-	return o == policy.Error || o == policy.Timeout || o == policy.Reset || o == policy.Cancelled
-}
-
 // Late takes what a database answered to an attempt that was given up: that it is a replica counts as told. That it was
 // a primary may be older than what others have told since.
 func (g *Gateway) Late(host policy.HostID, r Reply) {
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"lilaccove/internal/stats"
 	"lilaccove/policy"
 )
 
@@ -63,7 +64,7 @@
 type Guard struct {
 	set    policy.Settings
 	report func(Violation)
-	counts [Names]uint64
+	counts *stats.Named
 	hosts  map[policy.HostID]*host
 }
 
@@ -77,7 +78,7 @@
 
 // New makes a guard by the settings of a gateway; each violation is reported.
 func New(set policy.Settings, report func(Violation)) *Guard {
-	return &Guard{set: set, report: report, hosts: map[policy.HostID]*host{}}
+	return &Guard{set: set, report: report, counts: stats.NewNamed("violations", texts[:]), hosts: map[policy.HostID]*host{}}
 }
 
 // Count is how often something was violated.
@@ -85,12 +86,15 @@
 	if g == nil {
 		return 0
 	}
-	return g.counts[n]
+	return g.counts.Count(int(n))
 }
 
+// Metrics adds the figures, a line each.
+func (g *Guard) Metrics(b []byte) []byte { return g.counts.Append(b) }
+
 // violated counts and reports.
 func (g *Guard) violated(v Violation) {
-	g.counts[v.Name]++
+	g.counts.Add(int(v.Name))
 	g.report(v)
 }
 
--- a/internal/stats/named.go
+++ b/internal/stats/named.go
@@ -21,6 +21,9 @@
 	}
 }
 
+// Count is what was counted under one of the names.
+func (n *Named) Count(i int) uint64 { return n.counts[i] }
+
 // Append adds all figures, a line each.
 func (n *Named) Append(b []byte) []byte {
 	for i, name := range n.names {
--- a/policy/result.go
+++ b/policy/result.go
@@ -47,7 +47,7 @@
 	}
 	again := e.Outcome == Error && q.mayRun // an error of a request that may have run before
 	r.judge(a, e.Outcome, e.Latency, again)
-	q.mayRun = q.mayRun || slices.Contains([]Outcome{Error, Timeout, Reset, Cancelled}, e.Outcome)
+	q.mayRun = q.mayRun || e.Outcome.MayHaveRun()
 	if !q.mayRun && q.out == 0 {
 		q.mayRunAt = 0
 	}
--- a/policy/types.go
+++ b/policy/types.go
@@ -37,6 +37,11 @@
 	Miss                  // turned away untouched: not the primary, or too far behind
 )
 
+// MayHaveRun tells whether an attempt that ended so may have had its effect.
+func (o Outcome) MayHaveRun() bool {
+	return o == Error || o == Timeout || o == Reset || o == Cancelled
+}
+
 // Role is a host's part in its group.
 type Role uint8
 
