Give a relay's thread back when it closes, so that no process is killed with it

The same mistake elsewhere: internal/hollow unlocks already; no other goroutine is locked to its thread.

--- a/internal/wan/loop.go
+++ b/internal/wan/loop.go
@@ -96,6 +96,7 @@
 
 func (l *loop) run() {
 	runtime.LockOSThread()
+	defer runtime.UnlockOSThread() // a thread that ended would take the processes along that were started on it
 	last := time.Now()
 	for {
 		wait := (*unix.Timespec)(nil)
