Read the clock once, behind all else, for the time that a database is told to have

Gateway.Begun now returns the time that is left, from the reading of the clock that the guard judges by; backend reads none of its own. One look at the clock less for each attempt. TestStandstillBeforeTheWriteCostsTheTimeThatIsTold: 300 ms too much before, none after.

Left: a stop between this reading and the system call that writes can be seen by nothing in the process.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -116,10 +116,8 @@
 		return
 	}
 	st := j.attempt.Statement.(*pgwire.Statement)
-	left := (j.until - c.pool.loop.Clock() + time.Millisecond - 1) / time.Millisecond
-	left = max(1, left)
-	c.pool.core.Begun(j.attempt, left*time.Millisecond)
-	digits := pgwire.AppendMillis(c.answer.digits[:0], int64(left))
+	left := c.pool.core.Begun(j.attempt, j.until)
+	digits := pgwire.AppendMillis(c.answer.digits[:0], left.Milliseconds())
 	before, behind := st.Head.Around(st.Text)
 	head := pgwire.QueryHead(st.Length() - len(st.Text) + len(before) + len(digits) + len(behind) + 1)
 	if len(st.More) == 0 {
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -23,7 +23,7 @@
 	late     []policy.Role
 }
 
-func (e *ends) Begun(*gateway.Attempt, time.Duration) {}
+func (e *ends) Begun(*gateway.Attempt, time.Duration) time.Duration { return time.Millisecond }
 func (e *ends) Resolved(_ *gateway.Attempt, o policy.Outcome, _ gateway.Reply) {
 	e.outcomes = append(e.outcomes, o)
 }
--- a/internal/backend/standstill_test.go
+++ b/internal/backend/standstill_test.go
@@ -26,9 +26,10 @@
 
 const stoodFor = 300 * time.Millisecond
 
-func (s *standstill) Begun(a *gateway.Attempt, _ time.Duration) {
+func (s *standstill) Begun(_ *gateway.Attempt, until time.Duration) time.Duration {
 	time.Sleep(stoodFor)
-	s.left = a.Deadline - s.loop.Clock()
+	s.left = until - s.loop.Clock()
+	return s.left
 }
 
 // The time that a database is told to have is read behind all that may take long: a process that stands still before it
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -328,15 +328,24 @@
 	q.Client.Failed()
 }
 
-// Begun tells that the first byte of an attempt is written now, and what time its database is told to have.
-func (g *Gateway) Begun(a *Attempt, told time.Duration) {
+// Begun tells that the first byte of an attempt is written now, and returns the time that its database is told to have until
+// a moment: whole milliseconds, rounded up. The clock is read once, behind all that comes before the write, so that nothing
+// that holds this process up meanwhile is told as left.
+func (g *Gateway) Begun(a *Attempt, until time.Duration) (left time.Duration) {
 	a.begun = true
-	if g.guard == nil {
-		return
+	now := g.loop.Clock()
+	left = max(1, (until-now+time.Millisecond-1)/time.Millisecond) * time.Millisecond
+	if g.guard != nil {
+		g.check(a, now, left)
 	}
+	return left
+}
+
+// check has the guard judge an attempt that is about to be written.
+func (g *Gateway) check(a *Attempt, now, told time.Duration) {
 	q := a.q
 	s := invariant.Sending{
-		Now: g.loop.Clock(), Request: q.Name, Client: q.Origin, Database: a.Host, Class: q.Class, Deadline: q.Deadline, Told: told,
+		Now: now, Request: q.Name, Client: q.Origin, Database: a.Host, Class: q.Class, Deadline: q.Deadline, Told: told,
 		ClientEnded: q.leftAt, MayRun: q.mayRun, MayRunSince: q.mayRunAt, Answered: q.over && q.leftAt == 0,
 	}
 	for _, o := range q.attempts {
--- a/internal/gateway/guard_test.go
+++ b/internal/gateway/guard_test.go
@@ -35,7 +35,7 @@
 	x.events = append(x.events, policy.Elapsed{})
 	x.Step()
 	a := x.w.sent[len(x.w.sent)-1]
-	x.Begun(a, told)
+	x.Begun(a, x.loop.Clock()+told)
 	return a
 }
 
