--- a/cmd/lilaccove/faults_test.go
+++ b/cmd/lilaccove/faults_test.go
@@ -197,7 +197,7 @@
 
 // overClockSteps starts a site behind each of some steps, none among them, and does something with it.
 func overClockSteps(t *testing.T, do func(t *testing.T, s *site)) {
-	for _, step := range []time.Duration{0, -time.Hour, -3 * time.Second, 3 * time.Second, time.Hour} {
+	for _, step := range []time.Duration{0, -time.Hour, -3 * time.Second, -800 * time.Millisecond, 3 * time.Second, time.Hour} {
 		t.Run(step.String(), func(t *testing.T) {
 			t.Parallel()
 			do(t, newSite(t, func(s *site) {
@@ -238,3 +238,20 @@
 		}
 	})
 }
+
+// A session reads what it has written, whichever way the clock is off: its commit is a time of the databases.
+func TestSessionsReadTheirWritesOverAClockStep(t *testing.T) {
+	t.Parallel()
+	overClockSteps(t, func(t *testing.T, s *site) {
+		c := s.client()
+		s.meet(c)
+		s.a.Fall(5 * time.Second)
+		s.b.Fall(5 * time.Second)
+		before := len(s.a.Statements()) + len(s.b.Statements())
+		for range 30 {
+			commit := time.Now().UnixMilli() + 1 // behind all that was told of the replicas
+			c.ask(stmt("own", 1000, fmt.Sprintf(",after=%d", commit)))
+		}
+		assert.Equal(t, before, len(s.a.Statements())+len(s.b.Statements()), "no replica has come so far")
+	})
+}
