Hold positions, commits and starts against the databases' clock, learned from primaries

Cause: a process lives with the wall clock of its start, and held times of databases against it. A clock ahead: every replica seems old. Behind: positions over a second ahead were dropped, so no replica was known; a little behind: old data seems fresh, and tokens were cut to the clock.

An answer of a primary, which stands at the present, bounds how far the databases' clock can be off: between its sending and now, by the grain. One that allows the offset in use confirms it; three others that agree with each other over a second or more set a new one (a spoilt answer or a log that stands still does not). Bounded reads go to replicas only once a primary has confirmed the time, or none was heard for 2 s. Spans, deadlines and graces stay on the monotonic clock. Positions are kept as told, so that what gateways tell each other needs no change. Off in the simulator.

Left: a process whose clock is ahead takes a cold database for warm until the offset is set, a second or two.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -263,7 +264,7 @@
 	switch kind {
 	case pgwire.ParameterStatus:
 		if name, value, err := pgwire.Pair(body); err == nil {
-			a.parameter(name, value, c.pool.loop.Now())
+			a.parameter(name, value)
 		}
 	case pgwire.RowDescription, pgwire.DataRow, pgwire.CommandComplete:
 		a.shape = append(a.shape, kind)
@@ -291,24 +292,23 @@
 	c.Ended(err)
 }
 
-// ahead is how far a position may be past the clock, which all machines share: one that
-// is believed can never be taken back.
-const ahead = time.Second
-
 // parameter keeps what an answer tells of the database.
-func (a *answer) parameter(name, value []byte, now time.Duration) {
+func (a *answer) parameter(name, value []byte) {
 	switch string(name) {
 	case "role":
 		a.reply.Role = roleOf(string(value))
 	case "applied_ms":
-		if ms, err := strconv.ParseInt(string(value), 10, 64); err == nil && ms > 0 && ms <= int64((now+ahead)/time.Millisecond) {
+		if ms, err := strconv.ParseInt(string(value), 10, 64); err == nil && ms > 0 && ms <= latest.Milliseconds() {
 			a.reply.Position, a.reply.HasPosition = time.Duration(ms)*time.Millisecond, true
 		}
 	case "load":
-		a.report(value, now)
+		a.report(value)
 	}
 }
 
+// latest is the last moment that can be reckoned with; whether a position is plausible is for the decisions.
+const latest = time.Duration(math.MaxInt64 / 2)
+
 func roleOf(s string) policy.Role {
 	switch s {
 	case "primary":
@@ -320,8 +320,8 @@
 }
 
 // report reads name=value pairs; names nobody here reads are skipped. One that cannot be
-// read, or tells of the future, is no report at all.
-func (a *answer) report(text []byte, now time.Duration) {
+// read is no report at all.
+func (a *answer) report(text []byte) {
 	var r policy.Report
 	for pair := range bytes.SplitSeq(text, []byte{','}) {
 		name, value, _ := bytes.Cut(pair, []byte{'='})
@@ -331,7 +331,7 @@
 		}
 		switch string(name) {
 		case "x0":
-			if !(x >= 0 && x <= (now+ahead).Seconds()) {
+			if !(x >= 0 && x <= latest.Seconds()) {
 				return
 			}
 			r.Position, r.HasPosition = time.Duration(x*float64(time.Second)), true
@@ -377,7 +377,7 @@
 func (c *conn) settle(j *job) {
 	a := &c.answer
 	if j.attempt == nil && a.column != nil && c.pool.opt.ProbeReport {
-		a.report(a.column, c.pool.loop.Now())
+		a.report(a.column)
 	}
 	a.reply.Value = a.value
 	c.pool.finish(j, c.pool.outcome(a, c.host.id), a.reply)
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -124,6 +124,7 @@
 // adapt fits the settings to real sockets.
 func adapt(set settings.Settings) policy.Settings {
 	p := set.Policy
+	p.OwnClock = true
 	if p.List == policy.ListUnasked {
 		p.List = policy.ListAsked // the settings do not say: here no list comes unasked
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 package gateway
 
 import (
+	"cmp"
 	"log"
 	"maps"
 	"math"
@@ -74,6 +75,7 @@
 type Router interface {
 	Step(now time.Duration, events []policy.Event) []policy.Action
 	Skipped() int
+	Plausible(position time.Duration) bool
 }
 
 // Request is one request that a front has taken. The front fills it in.
@@ -255,7 +257,7 @@
 		ID: q.id, Class: q.Class, Group: q.Group, Session: q.Session, Budget: q.Deadline - now,
 	}
 	if q.After > 0 {
-		e.TokenAge = max(1, now-q.After) // 0 would mean that there is no token
+		e.TokenAge = cmp.Or(now-q.After, 1) // 0 would mean that there is no token
 	}
 	g.events = append(g.events, e)
 }
@@ -545,7 +547,7 @@
 func (g *Gateway) OnPosition(do func(host policy.HostID, at time.Duration)) { g.position = do }
 
 func (g *Gateway) told(host policy.HostID, has bool, at time.Duration) {
-	if has && g.position != nil {
+	if has && g.position != nil && g.router.Plausible(at) {
 		g.position(host, at)
 	}
 }
--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -38,7 +38,7 @@
 		}
 	case Heard:
 		if h := r.hosts[e.Host]; h != nil && e.Position > h.pos {
-			r.learnPosition(h, min(e.Position, r.now))
+			r.learnPosition(h, min(e.Position, r.databaseTime()))
 		}
 	}
 }
--- a/policy/list.go
+++ b/policy/list.go
@@ -92,7 +92,7 @@
 	h.zone = e.Zone
 	if e.StartedAt > h.startedAt {
 		r.resetHost(h, e.StartedAt)
-		r.learnRole(h, Replica, e.StartedAt)
+		r.learnRole(h, Replica, e.StartedAt-r.clock.offset)
 	}
 	r.setStatus(h, e.Status)
 	// Whom the late list names has been primary. That counts while no other that may take work is known.
@@ -119,7 +119,7 @@
 	}
 	if h := r.hosts[e.Host]; h != nil {
 		r.learnRole(h, Replica, r.now)
-		if r.resetHost(h, r.now); !e.Out {
+		if r.resetHost(h, r.databaseTime()); !e.Out {
 			h.roleAt = -1
 		}
 		r.retryWaiting(h.group)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -49,7 +49,7 @@
 	status    Status
 	drained   bool          // a list entry called it Draining since it last was Healthy
 	toldAt    time.Duration // when the list first said Draining or Gone
-	startedAt time.Duration
+	startedAt time.Duration // by the databases' clock
 	budget    float64       // while cold: work that may be sent, in answers of the shortest class
 	budgetAt  time.Duration // when budget was last added to
 	roleAt    time.Duration // when what is known of its role was true; negative: nothing is
@@ -138,7 +138,8 @@
 	fenced        bool          // no writes are taken
 	crowded       int           // calls in a row that discovery had no time for
 	away, missed  time.Duration // in which this process was not there to see what came: all in all, and now
-	mute          bool          // the last probe that came back told no role, only that a process runs
+	clock         databaseClock
+	mute          bool // the last probe that came back told no role, only that a process runs
 }
 
 // New makes the router of one process. The seed drives its random choices.
@@ -237,7 +238,7 @@
 		return drop
 	})
 	for s, commit := range r.marks {
-		if commit < r.now-markAge {
+		if commit < r.databaseTime()-markAge {
 			r.base = max(r.base, commit)
 			delete(r.marks, s)
 		}
--- a/policy/primary.go
+++ b/policy/primary.go
@@ -64,7 +64,7 @@
 		switch {
 		case few && (!q.g.noFreshReplica || r.now-h.sentAt < 5*seldom):
 		case h == q.g.primary || !r.mayTake(h, false) || h.fails > 0 && r.now-h.judgedAt < 2*seldom:
-		case h.pos > r.now-r.bound/2:
+		case h.pos > r.databaseTime()-r.bound/2:
 			fresh = true
 		case best == nil || h.sentAt < best.sentAt:
 			best = h
--- a/policy/replica.go
+++ b/policy/replica.go
@@ -9,7 +9,7 @@
 
 // learnPosition keeps positions rising: an old report stays a floor.
 func (r *Router) learnPosition(h *host, pos time.Duration) {
-	h.lag = r.now - pos
+	h.lag = r.databaseTime() - pos
 	if pos > h.pos {
 		h.pos = pos
 		r.retryWaiting(h.group)
@@ -17,24 +17,26 @@
 }
 
 func (r *Router) onReport(h *host, rep Report) {
-	if rep.HasPosition {
+	if rep.HasPosition && r.Plausible(rep.Position) {
 		r.learnPosition(h, rep.Position)
 		// A primary stands at the present, which dates its report; a replica's is as new as its position.
-		r.learnRole(h, rep.Role, rep.Position)
+		r.learnRole(h, rep.Role, rep.Position-r.clock.offset)
 	}
 }
 
 // required is the position a member must have to serve q if sent now.
 func (r *Router) required(q *request) time.Duration {
 	switch {
+	case q.class.Level == Recent && r.set.Behind == BehindServe && !r.knowsTime():
+		return long
 	case q.class.Level == Recent:
-		return max(1, r.now-q.class.Bound)
+		return max(1, r.databaseTime()-q.class.Bound)
 	case q.class.Level == Latest:
-		return q.arrived
+		return q.arrived + r.clock.offset
 	case q.class.Level == OwnWrites && r.set.Remembered:
 		return max(r.base, r.marks[q.Session])
-	case q.class.Level == OwnWrites && q.TokenAge > 0:
-		return q.arrived - q.TokenAge
+	case q.class.Level == OwnWrites && q.TokenAge != 0:
+		return q.arrived - q.TokenAge // a commit as it was told, whatever the clocks say
 	}
 	return 0
 }
@@ -71,7 +73,7 @@
 }
 
 // shouldFit goes by how far behind h was when last heard of.
-func (r *Router) shouldFit(q *request, h *host) bool { return r.now-h.lag >= r.required(q) }
+func (r *Router) shouldFit(q *request, h *host) bool { return r.databaseTime()-h.lag >= r.required(q) }
 
 func (r *Router) cost(h *host) float64 {
 	slow := h.slow
--- a/policy/result.go
+++ b/policy/result.go
@@ -32,10 +32,13 @@
 	}
 	r.retryWaiting(h.group)
 	if e.Outcome == OK && e.Role == Primary {
+		if e.HasPosition {
+			r.hearTime(a.sentAt, e.Position)
+		}
 		// It stood at the present then. A hung primary turns work away as primary: no word on its log.
-		r.learnPosition(h, a.sentAt)
+		r.learnPosition(h, a.sentAt+r.clock.offset)
 	}
-	if e.HasPosition {
+	if e.HasPosition && r.Plausible(e.Position) {
 		pos := e.Position
 		if e.Outcome == OK && q.class.Level == Write {
 			pos -= r.set.PositionGrain
@@ -117,7 +120,7 @@
 		if a.q.class.Level == Write {
 			r.countFailure(h)
 		} else {
-			h.lag = max(h.lag, r.now-r.required(a.q)+r.set.Patience+r.set.Tick)
+			h.lag = max(h.lag, r.databaseTime()-r.required(a.q)+r.set.Patience+r.set.Tick)
 		}
 	}
 }
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -9,7 +9,7 @@
 	if h.startedAt <= 0 || min(r.set.ColdTime, r.set.FallTime) <= 0 || r.set.FallMultiple <= 0 {
 		return 1
 	}
-	age := float64(r.now-h.startedAt) / float64(r.set.ColdTime)
+	age := float64(r.databaseTime()-h.startedAt) / float64(r.set.ColdTime)
 	return min(1, r.set.StartCapacity+(1-r.set.StartCapacity)*max(0, age))
 }
 
--- a/policy/types.go
+++ b/policy/types.go
@@ -170,6 +170,7 @@
 	List          ListSource
 	ListRole      ListRole
 	PositionGrain time.Duration
+	OwnClock      bool // this router's clock may stand apart from that of the databases, whose times positions are
 	Behind        Behind
 	Patience      time.Duration
 	Remembered    bool // session marks are kept here, not carried by the client
@@ -208,7 +209,7 @@
 
 // Report is what a host says of itself, as of some moment in the past.
 type Report struct {
-	Position    time.Duration // on the router clock
+	Position    time.Duration // on the databases' clock
 	HasPosition bool
 	Role        Role
 }
@@ -239,7 +240,7 @@
 		Group    GroupID
 		Session  SessionID
 		Budget   time.Duration // until the client gives up on this try
-		TokenAge time.Duration // since the session's last commit; 0: none
+		TokenAge time.Duration // since the session's last commit, below zero where that is ahead of this clock; 0: none
 	}
 	// Result is the end of one attempt, or what the host of one that had ended tells besides.
 	Result struct {
