--- a/cmd/lilaccove/faults_test.go
+++ b/cmd/lilaccove/faults_test.go
@@ -255,3 +255,42 @@
 		assert.Equal(t, before, len(s.a.Statements())+len(s.b.Statements()), "no replica has come so far")
 	})
 }
+
+// The system may have no socket, or no port, for a while. That is this machine's want and says nothing of the databases: no
+// breaker opens, and requests go on as soon as there are sockets again.
+func TestWantOfSocketsIsNoDatabasesFault(t *testing.T) {
+	t.Parallel()
+	const from, length = 1500, 1200 // ms
+	for _, fault := range []string{
+		`"call":"socket","error":"ENFILE"`, `"call":"socket","error":"EMFILE"`, `"call":"socket","error":"ENOBUFS"`,
+		`"call":"socket","error":"ENOMEM"`, `"call":"connect","error":"EADDRNOTAVAIL"`,
+	} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			begun := time.Now()
+			s := newSite(t, func(s *site) {
+				s.t = t
+				failing(fmt.Sprintf(`{%s,"from_ms":%d,"for_ms":%d}`, fault, from, length))(s)
+			})
+			for _, d := range []*database{s.p, s.a, s.b} {
+				d.will(func(d *database, c net.Conn, _ string) { // each request needs a connection of its own
+					d.Answer(c, d.ID)
+					c.Close()
+				})
+			}
+			c := s.client()
+			s.eventually("writes are served", func() bool { return c.ask(stmt("write", 1000, "")).value != "" })
+			time.Sleep(time.Until(begun.Add((from + length/3) * time.Millisecond))) // into the fault itself
+			for range 20 {
+				c.write(query(stmt("write", 400, "")))
+			}
+			for range 20 {
+				c.read()
+			}
+			late := time.Until(begun.Add((from + length) * time.Millisecond))
+			time.Sleep(late)
+			s.eventually("writes are served again", func() bool { return c.ask(stmt("write", 1000, "")).value != "" })
+			assert.NotContains(t, s.logged(), "breaker opens")
+		})
+	}
+}
