Take a want of sockets or ports for this machine's own, not for a database's failure

Cause: see the failing test before. netloop.Wanting tells errors of this machine's (EMFILE, ENFILE, ENOBUFS, ENOMEM, ENOSPC, EADDRNOTAVAIL, EAGAIN) from those of the peer; the pool then looks again soon, as where its own descriptors are short, logs event=no_socket, and an attempt that cannot begin for it ends as not sent.

The same elsewhere, read: discovery's call is asked again by its own pause whatever the cause; links between gateways count no failure by Dial's error. ENETUNREACH and the like stay the database's: they tell of its route.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -72,7 +72,7 @@
 	waiting []*job  // for a connection, oldest first
 	dialing int
 	open    int           // connections, those on their way included
-	shortAt time.Duration // when there was no descriptor for a connection to it
+	shortAt time.Duration // when this machine had no descriptor or socket for a connection to it
 	again   time.Duration // when that is tried again
 	told    bool
 	most    int // attempts, as told
@@ -339,6 +339,11 @@
 	}
 	c := &conn{pool: p, host: h}
 	nc, err := p.loop.Dial(h.addr, c, inputMost)
+	if netloop.Wanting(err) {
+		p.short.Printf(p.loop.Now(), "event=no_socket host=%s err=%q", h.id, err)
+		p.later(h)
+		return
+	}
 	if err != nil {
 		p.dialFailed(h, policy.ConnectFailed)
 		return
@@ -349,7 +354,7 @@
 	c.timer = p.loop.Within(p.opt.DialTimeout, c.lateUp)
 }
 
-// later has another look for a descriptor, or a connection that comes free, soon: the want is this process's own.
+// later has another look for a descriptor, a socket, or a connection that comes free, soon: the want is this machine's own.
 func (p *Pool) later(h *host) {
 	if now := p.loop.Now(); now >= h.again {
 		h.again = now + restTime
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -1,6 +1,7 @@
 package netloop
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"time"
@@ -44,6 +45,19 @@
 	least    int       // how large the input buffer is at least
 }
 
+// Wanting tells whether an error of Dial says that this machine lacks something just now, a descriptor, memory or a port,
+// and nothing of the peer.
+func Wanting(err error) bool {
+	for _, want := range []error{
+		ErrDescriptors, unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ENOSPC, unix.EADDRNOTAVAIL, unix.EAGAIN,
+	} {
+		if errors.Is(err, want) {
+			return true
+		}
+	}
+	return false
+}
+
 // Dial begins to connect. A failure that is known at once is returned; later ones
 // end the connection.
 func (l *Loop) Dial(addr netip.AddrPort, h Handler, inputMost int) (*Conn, error) {
