Test that a fleet takes a process in that was started behind a step of the clock

Killed or ended in order, an hour back or ahead, the gateway is a member again, serves reads and writes, and nobody is fenced off (11.6 s for the four cases). With a mutant that does not raise its incarnation over what others remember, both cases of an hour back fail.

--- /dev/null
+++ b/cmd/lilaccove/fleet_clock_test.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// The wall clock of a machine may be stepped between two starts of its gateway, in either direction. The fleet takes the new
+// process in all the same, whether the old one ended in order or was killed.
+func TestFleetMembershipOverAClockStep(t *testing.T) {
+	for _, step := range []time.Duration{-time.Hour, time.Hour} {
+		for _, end := range []string{"killed", "ended"} {
+			t.Run(fmt.Sprintf("%s, %v", end, step), func(t *testing.T) {
+				p := newPartyOf(t, 4, fencePlan(4))
+				if end == "killed" {
+					p.Node(2).Kill()
+				} else {
+					require.NoError(t, p.Node(2).Term())
+				}
+				p.agree(3, p.but(2)...)
+				path := filepath.Join(t.TempDir(), "plan.json")
+				require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, `{"wall_step_ms":%d}`, step.Milliseconds()), 0o600))
+				_, err := p.StartAs(2, []string{faultyProgram(t)}, "LILACCOVE_FAULTS="+path)
+				require.NoError(t, err)
+				p.agree(4, p.all()...)
+				p.eventually("it serves clients", func() bool { return p.figure(2, "passed.browse") > 20 && p.figure(2, "passed.write") > 20 })
+				for _, i := range p.all() {
+					assert.False(t, p.everFenced(i), "n%d vouches for what it knows", i)
+				}
+				assert.Empty(t, p.dead(2), "who was away blames nobody")
+				p.judge(0.7)
+			})
+		}
+	}
+}
