Add a failing test: a step of the clock has the fleet's words on disks taken for too old

An hour back the words hold, whatever their age. The store's looks at the wall clock go through internal/sys, so that a plan can step them.

--- a/cmd/lilaccove/fleet_clock_test.go
+++ b/cmd/lilaccove/fleet_clock_test.go
@@ -11,6 +11,17 @@
 	"github.com/stretchr/testify/require"
 )
 
+// startStepped starts some gateways on machines whose wall clocks differ by a step from that of the others.
+func (p *party) startStepped(step time.Duration, list ...int) {
+	p.t.Helper()
+	path := filepath.Join(p.t.TempDir(), "plan.json")
+	require.NoError(p.t, os.WriteFile(path, fmt.Appendf(nil, `{"wall_step_ms":%d}`, step.Milliseconds()), 0o600))
+	for _, i := range list {
+		_, err := p.StartAs(i, []string{faultyProgram(p.t)}, "LILACCOVE_FAULTS="+path)
+		require.NoError(p.t, err)
+	}
+}
+
 // The wall clock of a machine may be stepped between two starts of its gateway, in either direction. The fleet takes the new
 // process in all the same, whether the old one ended in order or was killed.
 func TestFleetMembershipOverAClockStep(t *testing.T) {
@@ -24,10 +35,7 @@
 					require.NoError(t, p.Node(2).Term())
 				}
 				p.agree(3, p.but(2)...)
-				path := filepath.Join(t.TempDir(), "plan.json")
-				require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, `{"wall_step_ms":%d}`, step.Milliseconds()), 0o600))
-				_, err := p.StartAs(2, []string{faultyProgram(t)}, "LILACCOVE_FAULTS="+path)
-				require.NoError(t, err)
+				p.startStepped(step, 2)
 				p.agree(4, p.all()...)
 				p.eventually("it serves clients", func() bool { return p.figure(2, "passed.browse") > 20 && p.figure(2, "passed.write") > 20 })
 				for _, i := range p.all() {
--- a/cmd/lilaccove/store_test.go
+++ b/cmd/lilaccove/store_test.go
@@ -72,6 +72,29 @@
 	p.judge(0.3)
 }
 
+// All gateways are killed, and the clocks of their machines are stepped by far more than words are kept before they start
+// again. The words were away for a moment of real time only: nobody uses the database.
+func TestFleetStateDiskOverAClockStep(t *testing.T) {
+	for _, step := range []time.Duration{time.Hour, -time.Hour} {
+		t.Run(step.String(), func(t *testing.T) {
+			p := newPartyOf(t, 4, storePlan)
+			host := p.World().Members()[0]
+			p.eventually("it is in use", func() bool { return host.Begun() > 20 })
+			assert.Equal(t, "ok: held by 3 of 3 others, on disk", p.word(2, host.ID, "suspend"))
+			for _, i := range p.all() {
+				p.Node(i).Kill()
+			}
+			begun := host.Begun()
+			p.startStepped(step, p.all()...)
+			p.left(1, p.all()...)
+			before := p.World().Counts().Reads
+			p.eventually("reads go on", func() bool { return p.World().Counts().Reads > before+200 })
+			assert.Equal(t, begun, host.Begun(), "it was used in spite of the word")
+			p.judge(0.3)
+		})
+	}
+}
+
 // The gateway that took the word is killed right behind its yes, cut off from all others: its disk alone has the word, and
 // its yes says so. It is back before the others can be reached, and then all have it.
 func TestFleetStateDiskOnlyCopy(t *testing.T) {
--- a/internal/wordstore/wordstore.go
+++ b/internal/wordstore/wordstore.go
@@ -260,7 +260,7 @@
 		}
 		var more []state.Word
 		err := s.locked(func() (err error) {
-			more, err = s.write(words, time.Now())
+			more, err = s.write(words, time.Unix(0, int64(sys.WallClock())))
 			return err
 		})
 		s.note(err)
