Count in real time for how long the fleet's words on a disk were away

The file now also tells the boot of its machine and the real time since then (CLOCK_BOOTTIME, which no step moves and standby does not stop); within one boot these tell how old a copy is, across boots and for files of older builds the wall clock. Fields 7 and 8 of the file are new; an older build passes over them.

TestHowLongACopyWasAway has the cases, a copy that is too old though its clock was stepped back among them: before it was used.

TestAnOldCopyIsNotUsed moved the wall clock alone, which was the fault: it now moves both clocks by the same two hours. Open's moment became an option of the store, so that its writer goes by it too.

Left: across a boot and a step at once nothing tells.

--- a/internal/peer/words.go
+++ b/internal/peer/words.go
@@ -13,7 +13,6 @@
 	"lilaccove/internal/fleet/membership"
 	"lilaccove/internal/fleet/state"
 	"lilaccove/internal/netloop"
-	"lilaccove/internal/sys"
 	"lilaccove/internal/wordstore"
 )
 
@@ -70,7 +69,7 @@
 
 // open takes in what was kept. Whatever is wrong with it is told and costs a catch-up from the others, never the start.
 func (s *words) open(f *fleet.Words, own membership.Entry) {
-	store, kept, err := wordstore.Open(wordstore.Options{Dir: f.Dir, Fleet: s.l.file.Fleet, Gateway: own.Name, Session: own.Session, Horizon: f.Keep}, time.Unix(0, int64(sys.WallClock())))
+	store, kept, err := wordstore.Open(wordstore.Options{Dir: f.Dir, Fleet: s.l.file.Fleet, Gateway: own.Name, Session: own.Session, Horizon: f.Keep})
 	if err != nil {
 		log.Printf("event=fleet_words_file kept=%t err=%q", store != nil, err)
 	}
--- a/internal/wordstore/wordstore.go
+++ b/internal/wordstore/wordstore.go
@@ -55,6 +55,7 @@
 	Gateway string        // likewise
 	Session uint64        // of the process
 	Horizon time.Duration // a copy that was not in use for so long may bring back what others have forgotten
+	Now     func() Moment // nil: the machine's clocks
 }
 
 // content is what the file tells.
@@ -65,6 +66,13 @@
 	Session uint64       `cbor:"4,keyasint"` // of the process that wrote it
 	AtMS    int64        `cbor:"5,keyasint"` // when it did, Unix time
 	Words   []state.Word `cbor:"6,keyasint"`
+	Boot    string       `cbor:"7,keyasint,omitempty"` // of its machine
+	BootMS  int64        `cbor:"8,keyasint,omitempty"` // when it did, since then
+}
+
+// at is when a file was written.
+func (c *content) at() Moment {
+	return Moment{Wall: time.UnixMilli(c.AtMS), Boot: c.Boot, SinceBoot: time.Duration(c.BootMS) * time.Millisecond}
 }
 
 // State is how it went so far.
@@ -93,14 +101,17 @@
 
 // Open reads the words and begins to take new ones. What is wrong with a file is told in the error; the store beside it is
 // nil where the file is not this gateway's to replace.
-func Open(opt Options, now time.Time) (*Store, []state.Word, error) {
+func Open(opt Options) (*Store, []state.Word, error) {
+	if opt.Now == nil {
+		opt.Now = Now
+	}
 	s := &Store{opt: opt, done: make(chan struct{})}
 	s.wake.L = &s.mu
 	var words []state.Word
 	err := os.MkdirAll(opt.Dir, 0o750)
 	if err == nil {
 		err = s.locked(func() (err error) {
-			words, err = s.read(now)
+			words, err = s.read(opt.Now())
 			return err
 		})
 	}
@@ -133,7 +144,7 @@
 }
 
 // read takes in the file; one that is damaged or too old is put aside.
-func (s *Store) read(now time.Time) ([]state.Word, error) {
+func (s *Store) read(now Moment) ([]state.Word, error) {
 	info, err := os.Stat(s.path())
 	switch {
 	case errors.Is(err, fs.ErrNotExist):
@@ -155,7 +166,7 @@
 		return nil, fmt.Errorf("%s: %w", s.path(), err)
 	case c.Fleet != s.opt.Fleet || c.Gateway != s.opt.Gateway:
 		return nil, fmt.Errorf("%s: %w: of %s in %s", s.path(), ErrForeign, c.Gateway, c.Fleet)
-	case now.UnixMilli()-c.AtMS > s.opt.Horizon.Milliseconds():
+	case now.since(c.at()) > s.opt.Horizon:
 		since := time.UnixMilli(c.AtMS).UTC().Format(time.RFC3339)
 		return nil, s.aside("old", fmt.Errorf("%w: since %s", ErrOld, since), now)
 	}
@@ -169,8 +180,8 @@
 }
 
 // aside renames the file, so that it can be looked at, and the next begins anew.
-func (s *Store) aside(what string, why error, now time.Time) error {
-	to := fmt.Sprintf("%s.%s.%d", s.path(), what, now.UnixMilli())
+func (s *Store) aside(what string, why error, now Moment) error {
+	to := fmt.Sprintf("%s.%s.%d", s.path(), what, now.Wall.UnixMilli())
 	if err := sys.Rename(s.path(), to); err != nil {
 		return fmt.Errorf("%s: %w; it cannot be put aside: %w", s.path(), why, err)
 	}
@@ -260,7 +271,7 @@
 		}
 		var more []state.Word
 		err := s.locked(func() (err error) {
-			more, err = s.write(words, time.Unix(0, int64(sys.WallClock())))
+			more, err = s.write(words, s.opt.Now())
 			return err
 		})
 		s.note(err)
@@ -276,7 +287,7 @@
 }
 
 // write merges what the file has with the words and replaces it; it returns what the words lacked.
-func (s *Store) write(words []state.Word, now time.Time) (more []state.Word, err error) {
+func (s *Store) write(words []state.Word, now Moment) (more []state.Word, err error) {
 	had, err := s.read(now)
 	if err != nil && !errors.Is(err, ErrTorn) && !errors.Is(err, ErrOld) {
 		return nil, err
@@ -285,7 +296,10 @@
 		log.Printf("event=fleet_words_file err=%q", err)
 	}
 	all, more := state.Merge(words, had)
-	text, err := compose(content{Format: format, Fleet: s.opt.Fleet, Gateway: s.opt.Gateway, Session: s.opt.Session, AtMS: now.UnixMilli(), Words: all})
+	text, err := compose(content{
+		Format: format, Fleet: s.opt.Fleet, Gateway: s.opt.Gateway, Session: s.opt.Session, Words: all,
+		AtMS: now.Wall.UnixMilli(), Boot: now.Boot, BootMS: now.SinceBoot.Milliseconds(),
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/wordstore/wordstore_test.go
+++ b/internal/wordstore/wordstore_test.go
@@ -13,7 +13,7 @@
 	"lilaccove/internal/fleet/state"
 )
 
-var now = time.Now()
+var now = Now()
 
 func word(host string, out bool, vector map[string]uint64) state.Word {
 	return state.Word{Host: host, Out: out, Vector: vector, By: "n1"}
@@ -25,7 +25,7 @@
 )
 
 func options(dir string) Options {
-	return Options{Dir: dir, Fleet: "f", Gateway: "n1", Session: 7, Horizon: time.Hour}
+	return Options{Dir: dir, Fleet: "f", Gateway: "n1", Session: 7, Horizon: time.Hour, Now: func() Moment { return now }}
 }
 
 // keep writes words to a directory and waits until they are there.
@@ -46,7 +46,7 @@
 
 func open(t *testing.T, opt Options) (*Store, []state.Word) {
 	t.Helper()
-	s, words, err := Open(opt, now)
+	s, words, err := Open(opt)
 	require.NoError(t, err)
 	t.Cleanup(func() { s.Close(time.Second) })
 	return s, words
@@ -112,12 +112,12 @@
 		require.ErrorIs(t, err, ErrTorn, "%d bytes", i)
 	}
 	require.NoError(t, os.WriteFile(path, text[:len(text)/2], 0o600))
-	s, words, err := Open(options(dir), now)
+	s, words, err := Open(options(dir))
 	require.ErrorIs(t, err, ErrTorn)
 	require.NotNil(t, s)
 	t.Cleanup(func() { s.Close(time.Second) })
 	assert.Empty(t, words)
-	aside, err := os.ReadFile(fmt.Sprintf("%s.torn.%d", path, now.UnixMilli()))
+	aside, err := os.ReadFile(fmt.Sprintf("%s.torn.%d", path, now.Wall.UnixMilli()))
 	require.NoError(t, err)
 	assert.Equal(t, text[:len(text)/2], aside)
 	_, err = keep(t, s, back)
@@ -133,22 +133,73 @@
 	_, err := keep(t, s, out)
 	require.NoError(t, err)
 	s.Close(time.Second)
-	s, words, err := Open(options(dir), now.Add(2*time.Hour))
+	s, words, err := Open(later(dir, 2*time.Hour, 2*time.Hour, now.Boot))
 	require.ErrorIs(t, err, ErrOld)
 	assert.Empty(t, words)
 	s.Close(time.Second)
 }
 
+// later are the options of a process that starts behind now by so much, in real time and by a wall clock that may have been
+// stepped, in some boot of its machine.
+func later(dir string, span, wall time.Duration, boot string) Options {
+	opt := options(dir)
+	opt.Now = func() Moment { return Moment{Wall: now.Wall.Add(wall), Boot: boot, SinceBoot: now.SinceBoot + span} }
+	return opt
+}
+
+// How long a copy was away is counted in real time within one boot of the machine. Across boots only the wall clock tells.
+func TestHowLongACopyWasAway(t *testing.T) {
+	for name, c := range map[string]struct {
+		span, wall time.Duration
+		boot       string
+		old        bool
+	}{
+		"a moment, stepped ahead":                     {time.Second, 2 * time.Hour, now.Boot, false},
+		"a moment, stepped back":                      {time.Second, -2 * time.Hour, now.Boot, false},
+		"long, stepped back":                          {2 * time.Hour, -time.Minute, now.Boot, true},
+		"another boot, long":                          {-now.SinceBoot, 2 * time.Hour, "another", true},
+		"another boot, a moment":                      {-now.SinceBoot, time.Minute, "another", false},
+		"no boot is known, long":                      {time.Second, 2 * time.Hour, "", true},
+		"the time since the boot went back, a moment": {-time.Hour, time.Minute, now.Boot, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			s, _ := open(t, options(dir))
+			_, err := keep(t, s, out)
+			require.NoError(t, err)
+			s.Close(time.Second)
+			s, words, err := Open(later(dir, c.span, c.wall, c.boot))
+			if s.Close(time.Second); c.old {
+				require.ErrorIs(t, err, ErrOld)
+				assert.Empty(t, words)
+				return
+			}
+			require.NoError(t, err)
+			assert.Equal(t, []state.Word{out}, words)
+		})
+	}
+}
+
+// A file of a build that did not note the boot is judged by the wall clock.
+func TestFileWithoutABoot(t *testing.T) {
+	text, err := compose(content{Format: format, AtMS: now.Wall.UnixMilli()})
+	require.NoError(t, err)
+	c, err := parse(text)
+	require.NoError(t, err)
+	assert.Equal(t, time.Minute, later("", time.Second, time.Minute, now.Boot).Now().since(c.at()).Round(time.Millisecond*10))
+}
+
 // While its process lives the copy does not grow old, though no word is said.
 func TestTheFileIsKeptFresh(t *testing.T) {
 	opt := options(t.TempDir())
 	opt.Horizon = 400 * time.Millisecond
+	opt.Now = Now
 	s, _ := open(t, opt)
 	_, err := keep(t, s, out)
 	require.NoError(t, err)
 	assert.Eventually(t, func() bool { return s.State().Saved >= 4 }, 10*time.Second, time.Millisecond)
 	s.Close(time.Second)
-	_, words, err := Open(opt, time.Now())
+	_, words, err := Open(opt)
 	require.NoError(t, err)
 	assert.Len(t, words, 1)
 }
@@ -166,7 +217,7 @@
 	for _, change := range []func(*Options){func(o *Options) { o.Gateway = "n2" }, func(o *Options) { o.Fleet = "g" }} {
 		opt := options(dir)
 		change(&opt)
-		s, _, err := Open(opt, now)
+		s, _, err := Open(opt)
 		assert.ErrorIs(t, err, ErrForeign)
 		assert.Nil(t, s)
 	}
