Add a failing test: that a database serves again is forgotten over a step of the clock

A process that starts an hour ahead and takes any word drops one of a second ago from the file, and a process that stood still meanwhile puts the suspension before it back.

--- a/internal/handover/faults_test.go
+++ b/internal/handover/faults_test.go
@@ -120,3 +120,24 @@
 		})
 	}
 }
+
+// That a database serves again is not forgotten for a step of the clock: a process that stood still meanwhile would bring the
+// older word back.
+func TestWordBackIsKeptOverAClockStep(t *testing.T) {
+	dir := t.TempDir()
+	now := 10 * time.Hour
+	still := join(t, dir)
+	still.Suspend("a", true, now)
+	second, err := Join(dir)
+	require.NoError(t, err)
+	second.Suspend("a", false, now+sec)
+	second.Close()
+	third := join(t, dir)
+	third.Suspend("b", true, now+time.Hour)
+	still.Poll(ignore)
+	third.Poll(ignore)
+	for _, s := range []*Share{still, third, join(t, dir)} {
+		assert.False(t, s.State().Suspended["a"].On)
+		assert.True(t, s.State().Suspended["b"].On)
+	}
+}
