Count in this process's own time for how long a word back is kept

A process now drops a word "back" ten minutes after it met it, by its own clock, and at each change of it counts anew. TestWordsThatSayNothingAreForgotten asked for the wall clock of the word; it now asks that a word is kept for ten minutes from when it was met, and is gone then.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -34,8 +34,14 @@
 }
 
 func TestWordsThatSayNothingAreForgotten(t *testing.T) {
-	s := State{Suspended: map[string]Entry{"out": {true, 1}, "back": {false, 1}, "lately": {false, (900 * sec).Microseconds()}}}
-	s.forget(1000 * sec)
+	known := backs{}
+	s := State{Suspended: map[string]Entry{"out": {true, 1}, "back": {false, 1}}}
+	s.forget(known, 100*sec)
+	assert.Contains(t, s.Suspended, "back", "this process has only just met it")
+	s.Suspended["lately"] = Entry{false, 1}
+	s.forget(known, 600*sec)
+	assert.Contains(t, s.Suspended, "back", "ten minutes are not over")
+	s.forget(known, 701*sec)
 	assert.Contains(t, s.Suspended, "out")
 	assert.Contains(t, s.Suspended, "lately")
 	assert.NotContains(t, s.Suspended, "back")
--- a/internal/handover/share.go
+++ b/internal/handover/share.go
@@ -32,6 +32,7 @@
 type Share struct {
 	dir     string
 	state   State
+	backs   backs
 	own     *os.File // locked as long as this process lives; holds the newest word that it has acted on
 	mtime   time.Time
 	size    int64
@@ -46,7 +47,7 @@
 // Join enters the directory and takes over the state that lies there. One that cannot be read is
 // logged and left aside.
 func Join(dir string) (*Share, error) {
-	s := &Share{dir: dir, state: State{Version: version, Suspended: map[string]Entry{}}}
+	s := &Share{dir: dir, state: State{Version: version, Suspended: map[string]Entry{}}, backs: backs{}}
 	for s.own == nil {
 		own, err := sys.CreateTemp(dir, processes)
 		if err != nil {
@@ -78,7 +79,7 @@
 func (s *Share) Suspend(id string, out bool, now time.Duration) {
 	s.read() // the word's place is behind all that were given before it
 	s.state.Suspended[id] = Entry{On: out, At: s.state.next(now)}
-	s.state.forget(now)
+	s.state.forget(s.backs, now)
 	s.write()
 }
 
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -59,14 +59,28 @@
 // next is the place of a word that is given now: behind all that are known.
 func (s *State) next(now time.Duration) int64 { return max(now.Microseconds(), s.at()+1) }
 
-// keepBack is how long a database's word "back" is kept: any process has seen it by then.
+// keepBack is how long a process keeps a database's word "back" that it knows: any other has seen it by then.
 const keepBack = 10 * time.Minute
 
+// backs are the words "back" that this process knows, by database.
+type backs map[string]met
+
+// met is when this process first knew a word, by its own clock, which no step moves. The time that stands in a word may be
+// another process's.
+type met struct {
+	word  Entry
+	since time.Duration
+}
+
 // forget drops words that say nothing any more.
-func (s *State) forget(now time.Duration) {
-	maps.DeleteFunc(s.Suspended, func(_ string, e Entry) bool {
-		return !e.On && e.At < (now-keepBack).Microseconds()
-	})
+func (s *State) forget(known backs, now time.Duration) {
+	maps.DeleteFunc(known, func(id string, m met) bool { return s.Suspended[id] != m.word })
+	for id, e := range s.Suspended {
+		if _, old := known[id]; !old && !e.On {
+			known[id] = met{e, now}
+		}
+	}
+	maps.DeleteFunc(s.Suspended, func(id string, e Entry) bool { return !e.On && now-known[id].since > keepBack })
 }
 
 var errVersion = errors.New("not of this version")
