Use no connection to the address before a database's move

A connection remembers where it was dialled; behind its answer it is closed where the host has moved, as where it is gone, and those on their way are dropped at the change, so that who waits has one to the new address at once. Connections on their way are kept in a list, no longer as a count that each end had to take down once.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"math"
+	"net/netip"
 	"slices"
 	"strconv"
 	"time"
@@ -18,6 +19,7 @@
 type conn struct {
 	pool    *Pool
 	host    *host
+	addr    netip.AddrPort // where it was dialled: the host may have moved since
 	nc      *netloop.Conn
 	timer   *netloop.Timer // by which it must be up, or has rested
 	up      bool           // the database has greeted it
@@ -73,9 +75,7 @@
 // drop closes the connection and takes it out of the books.
 func (c *conn) drop() {
 	c.timer.Stop()
-	if !c.up {
-		c.host.dialing--
-	}
+	c.host.dialing = without(c.host.dialing, c)
 	if c.nc.Close(); !c.dropped {
 		c.dropped = true
 		c.host.open--
@@ -356,14 +356,14 @@
 	if !c.up {
 		c.up = true
 		c.timer.Stop()
-		c.host.dialing--
+		c.host.dialing = without(c.host.dialing, c)
 	} else {
 		c.job = nil
 		c.nc.Widen(0)
 		c.settle(j)
 	}
 	switch {
-	case c.host.gone || len(c.nc.Input()) > 0: // more than the answer came with it
+	case c.outdated() || len(c.nc.Input()) > 0: // more than the answer came with it
 		c.drop()
 		c.pool.fill(c.host)
 	case j != nil:
@@ -433,6 +433,9 @@
 	}
 }
 
+// outdated tells that the host is gone, or is to be found elsewhere.
+func (c *conn) outdated() bool { return c.host.gone || c.addr != c.host.addr }
+
 func without(list []*conn, c *conn) []*conn {
 	for i, x := range list {
 		if x == c {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -70,7 +70,7 @@
 	idle    []*conn // the one used last is the last
 	resting []*conn // they have just answered
 	waiting []*job  // for a connection, oldest first
-	dialing int
+	dialing []*conn
 	open    int           // connections, those on their way included
 	shortAt time.Duration // when this machine had no descriptor or socket for a connection to it
 	again   time.Duration // when that is tried again
@@ -173,10 +173,14 @@
 			h = &host{id: e.Host}
 			p.hosts[e.Host] = h
 		}
-		if e.Dial != h.addr || e.Status == policy.Gone {
+		moved := e.Dial != h.addr
+		if h.addr = e.Dial; moved {
+			p.redial(h)
+		}
+		if moved || e.Status == policy.Gone {
 			p.HangUp(e.Host)
 		}
-		if h.addr = e.Dial; p.opt.Budget != nil {
+		if p.opt.Budget != nil {
 			h.told = false // the module may have forgotten it meanwhile
 		}
 		p.leave(h, e.Status == policy.Gone)
@@ -189,6 +193,17 @@
 	}
 }
 
+// redial drops the connections that are on their way to where a host was before; who waits for them has others. Busy ones go
+// behind their answers.
+func (p *Pool) redial(h *host) {
+	for _, c := range slices.Clone(h.dialing) {
+		c.drop()
+	}
+	for range h.waiting {
+		p.fill(h)
+	}
+}
+
 func (p *Pool) leave(h *host, gone bool) {
 	if gone && !h.gone {
 		h.goneAt = p.loop.Now()
@@ -322,7 +337,7 @@
 
 // fill opens a connection where more jobs wait than will have one.
 func (p *Pool) fill(h *host) {
-	if h.dialing+len(h.resting) < len(h.waiting) {
+	if len(h.dialing)+len(h.resting) < len(h.waiting) {
 		p.dial(h)
 	}
 }
@@ -337,7 +352,7 @@
 		p.later(h)
 		return
 	}
-	c := &conn{pool: p, host: h}
+	c := &conn{pool: p, host: h, addr: h.addr}
 	nc, err := p.loop.Dial(h.addr, c, inputMost)
 	if netloop.Wanting(err) {
 		p.short.Printf(p.loop.Now(), "event=no_socket host=%s err=%q", h.id, err)
@@ -349,7 +364,7 @@
 		return
 	}
 	c.nc = nc
-	h.dialing++
+	h.dialing = append(h.dialing, c)
 	h.open++
 	c.timer = p.loop.Within(p.opt.DialTimeout, c.lateUp)
 }
@@ -381,7 +396,7 @@
 
 // dialFailed ends the oldest job that no connection on its way is left for.
 func (p *Pool) dialFailed(h *host, o policy.Outcome) {
-	if len(h.waiting) > h.dialing+len(h.resting) {
+	if len(h.waiting) > len(h.dialing)+len(h.resting) {
 		j := h.waiting[0]
 		h.waiting = h.waiting[1:]
 		p.finish(j, o, gateway.Reply{})
