Check at run time that no read goes to a replica that has told that it is too old

The guard notes what databases' answers tell, apart from the decisions: against the newest position that a primary told, no clock of this process comes in. Where a replica has told within the last second that it is further behind than the class allows, by over the second that a spoilt position may be off, a bounded read at it is stale_read.

Proved by TestSending (six cases) and by decisions that send such a read (TestGuardSeesWhatTheDecisionsGetWrong).

The budget of a cold database stays unchecked inside: its capacity is not known there.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -229,7 +229,12 @@
 }
 
 // Fleet passes on what the fleet tells of hosts: policy.Bounded, Preferred or Heard.
-func (g *Gateway) Fleet(e policy.Event) { g.events = append(g.events, e) }
+func (g *Gateway) Fleet(e policy.Event) {
+	if told, ok := e.(policy.Told); ok {
+		g.guard.Promoted(told.Host)
+	}
+	g.events = append(g.events, e)
+}
 
 // Fence has the decisions take no writes, or take them again. It goes before all that the round has brought.
 func (g *Gateway) Fence(out bool) {
@@ -401,6 +406,7 @@
 	g.told(a.Host, r.HasPosition, r.Position)
 	g.told(a.Host, r.Report.HasPosition, r.Report.Position)
 	if o == policy.OK {
+		g.guard.Answered(a.Host, r.Role, r.Position, g.loop.Now())
 		g.accepted(a)
 		if r.Role == policy.Primary && g.primary != nil {
 			g.primary(a.Host, a.sentAt)
--- a/internal/gateway/guard_test.go
+++ b/internal/gateway/guard_test.go
@@ -20,10 +20,13 @@
 	names []invariant.Name
 }
 
+// recent is the class of reads of bounded age.
+const recent = 1
+
 func newGuarded(t testing.TB) *guarded {
 	loop, g, r, w := newWorld(t)
 	x := &guarded{Gateway: g, t: t, r: r, w: w}
-	set := policy.Settings{DrainGrace: 250 * time.Millisecond, Classes: []policy.Class{{Repeat: policy.Fragile}}}
+	set := policy.Settings{DrainGrace: 250 * time.Millisecond, Classes: []policy.Class{{Repeat: policy.Fragile}, {Level: policy.Recent, Bound: time.Second}}}
 	x.OnGuard(invariant.New(set, func(v invariant.Violation) { x.names = append(x.names, v.Name) }))
 	_ = loop
 	return x
@@ -91,6 +94,18 @@
 			q.Deadline = x.loop.Clock() - time.Millisecond
 			x.Begun(a, 0)
 		}},
+		"at a replica that has told that it is too old": {invariant.StaleRead, func(x *guarded, q *Request) {
+			now := x.loop.Now()
+			answer := func(host policy.HostID, role policy.Role, position time.Duration) {
+				read := x.take(x.w, time.Second)
+				x.Resolved(x.send(read, host, 0), policy.OK, Reply{Role: role, Position: position, HasPosition: true})
+			}
+			answer("p", policy.Primary, now)
+			answer("a", policy.Replica, now-10*time.Second)
+			time.Sleep(110 * time.Millisecond) // what an answer tells counts as known by then
+			q.Class = recent
+			x.send(q, "a", 0)
+		}},
 		"left without an answer": {invariant.NeverAnswered, func(x *guarded, q *Request) {
 			x.late = append(x.late, q)
 			x.Step()
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -29,12 +29,14 @@
 	ClosedUnanswered             // a connection closed over a request that was read
 	WordNotKept                  // an operator was told yes for a word that a successor would not know
 	ReadyTooEarly                // ready was told before requests could be served
+	StaleRead                    // a read at a replica that has itself told that its data is too old for the class
 	Names                        // how many there are
 )
 
 var texts = [Names]string{
 	"repeat_forbidden", "behind_window", "behind_deadline", "behind_client", "behind_answer", "beside_another", "to_draining",
 	"to_suspended", "deadline_too_long", "answered_twice", "never_answered", "closed_unanswered", "word_not_kept", "ready_too_early",
+	"stale_read",
 }
 
 // String is the name in logs and metrics.
@@ -48,6 +50,7 @@
 	slack       = 50 * time.Millisecond  // of every time limit on sockets
 	clientGrace = 100 * time.Millisecond // from the end of a client to the last attempt for it
 	toldSlack   = 150 * time.Millisecond // of the time that a database is told
+	knownBehind = 100 * time.Millisecond // from an answer until what it tells counts as known
 )
 
 // Violation is one that was found.
@@ -66,10 +69,23 @@
 	report func(Violation)
 	counts *stats.Named
 	hosts  map[policy.HostID]*host
+	newest present
 }
 
+// What is known of roles and positions holds for a while, and no exacter than a spoilt position may be off.
+const (
+	roleHolds   = time.Second
+	spoiltAhead = time.Second
+)
+
+// present is how far the databases' clock had come at some moment: a primary stands at the present.
+type present struct{ position, at time.Duration }
+
 // host is what was told of a database.
 type host struct {
+	replicaAt time.Duration // when it told last that it is a replica; 0: it has not since it was a primary
+	position  time.Duration // the newest that it told
+
 	leaving   bool // it drains or is gone
 	leavingAt time.Duration
 	out       bool // operators have left it out
@@ -143,6 +159,31 @@
 	h.out = out
 }
 
+// Answered notes what a database's answer tells of it; 0: no position.
+func (g *Guard) Answered(id policy.HostID, role policy.Role, position, now time.Duration) {
+	if g == nil || role == policy.RoleUnknown {
+		return
+	}
+	h := g.host(id)
+	h.position = max(h.position, position)
+	if h.replicaAt = now; role == policy.Primary {
+		h.replicaAt = 0
+		if position > 0 {
+			g.newest = present{position, now}
+		}
+	}
+}
+
+// Promoted notes that another gateway has had an answer of a database as primary.
+func (g *Guard) Promoted(id policy.HostID) {
+	if g == nil {
+		return
+	}
+	if h := g.hosts[id]; h != nil {
+		h.replicaAt = 0
+	}
+}
+
 // Sending is an attempt that is about to be written.
 type Sending struct {
 	Now         time.Duration
@@ -184,6 +225,7 @@
 	}
 	if h := g.hosts[s.Database]; h != nil {
 		g.reaching(s, h)
+		g.reading(s, h)
 	}
 }
 
@@ -211,6 +253,23 @@
 	}
 }
 
+// reading checks a read of bounded age at a replica, by what that told itself and by the newest word of a primary. Databases
+// that check reads themselves may be tried.
+func (g *Guard) reading(s *Sending, h *host) {
+	if g.set.Behind != policy.BehindServe || s.Class < 0 || s.Class >= len(g.set.Classes) || g.newest.at == 0 {
+		return
+	}
+	c := &g.set.Classes[s.Class]
+	known := h.replicaAt > 0 && s.Now >= h.replicaAt+knownBehind && s.Now <= h.replicaAt+roleHolds
+	if c.Level != policy.Recent || !known {
+		return
+	}
+	age := g.newest.position + s.Now - g.newest.at - h.position
+	if by := age - c.Bound - slack - spoiltAhead; by > 0 {
+		g.sent(s, StaleRead, by)
+	}
+}
+
 func (g *Guard) sent(s *Sending, n Name, by time.Duration) {
 	g.violated(Violation{Name: n, Request: s.Request, Client: s.Client, Database: s.Database, Transition: "send", By: by})
 }
--- a/internal/invariant/invariant_test.go
+++ b/internal/invariant/invariant_test.go
@@ -18,6 +18,7 @@
 	DrainGrace: 250 * ms,
 	Classes: []policy.Class{
 		{Repeat: policy.Retryable}, {Repeat: policy.DedupGroup, DedupWindow: time.Second}, {Repeat: policy.Fragile},
+		{Level: policy.Recent, Bound: time.Second},
 	},
 }
 
@@ -26,6 +27,16 @@
 	return Sending{Now: now, Request: "r", Client: 7, Database: "d", Deadline: now + time.Second, Told: time.Second}
 }
 
+// stale has a database tell so long ago that it is behind a primary by some time over a second, and be sent a bounded read.
+func stale(role policy.Role, by time.Duration) func(g *Guard, s *Sending) {
+	return func(g *Guard, s *Sending) {
+		const told = now - 200*ms
+		g.Answered("d", role, now-by-slack, told)
+		g.Answered("p", policy.Primary, told, told)
+		s.Class = 3
+	}
+}
+
 func TestSending(t *testing.T) {
 	for name, c := range map[string]struct {
 		change func(g *Guard, s *Sending)
@@ -53,10 +64,26 @@
 			g.Listed("d", policy.Draining, now-time.Second)
 			g.Listed("d", policy.Healthy, now)
 		}},
-		"gone":                         {change: func(g *Guard, _ *Sending) { g.Listed("d", policy.Gone, now-time.Second) }, want: []Name{ToDraining}},
-		"gone, which is advice":        {change: func(g *Guard, _ *Sending) { g.set.GoneIsAdvice = true; g.Listed("d", policy.Gone, now-time.Second) }},
-		"left out":                     {change: func(g *Guard, _ *Sending) { g.Suspended("d", true, now-time.Second); g.Suspended("d", true, now) }, want: []Name{ToSuspended}},
-		"left out, and back":           {change: func(g *Guard, _ *Sending) { g.Suspended("d", true, now-time.Second); g.Suspended("d", false, now) }},
+		"gone":                  {change: func(g *Guard, _ *Sending) { g.Listed("d", policy.Gone, now-time.Second) }, want: []Name{ToDraining}},
+		"gone, which is advice": {change: func(g *Guard, _ *Sending) { g.set.GoneIsAdvice = true; g.Listed("d", policy.Gone, now-time.Second) }},
+		"left out":              {change: func(g *Guard, _ *Sending) { g.Suspended("d", true, now-time.Second); g.Suspended("d", true, now) }, want: []Name{ToSuspended}},
+		"left out, and back":    {change: func(g *Guard, _ *Sending) { g.Suspended("d", true, now-time.Second); g.Suspended("d", false, now) }},
+		"stale, as it told":     {change: stale(policy.Replica, 2*time.Second+ms), want: []Name{StaleRead}},
+		"not quite stale":       {change: stale(policy.Replica, 2*time.Second-ms)},
+		"stale, but a primary":  {change: stale(policy.Primary, time.Minute)},
+		"stale, and promoted since": {change: func(g *Guard, s *Sending) {
+			stale(policy.Replica, time.Minute)(g, s)
+			g.Promoted("d")
+		}},
+		"stale, as it told long ago": {change: func(g *Guard, s *Sending) {
+			stale(policy.Replica, time.Minute)(g, s)
+			s.Now += 900 * ms
+			s.Deadline += time.Second
+		}},
+		"stale, where databases check": {change: func(g *Guard, s *Sending) {
+			g.set.Behind = policy.BehindReject
+			stale(policy.Replica, time.Minute)(g, s)
+		}},
 		"two at once":                  {change: func(_ *Guard, s *Sending) { s.Others, s.Answered = 1, true }, want: []Name{BehindAnswer, BesideAnother}},
 		"a class that nobody has told": {change: func(_ *Guard, s *Sending) { s.MayRun, s.Class = true, 9 }},
 	} {
