--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -83,6 +83,9 @@
 	return l.dirs[name], nil
 }
 
+// Folder is the private directory of a gateway whose socket the lab holds, whichever process it is.
+func (l *Lab) Folder(i int) (string, error) { return l.folder(i) }
+
 // held is a clients' socket that the lab holds open.
 type held struct {
 	*os.File
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -13,6 +13,7 @@
 	"lilaccove/internal/lab"
 	"lilaccove/internal/load/plan"
 	"lilaccove/internal/standin"
+	"lilaccove/internal/stats"
 )
 
 // kind is how one trouble is done.
@@ -33,6 +34,8 @@
 		"upgrade":             {1, (*soak).upgrade},
 		"successor-killed":    {1, (*soak).successorKilled},
 		"system-calls":        {2, (*soak).systemCalls},
+		"clock-step":          {2, (*soak).clockStep},
+		"folder-away":         {1, (*soak).folderAway},
 		"drain-gateway":       {1, (*soak).drainGateway},
 		"partition":           {3, (*soak).partition},
 		"lossy-links":         {0, (*soak).lossyLinks},
@@ -49,6 +52,8 @@
 		"discovery-silent":    {0, (*soak).discoverySilent},
 		"discovery-down":      {0, (*soak).discoveryDown},
 		"discovery-spoilt":    {0, (*soak).discoverySpoilt},
+		"discovery-slow":      {0, (*soak).discoverySlow},
+		"discovery-restored":  {0, (*soak).discoveryRestored},
 		"clients-leave":       {2, clients((*client).leave)},
 		"clients-cancel":      {2, clients((*client).cancel)},
 		"clients-stop-midway": {2, clients((*client).stopMidway)},
@@ -219,22 +224,91 @@
 	if s.opt.Faulty == "" {
 		return nil
 	}
-	rnd := rand.New(rand.NewPCG(s.opt.Seed, uint64(t.Number)))
+	faults := systemFaults(rand.New(rand.NewPCG(s.opt.Seed, uint64(t.Number))), t.For)
 	return s.each(t, func(i int) error {
 		s.term(s.lab.Node(i))
-		path := filepath.Join(s.folder, fmt.Sprintf("faults-%d-%d.json", t.Number, i))
-		text, err := json.Marshal(map[string]any{"seed": s.opt.Seed, "faults": systemFaults(rnd, t.For)})
-		if err == nil {
-			err = os.WriteFile(path, text, 0o600)
-		}
-		if err != nil {
-			return err
-		}
-		_, err = s.startAs(i, []string{s.opt.Faulty}, "LILACCOVE_FAULTS="+path)
+		return s.startFaulty(t, i, map[string]any{"seed": s.opt.Seed, "faults": faults})
+	})
+}
+
+// startFaulty runs a gateway anew whose system calls go by a plan.
+func (s *soak) startFaulty(t Trouble, i int, plan map[string]any) error {
+	path := filepath.Join(s.folder, fmt.Sprintf("faults-%d-%d.json", t.Number, i))
+	text, err := json.Marshal(plan)
+	if err == nil {
+		err = os.WriteFile(path, text, 0o600)
+	}
+	if err != nil {
 		return err
+	}
+	_, err = s.startAs(i, []string{s.opt.Faulty}, "LILACCOVE_FAULTS="+path)
+	return err
+}
+
+// clockSteps are by how much wall clocks are stepped between two starts.
+var clockSteps = []time.Duration{-time.Hour, -3 * time.Second, -800 * time.Millisecond, 800 * time.Millisecond, 3 * time.Second, time.Hour}
+
+// clockStep has a gateway killed, or ended, and started again with its wall clock off for good.
+func (s *soak) clockStep(t Trouble) error {
+	if s.opt.Faulty == "" {
+		return nil
+	}
+	step := clockSteps[t.Number%len(clockSteps)]
+	return s.each(t, func(i int) error {
+		if node := s.lab.Node(i); t.Number%2 == 0 {
+			defer s.judge.excuse(node.Name)()
+			node.Kill()
+		} else {
+			s.term(node)
+		}
+		return s.startFaulty(t, i, map[string]any{"wall_step_ms": step.Milliseconds()})
 	})
 }
 
+// folderAway takes the private directory of a gateway away while an operator leaves a database out there, and starts a second
+// process when it is back. A yes that the operator had holds in that one, too.
+func (s *soak) folderAway(t Trouble) error {
+	i := s.heldOf(t)
+	if !s.take(i) {
+		return nil
+	}
+	defer s.giveBack(i)
+	dir, err := s.lab.Folder(i)
+	if err != nil {
+		return err
+	}
+	old, id := s.lab.Node(i), s.replica(t).ID
+	if err := os.Rename(dir, dir+"-away"); err != nil {
+		return err
+	}
+	_, refused := old.Call("PUT", "/v1/databases/"+id+"/suspend")
+	standin.Sleep(t.For/4, s.stop)
+	if err := os.Rename(dir+"-away", dir); err != nil {
+		return err
+	}
+	standin.Sleep(time.Second, s.stop) // the word is written again, which is due within a poll
+	if err := s.start(i); err != nil {
+		return err
+	}
+	next := s.lab.Node(i)
+	s.ready(next)
+	if n := skipped(next); refused == nil && n == 0 {
+		s.judge.violated("word_lost", 1, "%s does not know that %s is left out", next.Name, id)
+	}
+	s.term(old)
+	_, _ = next.Call("PUT", "/v1/databases/"+id+"/resume") // it may have left the list
+	return nil
+}
+
+// skipped is how many databases a gateway sends nothing to.
+func skipped(n *lab.Node) int {
+	text, err := n.Call("GET", "/v1/metrics")
+	if err != nil {
+		return 0
+	}
+	return int(stats.Parse(text)["skipped_databases"])
+}
+
 // systemFaults are ways in which calls fail now and then, for so long.
 func systemFaults(rnd *rand.Rand, length time.Duration) (list []map[string]any) {
 	for _, f := range []map[string]any{
@@ -407,6 +481,26 @@
 	return nil
 }
 
+// slowCall is how long a call to a slow discovery takes: with the silence before it and the pause behind that, six seconds hold.
+const slowCall = 600 * time.Millisecond
+
+// discoverySlow has calls take long, and some of them end in a refusal behind the wait.
+func (s *soak) discoverySlow(t Trouble) error {
+	if s.lab.Pushed {
+		return nil // an agent answers at once
+	}
+	s.lab.World().Slow(slowCall, 0.3)
+	standin.Sleep(t.For, s.stop)
+	s.lab.World().Slow(0, 0)
+	return nil
+}
+
+// discoveryRestored has discovery come back as from a backup.
+func (s *soak) discoveryRestored(Trouble) error {
+	s.lab.World().Restore()
+	return nil
+}
+
 // clients is a trouble in which bad clients come to gateways, one after the other.
 func clients(do func(c *client)) func(s *soak, t Trouble) error {
 	return func(s *soak, t Trouble) error {
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -10,6 +10,12 @@
 	"time"
 )
 
+// Versions of the list begin so high that a discovery which is restored from a backup can be behind by restoreBehind.
+const (
+	firstVersion  = 1_000_000
+	restoreBehind = 1000
+)
+
 // Discovery serves the list and its changes.
 type Discovery struct {
 	Addr  string
@@ -161,7 +167,11 @@
 	d.w.mu.Lock()
 	d.calls.Asked++
 	d.calls.After = q.URL.Query().Get("after")
-	if d.w.down {
+	slow, turned := d.w.slow, d.w.crowd > 0 && d.w.rnd.Float64() < d.w.crowd
+	d.w.mu.Unlock()
+	Sleep(slow, d.stop)
+	d.w.mu.Lock()
+	if d.w.down || turned {
 		d.w.mu.Unlock()
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/standin/script.go
+++ b/internal/standin/script.go
@@ -191,6 +191,26 @@
 	w.disturbed = time.Now()
 }
 
+// Slow has calls to discovery take so long, and a share of them end with a refusal behind that, until it is called with zeros.
+func (w *World) Slow(d time.Duration, crowd float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slow, w.crowd = d, crowd
+	w.disturbed = time.Now()
+}
+
+// Restore has discovery come back as from a backup: watches end, and its versions are far lower than those that it told.
+func (w *World) Restore() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.seq -= restoreBehind
+	w.disturbed = time.Now()
+	for ch := range w.watch {
+		delete(w.watch, ch)
+		close(ch)
+	}
+}
+
 // Disturb tells that gateways may lose their watches about now, for other reasons than those of this world.
 func (w *World) Disturb() {
 	w.mu.Lock()
@@ -201,7 +221,7 @@
 // toldLate is how much later than at once a change of some moment may count as told: watches were disturbed since, or a
 // little before, as one that fell silent is noticed only when its next message is due.
 func (w *World) toldLate(change time.Time) time.Duration {
-	if w.down || w.disturbed.After(change.Add(-toldWithin)) {
+	if w.down || w.slow > 0 || w.disturbed.After(change.Add(-toldWithin)) {
 		return toldWithin
 	}
 	return 0
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -75,6 +75,8 @@
 
 	hosts     []*Host
 	seq       int
+	slow      time.Duration // that calls to discovery take
+	crowd     float64       // share of them that wait and are turned away
 	named     int
 	watch     map[chan []byte]*Discovery
 	muted     map[chan []byte]bool
@@ -121,7 +123,7 @@
 
 // New starts a world.
 func New(opt Options) (*World, error) {
-	w := &World{opt: opt, rnd: rand.New(rand.NewPCG(opt.Seed, 0x73746e64)), watch: map[chan []byte]*Discovery{}, muted: map[chan []byte]bool{}, tried: map[string]bool{}, ran: map[string]int{}, seq: 1, done: make(chan struct{})}
+	w := &World{opt: opt, rnd: rand.New(rand.NewPCG(opt.Seed, 0x73746e64)), watch: map[chan []byte]*Discovery{}, muted: map[chan []byte]bool{}, tried: map[string]bool{}, ran: map[string]int{}, seq: firstVersion, done: make(chan struct{})}
 	for g := range opt.Groups {
 		for m := range opt.Members {
 			if opt.Most > 0 && len(w.hosts) == opt.Most {
