--- /dev/null
+++ b/internal/soak/databases.go
@@ -0,0 +1,138 @@
+// Troubles of databases and of discovery.
+
+package soak
+
+import (
+	"strings"
+	"time"
+
+	"lilaccove/internal/standin"
+)
+
+// suspendDatabase has one gateway leave a database out, while others use it, and takes it back.
+func (s *soak) suspendDatabase(t Trouble) error {
+	members := s.lab.World().Members()
+	path := "/v1/databases/" + members[t.Number%len(members)].ID
+	return s.each(t, func(i int) error {
+		node := s.lab.Node(i)
+		if _, err := node.Call("PUT", path+"/suspend"); err != nil {
+			return nil // it may have left the list meanwhile
+		}
+		standin.Sleep(t.For, s.stop)
+		_, err := node.Call("PUT", path+"/resume")
+		return err
+	})
+}
+
+// replica is one that a trouble may have, not always the same.
+func (s *soak) replica(t Trouble) *standin.Host {
+	members := s.lab.World().Members()
+	for k := range members {
+		if h := members[(t.Number*7+k)%len(members)]; h.Replica() {
+			return h
+		}
+	}
+	return members[0]
+}
+
+// drainMore is how much longer than other troubles a drain lasts: beyond what any disturbance of watches excuses, and the grace.
+const drainMore = 9 * time.Second
+
+func (s *soak) drainDatabase(t Trouble) error {
+	h := s.replica(t)
+	h.Tell("terminating", time.Time{})
+	standin.Sleep(t.For+drainMore, s.stop)
+	h.Tell("in_service", time.Time{})
+	return nil
+}
+
+func (s *soak) replaceDatabase(t Trouble) error {
+	return s.lab.World().Replace(s.replica(t), 4*time.Second, nil)
+}
+
+func (s *soak) databasesHang(t Trouble) error {
+	resume := s.lab.World().Pause(0.1)
+	standin.Sleep(t.For, s.stop)
+	resume()
+	return nil
+}
+
+func (s *soak) databasesHangUp(t Trouble) error {
+	for until := time.Now().Add(t.For); time.Now().Before(until); standin.Sleep(t.For/10, s.stop) {
+		for k, h := range s.lab.World().Members() {
+			if k%3 == t.Number%3 {
+				h.HangUp()
+			}
+		}
+	}
+	return nil
+}
+
+func (s *soak) connectionsLate(t Trouble) error {
+	members := s.lab.World().Members()
+	for k, h := range members {
+		if k%3 == 0 {
+			h.Late(t.For / 4)
+		}
+	}
+	standin.Sleep(t.For, s.stop)
+	for _, h := range members {
+		h.Late(0)
+	}
+	return nil
+}
+
+func (s *soak) failOver(Trouble) error {
+	s.lab.World().FailOver(0.12)
+	return nil
+}
+
+// answers is a trouble in which databases' answers go wrong.
+func answers(f standin.Faults) func(s *soak, t Trouble) error {
+	return func(s *soak, t Trouble) error {
+		s.lab.World().SetFaults(f)
+		standin.Sleep(t.For, s.stop)
+		s.lab.World().SetFaults(standin.Faults{})
+		return nil
+	}
+}
+
+func (s *soak) discoverySilent(Trouble) error {
+	s.lab.World().Mute()
+	return nil
+}
+
+func (s *soak) discoveryDown(t Trouble) error {
+	s.lab.World().Down(true)
+	standin.Sleep(t.For, s.stop)
+	s.lab.World().Down(false)
+	return nil
+}
+
+func (s *soak) discoverySpoilt(t Trouble) error {
+	for _, line := range []string{"no JSON\n", `{"seq":1,"whole":false,"hosts":[{"host":` + "\n", strings.Repeat(" ", 100) + "\n"} {
+		s.lab.World().Say(line)
+		standin.Sleep(t.For/3, s.stop)
+	}
+	return nil
+}
+
+// slowCall is how long a call to a slow discovery takes: with the silence before it and the pause behind that, six seconds hold.
+const slowCall = 600 * time.Millisecond
+
+// discoverySlow has calls take long, and some of them end in a refusal behind the wait.
+func (s *soak) discoverySlow(t Trouble) error {
+	if s.lab.Pushed {
+		return nil // an agent answers at once
+	}
+	s.lab.World().Slow(slowCall, 0.3)
+	standin.Sleep(t.For, s.stop)
+	s.lab.World().Slow(0, 0)
+	return nil
+}
+
+// discoveryRestored has discovery come back as from a backup.
+func (s *soak) discoveryRestored(Trouble) error {
+	s.lab.World().Restore()
+	return nil
+}
--- /dev/null
+++ b/internal/soak/processes.go
@@ -0,0 +1,335 @@
+// Troubles of gateways: their processes, machines, links and operators.
+
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"lilaccove/internal/lab"
+	"lilaccove/internal/load/plan"
+	"lilaccove/internal/standin"
+	"lilaccove/internal/stats"
+)
+
+// restartPause is how long a gateway is away between two processes.
+const restartPause = 200 * time.Millisecond
+
+func (s *soak) kill(t Trouble) error {
+	return s.each(t, func(i int) error {
+		defer s.judge.excuse(s.lab.Node(i).Name)()
+		s.lab.Node(i).Kill()
+		standin.Sleep(t.For/2, s.stop)
+		return s.start(i)
+	})
+}
+
+// end ends a process in order. What it has read it owes; nothing is excused but the time in which nobody listens.
+func (s *soak) end(t Trouble) error {
+	return s.each(t, func(i int) error {
+		s.term(s.lab.Node(i))
+		standin.Sleep(restartPause, s.stop)
+		return s.start(i)
+	})
+}
+
+func (s *soak) standStill(t Trouble) error {
+	return s.each(t, func(i int) error {
+		node := s.lab.Node(i)
+		defer s.judge.excuse(node.Name)()
+		if err := node.Stop(); err != nil {
+			return err
+		}
+		standin.Sleep(t.For, s.stop)
+		if err := node.Continue(); err != nil {
+			return err
+		}
+		standin.Sleep(restartPause, s.stop) // what it stood still with is answered late
+		return nil
+	})
+}
+
+// reload moves a gateway from one address of discovery to the other and back, signals in quick succession.
+func (s *soak) reload(t Trouble) error {
+	s.lab.World().Disturb()
+	for _, i := range t.Gateways {
+		node := s.lab.Node(i)
+		for k := range 5 {
+			text, err := os.ReadFile(node.Config)
+			if err != nil {
+				return err
+			}
+			var config map[string]any
+			if err := json.Unmarshal(text, &config); err != nil {
+				return err
+			}
+			config["discovery"] = s.discoveries[k%2].Addr
+			if text, err = json.Marshal(config); err != nil {
+				return err
+			}
+			if err := os.WriteFile(node.Config, text, 0o600); err != nil {
+				return err
+			}
+			if err := node.Signal(syscall.SIGHUP); err != nil {
+				return err
+			}
+			standin.Sleep(t.For/20, s.stop)
+		}
+	}
+	return nil
+}
+
+// heldOf is a gateway whose socket the lab holds, in a trouble's place for one.
+func (s *soak) heldOf(t Trouble) int { return s.lab.Held[t.Gateways[0]%len(s.lab.Held)] }
+
+// beside starts a second process of a gateway whose socket the lab holds, waits until it is ready, and does something to both.
+func (s *soak) beside(t Trouble, do func(i int, old, next *lab.Node) error) error {
+	i := s.heldOf(t)
+	if !s.take(i) {
+		return nil
+	}
+	defer s.giveBack(i)
+	old := s.lab.Node(i)
+	if err := s.start(i); err != nil {
+		return err
+	}
+	next := s.lab.Node(i)
+	s.ready(next)
+	return do(i, old, next)
+}
+
+// term ends a process in order; one that does not end in time is a violation.
+func (s *soak) term(n *lab.Node) {
+	if err := n.Term(); err != nil {
+		s.judge.violated("no_end", 1, "%v", err)
+	}
+}
+
+func (s *soak) upgrade(t Trouble) error {
+	return s.beside(t, func(_ int, old, _ *lab.Node) error {
+		s.term(old)
+		return nil
+	})
+}
+
+// successorKilled kills the process beside an old one that has begun to leave to it.
+func (s *soak) successorKilled(t Trouble) error {
+	return s.beside(t, func(i int, old, next *lab.Node) error {
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			s.term(old)
+		}()
+		standin.Sleep(t.For/10, s.stop)
+		defer s.judge.excuse(old.Name)()
+		next.Kill()
+		err := s.start(i)
+		<-ended
+		return err
+	})
+}
+
+// systemCalls has a gateway's process followed by one whose system calls fail for a while.
+func (s *soak) systemCalls(t Trouble) error {
+	if s.opt.Faulty == "" {
+		return nil
+	}
+	faults := systemFaults(rand.New(rand.NewPCG(s.opt.Seed, uint64(t.Number))), t.For)
+	return s.each(t, func(i int) error {
+		s.term(s.lab.Node(i))
+		return s.startFaulty(t, i, map[string]any{"seed": s.opt.Seed, "faults": faults})
+	})
+}
+
+// startFaulty runs a gateway anew whose system calls go by a plan.
+func (s *soak) startFaulty(t Trouble, i int, plan map[string]any) error {
+	path := filepath.Join(s.folder, fmt.Sprintf("faults-%d-%d.json", t.Number, i))
+	text, err := json.Marshal(plan)
+	if err == nil {
+		err = os.WriteFile(path, text, 0o600)
+	}
+	if err != nil {
+		return err
+	}
+	_, err = s.startAs(i, []string{s.opt.Faulty}, "LILACCOVE_FAULTS="+path)
+	return err
+}
+
+// clockSteps are by how much wall clocks are stepped between two starts.
+var clockSteps = []time.Duration{-time.Hour, -3 * time.Second, -800 * time.Millisecond, 800 * time.Millisecond, 3 * time.Second, time.Hour}
+
+// clockStep has a gateway killed, or ended, and started again with its wall clock off for good.
+func (s *soak) clockStep(t Trouble) error {
+	if s.opt.Faulty == "" {
+		return nil
+	}
+	step := clockSteps[t.Number%len(clockSteps)]
+	return s.each(t, func(i int) error {
+		if node := s.lab.Node(i); t.Number%2 == 0 {
+			defer s.judge.excuse(node.Name)()
+			node.Kill()
+		} else {
+			s.term(node)
+		}
+		return s.startFaulty(t, i, map[string]any{"wall_step_ms": step.Milliseconds()})
+	})
+}
+
+// folderAway takes the private directory of a gateway away while an operator leaves a database out there, and starts a second
+// process when it is back. A yes that the operator had holds in that one, too.
+func (s *soak) folderAway(t Trouble) error {
+	i := s.heldOf(t)
+	if !s.take(i) {
+		return nil
+	}
+	defer s.giveBack(i)
+	dir, err := s.lab.Folder(i)
+	if err != nil {
+		return err
+	}
+	old, id := s.lab.Node(i), s.replica(t).ID
+	if err := os.Rename(dir, dir+"-away"); err != nil {
+		return err
+	}
+	_, refused := old.Call("PUT", "/v1/databases/"+id+"/suspend")
+	standin.Sleep(t.For/4, s.stop)
+	if err := os.Rename(dir+"-away", dir); err != nil {
+		return err
+	}
+	standin.Sleep(time.Second, s.stop) // the word is written again, which is due within a poll
+	if err := s.start(i); err != nil {
+		return err
+	}
+	next := s.lab.Node(i)
+	s.ready(next)
+	if n := skipped(next); refused == nil && n == 0 {
+		s.judge.violated("word_lost", 1, "%s does not know that %s is left out", next.Name, id)
+	}
+	s.term(old)
+	_, _ = next.Call("PUT", "/v1/databases/"+id+"/resume") // it may have left the list
+	return nil
+}
+
+// skipped is how many databases a gateway sends nothing to.
+func skipped(n *lab.Node) int {
+	text, err := n.Call("GET", "/v1/metrics")
+	if err != nil {
+		return 0
+	}
+	return int(stats.Parse(text)["skipped_databases"])
+}
+
+// systemFaults are ways in which calls fail now and then, for so long.
+func systemFaults(rnd *rand.Rand, length time.Duration) (list []map[string]any) {
+	for _, f := range []map[string]any{
+		{"call": "accept", "error": "ECONNABORTED"}, {"call": "accept", "error": "ENFILE"}, {"call": "accept", "error": "EPROTO"},
+		{"call": "socket", "error": "ENFILE"}, {"call": "connect", "error": "EADDRNOTAVAIL"}, {"call": "connect", "error": "ENETUNREACH"},
+		{"call": "epoll_add", "error": "ENOSPC"}, {"call": "epoll_mod", "error": "ENOMEM"}, {"call": "epoll_wait", "error": "EINTR"},
+		{"call": "epoll_wait", "delay_ms": 100}, {"call": "read", "short": 9}, {"call": "write", "short": 9},
+		{"call": "create", "error": "ENOSPC"}, {"call": "write_file", "error": "ENOSPC"}, {"call": "rename", "error": "EIO"},
+	} {
+		if rnd.IntN(2) == 0 {
+			f["share"], f["for_ms"] = 0.05+0.2*rnd.Float64(), length.Milliseconds()
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
+func (s *soak) drainGateway(t Trouble) error {
+	return s.each(t, func(i int) error {
+		node := s.lab.Node(i)
+		if _, err := node.Call("PUT", "/v1/gateway/drain"); err != nil {
+			return err
+		}
+		standin.Sleep(t.For, s.stop)
+		_, err := node.Call("PUT", "/v1/gateway/activate")
+		return err
+	})
+}
+
+// partition cuts some gateways off from the others.
+func (s *soak) partition(t Trouble) error {
+	side := map[int]bool{}
+	for _, i := range t.Gateways {
+		side[i] = true
+	}
+	var rest []int
+	for i := range s.opt.Gateways {
+		if !side[i] {
+			rest = append(rest, i)
+		}
+	}
+	s.lab.Mesh().Partition([][]int{t.Gateways, rest}, true)
+	standin.Sleep(t.For, s.stop)
+	s.lab.Mesh().Partition([][]int{t.Gateways, rest}, false)
+	return nil
+}
+
+func (s *soak) lossyLinks(t Trouble) error {
+	s.links(plan.Link{Loss: 0.15, Duplicate: 0.1, Reorder: 0.2, Corrupt: 0.02, Delay: 20 * time.Millisecond, Jitter: 30 * time.Millisecond})
+	standin.Sleep(t.For, s.stop)
+	s.links(plan.Link{})
+	return nil
+}
+
+func (s *soak) links(l plan.Link) {
+	for i := range s.opt.Gateways {
+		for j := range s.opt.Gateways {
+			if i != j {
+				s.lab.Mesh().Set(i, j, l)
+			}
+		}
+	}
+}
+
+// start runs a gateway anew.
+func (s *soak) start(i int) error {
+	_, err := s.startAs(i, s.lab.Gateway)
+	return err
+}
+
+// startAs is start with another program. A process that does not start in time is one that crashed.
+func (s *soak) startAs(i int, command []string, env ...string) (*lab.Node, error) {
+	begun := time.Now()
+	n, err := s.lab.StartAs(i, command, env...)
+	if err != nil {
+		s.judge.violated("no_start", 1, "%v", err)
+		return nil, nil
+	}
+	s.judge.started(n)
+	s.mu.Lock()
+	s.restarts++
+	s.mu.Unlock()
+	s.work.Add(1)
+	go func() {
+		defer s.work.Done()
+		if s.ready(n) {
+			s.mu.Lock()
+			s.readyTimes = append(s.readyTimes, time.Since(begun))
+			s.mu.Unlock()
+		}
+	}()
+	return n, nil
+}
+
+const readyMost = 10 * time.Second
+
+// ready waits until a process says that it serves; false: it ends first, or does not in time.
+func (s *soak) ready(n *lab.Node) bool {
+	for late := time.Now().Add(readyMost); n.Alive(); time.Sleep(20 * time.Millisecond) {
+		if _, err := n.Call("GET", "/v1/readyz"); err == nil {
+			return true
+		}
+		if time.Now().After(late) {
+			s.judge.violated("not_ready", 1, "%s within %v", n.Name, readyMost)
+			return false
+		}
+	}
+	return false
+}
