--- a/internal/backend/moved_test.go
+++ b/internal/backend/moved_test.go
@@ -4,15 +4,12 @@
 	"bufio"
 	"io"
 	"net"
-	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"lilaccove/internal/gateway"
-	"lilaccove/internal/netloop"
 	"lilaccove/internal/pgwire"
 	"lilaccove/policy"
 )
@@ -70,21 +67,10 @@
 			close(next.greet)
 			next.answer <- struct{}{}
 			next.answer <- struct{}{}
-			loop, err := netloop.New(64, 10, 1<<20)
-			require.NoError(t, err)
-			defer loop.Close()
-			core := &ends{}
-			pool := New(loop, core, Options{DialTimeout: 5 * time.Second})
-			listed := func(p *place) {
-				pool.Listed(policy.ListDelta, []gateway.Entry{{Member: policy.Member{Host: "h"}, Dial: netip.MustParseAddrPort(p.Addr().String())}})
-			}
-			text := []byte("/* id=1,c=x,d=900,cluster=2 */ SELECT 1")
-			head, err := pgwire.ParseHead(text)
-			require.NoError(t, err)
-			send := func() {
-				until := loop.Now() + 5*time.Second
-				pool.Send(&gateway.Attempt{Host: "h", Statement: &pgwire.Statement{Text: text, Head: head}, Deadline: until, Begin: until})
-			}
+			r := newRig(t)
+			loop, core, pool := r.loop, r.core(), r.pool
+			listed := func(p *place) { r.list(p.Addr().String()) }
+			send := func() { r.send(5 * time.Second) }
 			listed(old)
 			send()
 			if name == "on its way" {
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"io"
 	"net"
-	"net/netip"
 	"testing"
 	"time"
 
@@ -12,7 +11,6 @@
 	"github.com/stretchr/testify/require"
 
 	"lilaccove/internal/gateway"
-	"lilaccove/internal/netloop"
 	"lilaccove/internal/pgwire"
 	"lilaccove/policy"
 )
@@ -79,19 +77,10 @@
 				}
 			}()
 
-			loop, err := netloop.New(64, 10, 1<<20)
-			require.NoError(t, err)
-			defer loop.Close()
-			core := &ends{}
-			pool := New(loop, core, Options{DialTimeout: 5 * time.Second})
-			pool.Listed(policy.ListFull, []gateway.Entry{{Member: policy.Member{Host: "h"}, Dial: netip.MustParseAddrPort(ln.Addr().String())}})
-			text := []byte("/* id=1,c=x,d=900,cluster=2 */ SELECT 1")
-			head, err := pgwire.ParseHead(text)
-			require.NoError(t, err)
-			send := func() {
-				until := loop.Now() + 5*time.Second
-				pool.Send(&gateway.Attempt{Host: "h", Statement: &pgwire.Statement{Text: text, Head: head}, Deadline: until, Begin: until})
-			}
+			r := newRig(t)
+			loop, core, pool := r.loop, r.core(), r.pool
+			r.list(ln.Addr().String())
+			send := func() { r.send(5 * time.Second) }
 			var old *net.TCPConn
 			loop.At(loop.Now()+10*time.Second, loop.Stop)
 			send()
@@ -153,17 +142,10 @@
 				c1.Close()
 			}()
 
-			loop, err := netloop.New(64, 10, 1<<20)
-			require.NoError(t, err)
-			defer loop.Close()
-			core := &ends{}
-			pool := New(loop, core, Options{DialTimeout: 5 * time.Second})
-			pool.Listed(policy.ListFull, []gateway.Entry{{Member: policy.Member{Host: "h"}, Dial: netip.MustParseAddrPort(ln.Addr().String())}})
-			text := []byte("/* id=1,c=x,d=900,cluster=2 */ SELECT 1")
-			head, err := pgwire.ParseHead(text)
-			require.NoError(t, err)
-			until := loop.Now() + 300*time.Millisecond
-			pool.Send(&gateway.Attempt{Host: "h", Statement: &pgwire.Statement{Text: text, Head: head}, Deadline: until, Begin: until})
+			r := newRig(t)
+			loop, core, pool := r.loop, r.core(), r.pool
+			r.list(ln.Addr().String())
+			until := r.send(300 * time.Millisecond)
 			loop.At(until+2*crossing, loop.Stop)
 			require.NoError(t, loop.Run(func() bool { return false }))
 			assert.Equal(t, []policy.Outcome{policy.Timeout}, core.outcomes)
@@ -189,17 +171,10 @@
 					time.Sleep(5 * time.Second)
 				}
 			}()
-			loop, err := netloop.New(64, 10, 1<<20)
-			require.NoError(t, err)
-			defer loop.Close()
-			core := &ends{}
-			pool := New(loop, core, Options{DialTimeout: 5 * time.Second})
-			pool.Listed(policy.ListFull, []gateway.Entry{{Member: policy.Member{Host: "h"}, Dial: netip.MustParseAddrPort(ln.Addr().String())}})
-			text := []byte("/* id=1,c=x,d=900,cluster=2 */ SELECT 1")
-			head, err := pgwire.ParseHead(text)
-			require.NoError(t, err)
-			until := loop.Now() + 300*time.Millisecond
-			pool.Send(&gateway.Attempt{Host: "h", Statement: &pgwire.Statement{Text: text, Head: head}, Deadline: until, Begin: until})
+			r := newRig(t)
+			loop, core, pool := r.loop, r.core(), r.pool
+			r.list(ln.Addr().String())
+			until := r.send(300 * time.Millisecond)
 			loop.At(until-50*time.Millisecond, func() { pool.opt.Reserve = reserve })
 			open := -1
 			loop.At(until+crossing/2, func() { open = pool.hosts["h"].open })
--- a/internal/backend/standstill_test.go
+++ b/internal/backend/standstill_test.go
@@ -14,7 +14,6 @@
 	"lilaccove/internal/gateway"
 	"lilaccove/internal/netloop"
 	"lilaccove/internal/pgwire"
-	"lilaccove/policy"
 )
 
 // standstill is a core in which the process stands still, as behind SIGSTOP, when an attempt is about to be written.
@@ -54,18 +53,12 @@
 		_, _ = fmt.Sscanf(rest, "%d", &d)
 		told <- d
 	}()
-	loop, err := netloop.New(64, 10, 1<<20)
-	require.NoError(t, err)
-	defer loop.Close()
-	core := &standstill{loop: loop}
-	pool := New(loop, core, Options{DialTimeout: 5 * time.Second})
-	addr := ln.Addr().(*net.TCPAddr).AddrPort()
-	pool.Listed(policy.ListFull, []gateway.Entry{{Member: policy.Member{Host: "h"}, Dial: addr}})
-	text := []byte("/* id=9b1f03aa5c7e2d41,c=read,d=10000,cluster=2 */ SELECT blob FROM rows WHERE handle = '7f3a'")
-	head, err := pgwire.ParseHead(text)
-	require.NoError(t, err)
-	until := loop.Now() + 10*time.Second
-	pool.Send(&gateway.Attempt{Host: "h", Deadline: until, Begin: until, Statement: &pgwire.Statement{Text: text, Head: head}})
+	core := &standstill{}
+	r := newRigFor(t, core)
+	core.loop = r.loop
+	loop := r.loop
+	r.list(ln.Addr().String())
+	r.send(10 * time.Second)
 	d := 0
 	loop.At(loop.Now()+5*time.Second, loop.Stop)
 	require.NoError(t, loop.Run(func() bool {
