--- a/cmd/lilaccove/faults_test.go
+++ b/cmd/lilaccove/faults_test.go
@@ -294,3 +294,27 @@
 		})
 	}
 }
+
+// The way to one database breaks, and that to all others holds: reads go elsewhere, and each request has its answer.
+func TestWayToOneDatabaseBreaks(t *testing.T) {
+	t.Parallel()
+	for _, fault := range []string{
+		`"call":"read","error":"ETIMEDOUT"`, `"call":"write","error":"EHOSTUNREACH"`, `"call":"connect","error":"ENETUNREACH"`,
+		`"call":"connect","error":"ECONNREFUSED"`, `"call":"read","short":1`, `"call":"write","short":1`,
+	} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, func(s *site) {
+				s.t = t
+				failing(fmt.Sprintf(`{%s,"peer":%q}`, fault, s.a.Addr()))(s)
+			})
+			c := s.client()
+			for k := range 40 {
+				class := []string{"own", "browse", "write"}[k%3]
+				got := c.ask(stmt(class, 1000, ""))
+				assert.NotEmpty(t, got.value, "request %d, %s: %+v", k, class, got)
+			}
+			assert.NotContains(t, s.logged(), "breaker opens", "the primary is well")
+		})
+	}
+}
--- a/internal/standin/script.go
+++ b/internal/standin/script.go
@@ -256,6 +256,9 @@
 	return d.calls
 }
 
+// Addr is where the database listens, whatever discovery says.
+func (h *Host) Addr() string { return h.ln.Addr().String() }
+
 // HangUp closes all connections to the database, as a process that restarts does; new ones are taken.
 func (h *Host) HangUp() { h.each(func(c net.Conn) { c.Close() }) }
 
