Add a failing test: a large statement that is let go for memory keeps what it held

Memory stays short meanwhile, and ten others whose commands had begun were closed in the place of one.

--- a/cmd/lilaccove/large_test.go
+++ b/cmd/lilaccove/large_test.go
@@ -341,3 +341,39 @@
 	waits.c.Close()
 	assert.Equal(t, "p", s.client().ask(large(4<<20)).value, "the room is given back")
 }
+
+// A client that is let go for want of memory in the midst of a large statement gives back at once what that held: nobody else
+// has to go.
+func TestLargeStatementLetGoForMemoryGivesItBack(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, func(s *site) { s.managed, s.memory, s.sockets = true, 64, 1024 }) // buffers hold a quarter of the memory
+	text := query(large(4 << 20))
+	half := s.client()
+	half.write(text[:len(text)*9/10])
+	packet := query(strings.Replace(stmt("own", 3000, ""), "SELECT", strings.Repeat(" ", 60_000)+"SELECT", 1))
+	other := s.client()
+	for range 100 { // rounds, in each of which some hundred kilobytes of the statement are read
+		require.NotEmpty(t, other.ask(stmt("own", 3000, "")).value)
+	}
+	other.write(packet[:50_000])
+	// Those who are owed an answer keep their buffers, so that one of the two has to go.
+	release := s.p.waits()
+	owed := func() {
+		c := s.client()
+		c.write(query(stmt("write", 3000, "")) + packet[:50_000])
+		assert.True(t, s.client().ask("").empty, "it has been read meanwhile")
+	}
+	s.eventually("memory runs short", func() bool {
+		owed()
+		return s.figure("closed.memory") > 0
+	})
+	for range 10 {
+		owed()
+	}
+	close(release)
+	assert.Equal(t, 1, s.figure("closed.memory"))
+	_, err := io.WriteString(other.c, packet[50_000:])
+	require.NoError(t, err)
+	got := other.read()
+	assert.NotEmpty(t, got.value, "%+v", got)
+}
