--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -328,6 +328,7 @@
 func (c *conn) finish(why closed) {
 	c.ending(why)
 	c.forget()
+	c.dropPieces()
 	limit := limits[leaving]
 	if c.nc.Pending() > 0 {
 		limit = limits[unread]
