Add two failing tests: a folder that fails while a process starts costs operators' words

Read from there: a process that cannot read the folder at its start does not know what its predecessor was told, and sends to suspended databases at once.

--- a/cmd/lilaccove/handover_test.go
+++ b/cmd/lilaccove/handover_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"lilaccove/internal/pgwire"
 )
 
 // withoutFolder runs do while the directory that two processes of a gateway share is not there.
@@ -58,3 +60,47 @@
 	assert.Equal(t, "late", busy.read().value)
 	s.exits()
 }
+
+// The folder may be full for the moment in which a process starts. The process enters it later: it and its successor know of
+// each other, and what an operator told one the other does.
+func TestFolderFailsAtTheStart(t *testing.T) {
+	t.Parallel()
+	s := held(t, failing(`{"call":"create","error":"ENOSPC","most":5}`))
+	s.eventually("an operator has a yes", func() bool {
+		status, _ := s.call("PUT", "/v1/databases/a/suspend")
+		return status == 200
+	})
+	next := s.successor()
+	s.eventually("the new process is ready", next.ready)
+	assert.Equal(t, 1, next.figure("skipped_databases"), "the successor knows the word")
+	for _, x := range []*site{s, next} {
+		s.eventually("both know of each other", func() bool { return strings.Contains(x.logged(), "event=processes beside=true") })
+	}
+	s.term()
+	s.eventually("it leaves", func() bool { return strings.Contains(s.logged(), "successor=true") })
+	s.exits()
+}
+
+// Nor does a process serve that cannot read what its predecessor was told: a database that operators have left out gets
+// nothing.
+func TestFolderCannotBeReadAtTheStart(t *testing.T) {
+	t.Parallel()
+	s := held(t)
+	s.yes("PUT", "/v1/databases/a/suspend")
+	s.yes("PUT", "/v1/databases/b/suspend")
+	var next *site
+	s.withoutFolder(func() {
+		next = s.successor()
+		s.Kill()
+		for range 20 { // it accepts nobody, who come later or not at all
+			c := next.raw()
+			c.write(string(pgwire.Startup("api", "ledger")) + query(stmt("own", 300, "")))
+		}
+		time.Sleep(300 * time.Millisecond) // the fault itself
+		assert.False(t, next.ready())
+	})
+	s.eventually("it is ready", next.ready)
+	assert.Equal(t, 2, next.figure("skipped_databases"))
+	assert.Empty(t, s.a.Statements())
+	assert.Empty(t, s.b.Statements())
+}
