Enter the folder again where it failed at the start, and wait for what operators said before

Cause: see the failing tests before. handover.Join no longer gives up: the share is there in any case, each poll tries again to make the process's own file and to read the state. Until the state is known requests wait (policy.Held) and the empty query says no, for CompareTime at most, as for the list of an agent. A word is kept once it stands in the folder, whether or not others can see this process yet.

--- a/cmd/lilaccove/operations.go
+++ b/cmd/lilaccove/operations.go
@@ -59,6 +59,7 @@
 	longest         time.Duration // deadline of a class
 	begunAt         time.Duration
 	share           *handover.Share // nil: no other process can be met
+	held            bool            // what operators told the processes before this one is not known yet
 	beside          bool            // another process of this gateway lives
 	drained         bool            // by an operator, who said so here or to the fleet
 	drainHere       bool
@@ -93,10 +94,10 @@
 	}
 	if dir := env("TMPDIR"); dir == "" {
 		log.Printf("event=alone reason=%q", "TMPDIR is not set")
-	} else if o.share, err = handover.Join(dir); err != nil {
-		log.Printf("event=alone err=%q", err)
-	}
-	if o.share != nil {
+	} else {
+		o.share = handover.Join(dir)
+		o.held = !o.share.Known()
+		o.core.Fleet(policy.Held{On: o.held})
 		o.adopt(o.share.State())
 		o.poll()
 	}
@@ -157,6 +158,10 @@
 	if o.share == nil {
 		return
 	}
+	if o.held && o.share.Known() {
+		o.held = false
+		o.core.Fleet(policy.Held{On: false})
+	}
 	if beside := o.share.Poll(o.adopt); beside != o.beside {
 		o.beside = beside
 		o.divide()
@@ -204,7 +209,7 @@
 // agree gives the answers that have waited long enough.
 func (o *operations) agree(now time.Duration) {
 	for len(o.agreeing) > 0 && o.agreeing[0].until <= now {
-		o.tell(o.agreeing[0].then, o.share.Kept())
+		o.tell(o.agreeing[0].then, o.kept())
 		o.agreeing = o.agreeing[1:]
 	}
 }
@@ -224,6 +229,8 @@
 		return "starting", false
 	case o.comparing():
 		return "waiting for what its agent has", false
+	case o.waitsForWords():
+		return "waiting for what operators told the process before", false
 	case o.links != nil && !o.links.CaughtUp():
 		return "catching up with the fleet", false
 	case o.links != nil && o.links.Fenced():
@@ -391,9 +398,14 @@
 	return o.list == policy.ListFromAgent && !o.watch.Heard() && o.loop.Now() < o.begunAt+policy.CompareTime
 }
 
-// servable tells whether requests can be served: the list is known and compared, and so is what operators told the fleet.
+// waitsForWords tells that what operators told the processes before this one cannot be read yet.
+func (o *operations) waitsForWords() bool {
+	return o.held && o.loop.Now() < o.begunAt+policy.CompareTime
+}
+
+// servable tells whether requests can be served: the list is known and compared, and so is what operators told.
 func (o *operations) servable() bool {
-	return !o.comparing() && (o.links == nil || o.links.CaughtUp())
+	return !o.comparing() && !o.waitsForWords() && (o.links == nil || o.links.CaughtUp())
 }
 
 // check is called behind each round: it begins to serve, and exits once nothing is owed.
--- a/policy/clock.go
+++ b/policy/clock.go
@@ -81,8 +81,6 @@
 	grain := r.set.PositionGrain
 	if r.clock.observe(r.now, offsetRange{least: position - grain - r.now, most: position + grain - sent}) {
 		r.emit(Log{Text: "the databases' clock is " + r.clock.offset.String() + " ahead of this process's"})
-		for _, g := range r.groups {
-			r.retryWaiting(g)
-		}
+		r.retryAll()
 	}
 }
--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -28,6 +28,9 @@
 		}
 	case Fenced:
 		r.fenced = e.Out
+	case Held:
+		r.held = e.On
+		r.retryAll()
 	case Repeats:
 		r.repeats = repeats.New(e.Share)
 	case Away:
--- a/policy/list.go
+++ b/policy/list.go
@@ -14,9 +14,7 @@
 	}
 	if m.Kind != ListCached && !r.compared {
 		r.compared = true
-		for _, g := range r.groups {
-			r.retryWaiting(g)
-		}
+		r.retryAll()
 	}
 	listed := map[HostID]bool{}
 	for _, e := range m.Entries {
@@ -67,10 +65,11 @@
 	return r.agentTime() / 2
 }
 
-// mayAct tells whether requests may be sent by the list as it is known. What an agent has counts as told from
-// the first moment on, so the list of the start is compared with it before.
+// mayAct tells whether requests may be sent by what is known of hosts. What an agent has counts as told from the
+// first moment on, so the list of the start is compared with it before; and what operators said before holds.
 func (r *Router) mayAct() bool {
-	return r.set.List != ListFromAgent || r.compared || r.now >= r.begunAt+CompareTime
+	compared := r.set.List != ListFromAgent || r.compared
+	return compared && !r.held || r.now >= r.begunAt+CompareTime
 }
 
 func (r *Router) onMember(e Member) {
--- a/policy/list_test.go
+++ b/policy/list_test.go
@@ -62,3 +62,20 @@
 	assert.Len(t, silent.sends(), 1, "an agent that stays silent has nothing newer that could be learned")
 	assert.Less(t, CompareTime, 10*time.Second, "a restarted process is ready by then")
 }
+
+// Requests wait for what operators said before this process began, and not longer than for the list.
+func TestRequestsWaitForWhatOperatorsSaid(t *testing.T) {
+	g := newRig(t, base())
+	g.at(0, Held{On: true})
+	g.ask("r", loose)
+	assert.Empty(t, g.sends())
+	g.at(20*ms, Suspended{Host: "a", Out: true}, Suspended{Host: "b", Out: true})
+	assert.Empty(t, g.sends())
+	g.at(20*ms, Held{On: false})
+	g.wantSend("p")
+
+	never := newRig(t, base())
+	never.at(CompareTime, Held{On: true})
+	never.ask("r", loose)
+	assert.Len(t, never.sends(), 1, "a folder that cannot be read for so long has a process serve by what it knows")
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -136,6 +136,7 @@
 	begunAt       time.Duration // the first Step; negative: there was none
 	compared      bool          // a list has been told since then
 	fenced        bool          // no writes are taken
+	held          bool          // what operators said before is not known yet
 	crowded       int           // calls in a row that discovery had no time for
 	away, missed  time.Duration // in which this process was not there to see what came: all in all, and now
 	clock         databaseClock
@@ -225,6 +226,13 @@
 	}
 }
 
+// retryAll has the waiting requests of all groups tried again at the end of the step.
+func (r *Router) retryAll() {
+	for _, g := range r.groups {
+		r.retryWaiting(g)
+	}
+}
+
 // forget halves served and its time, drops hosts that left, and marks that replicas are past, or base is.
 func (r *Router) forget() {
 	r.wakeAt(r.now+markAge, r.forget)
--- a/policy/types.go
+++ b/policy/types.go
@@ -296,6 +296,9 @@
 	Repeats struct{ Share float64 }
 	// Fenced tells that this process acts on knowledge that it cannot vouch for: it takes no writes until told otherwise.
 	Fenced struct{ Out bool }
+	// Held tells that it is not known yet what operators said before this process began: requests wait for that, for
+	// CompareTime at most.
+	Held struct{ On bool }
 	// Heard tells that another router knows a host to have applied all commits up to a position. It is a floor, as
 	// one heard from the host itself; no role follows from it.
 	Heard struct {
@@ -318,6 +321,7 @@
 func (Repeats) event()   {}
 func (Told) event()      {}
 func (Heard) event()     {}
+func (Held) event()      {}
 
 // Action is something the router wants done: one of the types below.
 type Action interface{ action() }
