--- a/internal/auditfile/auditfile_test.go
+++ b/internal/auditfile/auditfile_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 func texts(t *testing.T, path string) (list []string) {
@@ -75,3 +77,23 @@
 	assert.Equal(t, State{Lost: 1}, w.State())
 	w.Close(time.Millisecond)
 }
+
+// The system may have no descriptor in the moment of the start. That costs the lines until then, not the start; a path that
+// leads nowhere is told at once.
+func TestDiskFailsAtTheStart(t *testing.T) {
+	var limit, none unix.Rlimit
+	require.NoError(t, unix.Getrlimit(unix.RLIMIT_NOFILE, &limit))
+	none = limit
+	none.Cur = 0
+	path := filepath.Join(t.TempDir(), "audit")
+	require.NoError(t, unix.Setrlimit(unix.RLIMIT_NOFILE, &none))
+	w, err := Open(Options{Path: path, Most: 1 << 20})
+	require.NoError(t, unix.Setrlimit(unix.RLIMIT_NOFILE, &limit))
+	require.NoError(t, err)
+	require.True(t, w.Write([]byte("later")))
+	w.Close(10 * time.Second)
+	assert.Equal(t, []string{"later"}, texts(t, path))
+
+	_, err = Open(Options{Path: filepath.Join(t.TempDir(), "none", "audit"), Most: 1 << 20})
+	assert.ErrorIs(t, err, fs.ErrNotExist)
+}
