Start without the audit file where the disk fails for a moment, and open it later

Errors that tell what the system lacks (EMFILE, ENFILE, ENOMEM, ENOSPC, EDQUOT, EIO, EINTR, EAGAIN) cost lines as they do later; a path that leads nowhere still ends the start with its reason.

--- a/internal/auditfile/auditfile.go
+++ b/internal/auditfile/auditfile.go
@@ -12,6 +12,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -45,16 +47,30 @@
 	state State
 }
 
-// Open begins to write. A file that cannot be opened is an error; what fails later is told by State and the log.
+// Open begins to write. A path that cannot be used is an error; what the system lacks for a moment costs lines, as later, and
+// is told by State and the log.
 func Open(opt Options) (*Writer, error) {
 	w := &Writer{opt: opt, lines: make(chan []byte, waiting), done: make(chan struct{})}
 	if err := w.open(); err != nil {
-		return nil, err
+		if !passing(err) {
+			return nil, err
+		}
+		log.Printf("event=audit_file_failed lost=0 err=%q", err)
 	}
 	go w.run()
 	return w, nil
 }
 
+// passing tells whether an error says what the system lacks for a moment, and nothing of the path.
+func passing(err error) bool {
+	for _, want := range []error{unix.EMFILE, unix.ENFILE, unix.ENOMEM, unix.ENOSPC, unix.EDQUOT, unix.EIO, unix.EINTR, unix.EAGAIN} {
+		if errors.Is(err, want) {
+			return true
+		}
+	}
+	return false
+}
+
 // open opens the file. A last line without its end is what a process that was killed had not finished: the next begins on
 // a line of its own.
 func (w *Writer) open() error {
