--- a/internal/netloop/listener.go
+++ b/internal/netloop/listener.go
@@ -32,7 +32,7 @@
 // Listen accepts connections at addr; each is handed to take, which must set its
 // handler, or may close it.
 func (l *Loop) Listen(addr netip.AddrPort, take func(*Conn)) (*Listener, error) {
-	fd, err := socketAtStart(family(addr))
+	fd, err := socketAtStart(family(addr), unix.SOCK_STREAM)
 	if err != nil {
 		return nil, fmt.Errorf("socket: %w", err)
 	}
@@ -63,9 +63,9 @@
 
 // socketAtStart opens a socket and waits for one a while: a process that starts should not end for what the system lacks
 // for a moment.
-func socketAtStart(family int) (fd int, err error) {
+func socketAtStart(family, kind int) (fd int, err error) {
 	for late := time.Now().Add(startTime); ; time.Sleep(restTime) {
-		fd, err = sys.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+		fd, err = sys.Socket(family, kind|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 		switch err {
 		case unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM:
 			if time.Now().Before(late) {
--- a/internal/netloop/packets.go
+++ b/internal/netloop/packets.go
@@ -32,7 +32,7 @@
 // ListenPackets opens a UDP socket at addr. Each datagram is handed to take, and is good until take returns; of one
 // over MostPacket bytes only large is told. No more than share of the loop's time is spent in them.
 func (l *Loop) ListenPackets(addr netip.AddrPort, share float64, take func(netip.AddrPort, []byte), large func(netip.AddrPort)) (*Packets, error) {
-	fd, err := unix.Socket(family(addr), unix.SOCK_DGRAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err := socketAtStart(family(addr), unix.SOCK_DGRAM)
 	if err != nil {
 		return nil, fmt.Errorf("socket: %w", err)
 	}
