--- a/cmd/lilaccove/faults_test.go
+++ b/cmd/lilaccove/faults_test.go
@@ -318,3 +318,35 @@
 		})
 	}
 }
+
+// The system may have no descriptor for the file at GW_CONFIG in the moment of a start, or of SIGHUP. The start waits for it,
+// and the reload is made when it can be: operators give it once.
+func TestConfigurationCannotBeOpenedAtOnce(t *testing.T) {
+	t.Parallel()
+	t.Run("start", func(t *testing.T) {
+		t.Parallel()
+		s := newSite(t, func(s *site) {
+			s.t = t
+			failing(`{"call":"open","error":"ENFILE","most":3}`)(s)
+		})
+		assert.NotEmpty(t, s.client().ask(stmt("own", 1000, "")).value)
+	})
+	t.Run("reload", func(t *testing.T) {
+		t.Parallel()
+		begun := time.Now()
+		s := newSite(t, func(s *site) {
+			s.t = t
+			failing(`{"call":"open","error":"EMFILE","from_ms":800,"most":5}`)(s)
+		})
+		s.watches(s.disc, 1)
+		old := s.disc
+		next, err := s.world.Elsewhere()
+		require.NoError(t, err)
+		s.disc = next
+		s.configure(next.Addr, []byte("{}"))
+		time.Sleep(time.Until(begun.Add(time.Second))) // into the fault itself
+		s.hup()
+		s.watches(next, 1)
+		s.watches(old, 0)
+	})
+}
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -12,6 +12,7 @@
 
 	"lilaccove/internal/fleet"
 	"lilaccove/internal/settings"
+	"lilaccove/internal/sys"
 	"lilaccove/policy"
 )
 
@@ -56,7 +57,7 @@
 	if path == "" {
 		return fmt.Errorf("GW_CONFIG is not set")
 	}
-	text, err := os.ReadFile(path)
+	text, err := sys.ReadFile(path)
 	if err == nil {
 		err = json.Unmarshal(text, to)
 	}
--- a/internal/sys/faults.go
+++ b/internal/sys/faults.go
@@ -240,6 +240,14 @@
 	return os.CreateTemp(dir, pattern)
 }
 
+// ReadFile reads a whole file.
+func ReadFile(path string) ([]byte, error) {
+	if err := drawn("open", nobody).fails(); err != nil {
+		return nil, &os.PathError{Op: "open", Path: path, Err: err}
+	}
+	return os.ReadFile(path)
+}
+
 // OpenFile opens a file, or makes it.
 func OpenFile(path string, flags int, mode os.FileMode) (*os.File, error) {
 	if err := drawn("open", nobody).fails(); err != nil {
--- a/internal/sys/plain.go
+++ b/internal/sys/plain.go
@@ -9,6 +9,9 @@
 	"golang.org/x/sys/unix"
 )
 
+// ReadFile reads a whole file.
+func ReadFile(path string) ([]byte, error) { return os.ReadFile(path) }
+
 // Accept takes a connection from a listener's queue.
 func Accept(fd, flags int) (int, error) {
 	accepted, _, err := unix.Accept4(fd, flags)
