Read the configuration again where the system lacks something for the moment

A start waits for its configuration for 2 s; a reload is tried again every 50 ms for as long. Each failure is still logged (reload_failed).

--- a/cmd/lilaccove/faults_test.go
+++ b/cmd/lilaccove/faults_test.go
@@ -333,11 +333,11 @@
 	})
 	t.Run("reload", func(t *testing.T) {
 		t.Parallel()
-		begun := time.Now()
 		s := newSite(t, func(s *site) {
 			s.t = t
 			failing(`{"call":"open","error":"EMFILE","from_ms":800,"most":5}`)(s)
 		})
+		begun := time.Now()
 		s.watches(s.disc, 1)
 		old := s.disc
 		next, err := s.world.Elsewhere()
--- a/internal/auditfile/auditfile.go
+++ b/internal/auditfile/auditfile.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"lilaccove/internal/sys"
 )
 
 const (
@@ -52,7 +52,7 @@
 func Open(opt Options) (*Writer, error) {
 	w := &Writer{opt: opt, lines: make(chan []byte, waiting), done: make(chan struct{})}
 	if err := w.open(); err != nil {
-		if !passing(err) {
+		if !sys.Passing(err) {
 			return nil, err
 		}
 		log.Printf("event=audit_file_failed lost=0 err=%q", err)
@@ -61,16 +61,6 @@
 	return w, nil
 }
 
-// passing tells whether an error says what the system lacks for a moment, and nothing of the path.
-func passing(err error) bool {
-	for _, want := range []error{unix.EMFILE, unix.ENFILE, unix.ENOMEM, unix.ENOSPC, unix.EDQUOT, unix.EIO, unix.EINTR, unix.EAGAIN} {
-		if errors.Is(err, want) {
-			return true
-		}
-	}
-	return false
-}
-
 // open opens the file. A last line without its end is what a process that was killed had not finished: the next begins on
 // a line of its own.
 func (w *Writer) open() error {
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -34,10 +34,20 @@
 	Sockets  float64 `json:"sockets"`
 }
 
+// What the system lacks for the moment in which the configuration is read is waited for.
+const (
+	readPause = 50 * time.Millisecond
+	readMost  = 2 * time.Second
+)
+
 // Load reads the configuration; the plain variables go before what it says.
 func Load(env func(string) string) (Config, error) {
 	var cfg Config
-	if err := read(env, &cfg); err != nil {
+	err := read(env, &cfg)
+	for late := time.Now().Add(readMost); sys.Passing(err) && time.Now().Before(late); err = read(env, &cfg) {
+		time.Sleep(readPause)
+	}
+	if err != nil {
 		return cfg, err
 	}
 	for name, to := range map[string]*string{
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,6 +17,7 @@
 	"lilaccove/internal/peer"
 	"lilaccove/internal/settings"
 	"lilaccove/internal/stats"
+	"lilaccove/internal/sys"
 	"lilaccove/policy"
 )
 
@@ -239,8 +240,11 @@
 }
 
 // Reload reads the file at GW_CONFIG again, after SIGHUP. What it says of discovery goes before GW_DISCOVERY, which is
-// as old as the process; all else is for the next start. A file that is no good changes nothing.
-func (s *Side) Reload(env func(string) string) {
+// as old as the process; all else is for the next start. A file that is no good changes nothing; one that cannot be read for
+// what the system lacks is read again.
+func (s *Side) Reload(env func(string) string) { s.reload(env, s.Loop.Now()+readMost) }
+
+func (s *Side) reload(env func(string) string, late time.Duration) {
 	var cfg struct {
 		Discovery string `json:"discovery"`
 	}
@@ -251,6 +255,9 @@
 	}
 	if err != nil {
 		log.Printf("event=reload_failed err=%q", err)
+		if sys.Passing(err) && s.Loop.Now() < late {
+			s.Loop.At(s.Loop.Now()+readPause, func() { s.reload(env, late) })
+		}
 		return
 	}
 	log.Printf("event=reloaded discovery=%s", ask)
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -45,18 +45,8 @@
 	least    int       // how large the input buffer is at least
 }
 
-// Wanting tells whether an error of Dial says that this machine lacks something just now, a descriptor, memory or a port,
-// and nothing of the peer.
-func Wanting(err error) bool {
-	for _, want := range []error{
-		ErrDescriptors, unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ENOSPC, unix.EADDRNOTAVAIL, unix.EAGAIN,
-	} {
-		if errors.Is(err, want) {
-			return true
-		}
-	}
-	return false
-}
+// Wanting tells whether an error of Dial says that this machine lacks something just now, and nothing of the peer.
+func Wanting(err error) bool { return errors.Is(err, ErrDescriptors) || sys.Passing(err) }
 
 // Dial begins to connect. A failure that is known at once is returned; later ones
 // end the connection.
--- a/internal/netloop/listener.go
+++ b/internal/netloop/listener.go
@@ -66,13 +66,9 @@
 func socketAtStart(family, kind int) (fd int, err error) {
 	for late := time.Now().Add(startTime); ; time.Sleep(restTime) {
 		fd, err = sys.Socket(family, kind|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
-		switch err {
-		case unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM:
-			if time.Now().Before(late) {
-				continue
-			}
+		if !sys.Passing(err) || time.Now().After(late) {
+			return fd, err
 		}
-		return fd, err
 	}
 }
 
--- a/internal/sys/sys.go
+++ b/internal/sys/sys.go
@@ -2,3 +2,22 @@
 // calls the system directly. A build with the tag faults has the calls fail by a plan instead (faults.go), so that real
 // processes meet errors which the system gives rarely.
 package sys
+
+import (
+	"errors"
+	"slices"
+
+	"golang.org/x/sys/unix"
+)
+
+// passing are errors that say what a machine lacks just now.
+var passing = []unix.Errno{
+	unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ENOSPC, unix.EDQUOT, unix.EIO, unix.EADDRNOTAVAIL, unix.EAGAIN, unix.EINTR,
+}
+
+// Passing tells whether an error says what this machine lacks for a moment, a descriptor, memory, a port or room on a disk, and
+// nothing of the file or the peer that was meant.
+func Passing(err error) bool {
+	var number unix.Errno
+	return errors.As(err, &number) && slices.Contains(passing, number)
+}
