--- a/policy/clock.go
+++ b/policy/clock.go
@@ -31,10 +31,12 @@
 // empty tells that what the range was made of disagrees, whatever the tolerance.
 func (o offsetRange) empty() bool { return o.least > o.most+clockTolerance }
 
-// databaseClock is what is known of the databases' clock. It is told by primaries alone: they stand at the present.
+// databaseClock is what is known of the databases' clock. Only primaries stand at the present, so they alone set it; replicas
+// that are next to the present, as they mostly are, can confirm it. One answer may be spoilt, so that it takes two.
 type databaseClock struct {
 	offset    time.Duration // of theirs over this router's
-	confirmed bool          // a primary has told a time that fits
+	confirmed bool          // two answers have told a time that fits
+	fitted    HostID        // whose answer was the first to do so
 
 	agreed    offsetRange // what the last answers, which do not fit, agree on
 	witnesses int
@@ -42,9 +44,10 @@
 }
 
 // observe takes what an answer tells. A single one that does not fit may be spoilt: several have to agree over a while.
-func (c *databaseClock) observe(now time.Duration, seen offsetRange) (stepped bool) {
+func (c *databaseClock) observe(h HostID, now time.Duration, seen offsetRange) (stepped bool) {
 	if seen.allows(c.offset) {
-		c.confirmed, c.witnesses = true, 0
+		c.confirmed, c.witnesses = c.confirmed || c.fitted != "", 0
+		c.fitted = h
 		return false
 	}
 	if common := c.agreed.with(seen); c.witnesses > 0 && !common.empty() {
@@ -60,6 +63,16 @@
 	return true
 }
 
+// observeReplica takes what a replica's answer tells. One that lags says nothing; two that lag by just the step of a clock
+// would confirm a wrong one, until a primary speaks.
+func (c *databaseClock) observeReplica(h HostID, seen offsetRange) {
+	if c.confirmed || c.witnesses > 0 || !seen.allows(c.offset) {
+		return
+	}
+	c.confirmed = c.fitted != "" && c.fitted != h
+	c.fitted = h
+}
+
 // databaseTime is the databases' time now.
 func (r *Router) databaseTime() time.Duration { return r.now + r.clock.offset }
 
@@ -72,14 +85,19 @@
 	return !r.set.OwnClock || r.clock.confirmed || r.clock.witnesses == 0 && r.now >= r.begunAt+clockPatience
 }
 
-// hearTime learns of the databases' clock by an answer of a primary, which was there between an attempt's sending and now.
-// A position is rounded, by a grain at most: that of a read down, a commit up.
-func (r *Router) hearTime(sent, position time.Duration) {
+// hearTime learns of the databases' clock by an answer, which was given between an attempt's sending and now. A position is
+// rounded, by a grain at most: that of a read down, a commit up.
+func (r *Router) hearTime(a *attempt, role Role, position time.Duration) {
 	if !r.set.OwnClock {
 		return
 	}
 	grain := r.set.PositionGrain
-	if r.clock.observe(r.now, offsetRange{least: position - grain - r.now, most: position + grain - sent}) {
+	seen := offsetRange{least: position - grain - r.now, most: position + grain - a.sentAt}
+	if role != Primary {
+		r.clock.observeReplica(a.h.id, seen)
+		return
+	}
+	if r.clock.observe(a.h.id, r.now, seen) {
 		r.emit(Log{Text: "the databases' clock is " + r.clock.offset.String() + " ahead of this process's"})
 		r.retryAll()
 	}
--- a/policy/result.go
+++ b/policy/result.go
@@ -31,10 +31,10 @@
 		})
 	}
 	r.retryWaiting(h.group)
+	if e.Outcome == OK && e.HasPosition {
+		r.hearTime(a, e.Role, e.Position)
+	}
 	if e.Outcome == OK && e.Role == Primary {
-		if e.HasPosition {
-			r.hearTime(a.sentAt, e.Position)
-		}
 		// It stood at the present then. A hung primary turns work away as primary: no word on its log.
 		r.learnPosition(h, a.sentAt+r.clock.offset)
 	}
