Settle an attempt by its whole answer though the database hangs before ReadyForQuery

Cause: see the failing test before. Behind a whole answer ReadyForQuery and what is told before it have 100 ms, as what crosses the end of an attempt; then the answer counts and the connection is closed. Values that are passed on in parts are left to their own watch. The test failed in both cases before and passes.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// crossing is how long what comes behind an attempt that was given up is read: so long after it was written an answer counts
-// as told, by the protocol.
+// crossing is how long what comes behind an attempt that was given up, or behind a whole answer, is read: so long after it was
+// written an answer counts as told, by the protocol.
 const crossing = 100 * time.Millisecond
 
 // hearOut ends the sending, which tells the database that an attempt was given up, and reads what is on its way. That
@@ -171,10 +171,24 @@
 		c.nc.Consume(n)
 		if kind == pgwire.Ready {
 			c.ready()
+		} else if c.job != nil && c.answer.whole() && !c.answer.passed {
+			c.awaitReady()
 		}
 	}
 }
 
+// awaitReady gives ReadyForQuery, and what is told before it, a moment behind an answer that is whole. A database that hangs
+// there has answered all the same; its connection serves no other.
+func (c *conn) awaitReady() {
+	j := c.job
+	j.timer.Stop()
+	j.timer = c.pool.loop.At(min(j.until, c.pool.loop.Now()+crossing), func() {
+		c.job = nil
+		c.drop()
+		c.settle(j)
+	})
+}
+
 // begin starts to pass on a row that is too large to be collected; false: there is none.
 func (c *conn) begin() bool {
 	n := pgwire.LargeRow(c.nc.Input())
