Have replicas lag in the soak, and the guard take what others know of a replica's position

The soak had no replica that lags, so that a gateway which takes all replicas for fresh was not seen.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -203,8 +203,11 @@
 
 // Fleet passes on what the fleet tells of hosts: policy.Bounded, Preferred or Heard.
 func (g *Gateway) Fleet(e policy.Event) {
-	if told, ok := e.(policy.Told); ok {
-		g.guard.Promoted(told.Host)
+	switch e := e.(type) {
+	case policy.Told:
+		g.guard.Promoted(e.Host)
+	case policy.Heard:
+		g.guard.Heard(e.Host, e.Position)
 	}
 	g.events = append(g.events, e)
 }
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -84,7 +84,7 @@
 // host is what was told of a database.
 type host struct {
 	replicaAt time.Duration // when it told last that it is a replica; 0: it has not since it was a primary
-	position  time.Duration // the newest that it told
+	position  time.Duration // the newest that it told, or others have heard
 
 	leaving   bool // it drains or is gone
 	leavingAt time.Duration
@@ -174,6 +174,16 @@
 	}
 }
 
+// Heard notes how far another gateway knows a database to have come.
+func (g *Guard) Heard(id policy.HostID, position time.Duration) {
+	if g == nil {
+		return
+	}
+	if h := g.hosts[id]; h != nil {
+		h.position = max(h.position, position)
+	}
+}
+
 // Promoted notes that another gateway has had an answer of a database as primary.
 func (g *Guard) Promoted(id policy.HostID) {
 	if g == nil {
--- a/internal/invariant/invariant_test.go
+++ b/internal/invariant/invariant_test.go
@@ -75,6 +75,14 @@
 			stale(policy.Replica, time.Minute)(g, s)
 			g.Promoted("d")
 		}},
+		"stale, and further by now, as others know": {change: func(g *Guard, s *Sending) {
+			stale(policy.Replica, time.Minute)(g, s)
+			g.Heard("d", now-time.Second)
+		}},
+		"stale, and little further": {change: func(g *Guard, s *Sending) {
+			stale(policy.Replica, time.Minute)(g, s)
+			g.Heard("d", now-3*time.Second)
+		}, want: []Name{StaleRead}},
 		"stale, as it told long ago": {change: func(g *Guard, s *Sending) {
 			stale(policy.Replica, time.Minute)(g, s)
 			s.Now += 900 * ms
--- a/internal/soak/databases.go
+++ b/internal/soak/databases.go
@@ -82,6 +82,27 @@
 	return nil
 }
 
+// Replicas are this far behind while they lag; the bound of bounded reads is a second, and usually they are lagUsual behind.
+const (
+	lagMuch  = 2 * time.Second
+	lagUsual = 10 * time.Millisecond
+)
+
+// replicasLag has a third of the databases fall behind, where they are replicas.
+func (s *soak) replicasLag(t Trouble) error {
+	members := s.lab.World().Members()
+	for k, h := range members {
+		if k%3 == t.Number%3 && h.Replica() {
+			h.Fall(lagMuch)
+		}
+	}
+	standin.Sleep(t.For, s.stop)
+	for _, h := range members {
+		h.Fall(lagUsual)
+	}
+	return nil
+}
+
 func (s *soak) failOver(Trouble) error {
 	s.lab.World().FailOver(0.12)
 	return nil
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -37,6 +37,7 @@
 		"databases-hang-up":   {0, (*soak).databasesHangUp},
 		"connections-late":    {0, (*soak).connectionsLate},
 		"fail-over":           {0, (*soak).failOver},
+		"replicas-lag":        {0, (*soak).replicasLag},
 		"resets":              {0, answers(standin.Faults{ResetBefore: 0.15, ResetAfter: 0.15})},
 		"silence":             {0, answers(standin.Faults{Silence: 0.12})},
 		"spoilt-answers":      {0, answers(standin.Faults{Spoil: 0.12, Errors: 0.12})},
