--- a/policy/clock.go
+++ b/policy/clock.go
@@ -1,7 +1,8 @@
 // The clock of the databases, as it stands to this router's own.
 //
-// Positions, commits and starts are times of the databases, which share one clock. A process lives with the wall clock of
-// its start, and that may have been stepped before. What is held against those times goes by databaseTime.
+// Positions, commits and starts are times of the databases, which share one clock. A process lives with
+// the wall clock of its start, and that may have been stepped before. What is held against those times
+// goes by databaseTime.
 
 package policy
 
@@ -9,10 +10,10 @@
 
 const (
 	ahead          = time.Second            // that a position may be past the databases' clock as it is known
-	clockTolerance = 100 * time.Millisecond // so long after it was written an answer counts as told: no bound is finer
+	clockTolerance = 100 * time.Millisecond // so long after it was written an answer counts as told
 	clockWitnesses = 3                      // answers that agree on a step of the clock,
-	clockSpan      = time.Second            // from first to last: a log that stands still agrees with itself no longer
-	clockPatience  = 2 * time.Second        // without a word of any primary, until this router's clock is taken for theirs
+	clockSpan      = time.Second            // from first to last: a log that stands still agrees no longer
+	clockPatience  = 2 * time.Second        // without a word, until this router's clock is taken for theirs
 )
 
 // offsetRange holds the offsets of the databases' clock that an answer allows.
@@ -31,8 +32,9 @@
 // empty tells that what the range was made of disagrees, whatever the tolerance.
 func (o offsetRange) empty() bool { return o.least > o.most+clockTolerance }
 
-// databaseClock is what is known of the databases' clock. Only primaries stand at the present, so they alone set it; replicas
-// that are next to the present, as they mostly are, can confirm it. One answer may be spoilt, so that it takes two.
+// databaseClock is what is known of the databases' clock. Only primaries stand at the present, so they
+// alone set it; replicas that are next to the present, as they mostly are, can confirm it. One answer may
+// be spoilt, so that it takes two.
 type databaseClock struct {
 	offset    time.Duration // of theirs over this router's
 	confirmed bool          // two answers have told a time that fits
@@ -43,7 +45,8 @@
 	since     time.Duration
 }
 
-// observe takes what an answer tells. A single one that does not fit may be spoilt: several have to agree over a while.
+// observe takes what an answer tells. A single one that does not fit may be spoilt: several have to agree
+// over a while.
 func (c *databaseClock) observe(h HostID, now time.Duration, seen offsetRange) (stepped bool) {
 	if seen.allows(c.offset) {
 		c.confirmed, c.witnesses = c.confirmed || c.fitted != "", 0
@@ -63,8 +66,8 @@
 	return true
 }
 
-// observeReplica takes what a replica's answer tells. One that lags says nothing; two that lag by just the step of a clock
-// would confirm a wrong one, until a primary speaks.
+// observeReplica takes what a replica's answer tells. One that lags says nothing; two that lag by just the
+// step of a clock would confirm a wrong one, until a primary speaks.
 func (c *databaseClock) observeReplica(h HostID, seen offsetRange) {
 	if c.confirmed || c.witnesses > 0 || !seen.allows(c.offset) {
 		return
@@ -79,14 +82,14 @@
 // Plausible tells whether a position can have been reached: one that is believed can never be taken back.
 func (r *Router) Plausible(position time.Duration) bool { return position <= r.databaseTime()+ahead }
 
-// knowsTime tells whether the age of data can be told. Where nothing was heard of a primary since the start, the pages hold:
-// every machine reads one clock.
+// knowsTime tells whether the age of data can be told. Where nothing was heard of a primary since the
+// start, the pages hold: every machine reads one clock.
 func (r *Router) knowsTime() bool {
 	return !r.set.OwnClock || r.clock.confirmed || r.clock.witnesses == 0 && r.now >= r.begunAt+clockPatience
 }
 
-// hearTime learns of the databases' clock by an answer, which was given between an attempt's sending and now. A position is
-// rounded, by a grain at most: that of a read down, a commit up.
+// hearTime learns of the databases' clock by an answer, which was given between an attempt's sending and
+// now. A position is rounded, by a grain at most: that of a read down, a commit up.
 func (r *Router) hearTime(a *attempt, role Role, position time.Duration) {
 	if !r.set.OwnClock {
 		return
--- a/policy/list.go
+++ b/policy/list.go
@@ -65,8 +65,9 @@
 	return r.agentTime() / 2
 }
 
-// mayAct tells whether requests may be sent by what is known of hosts. What an agent has counts as told from the
-// first moment on, so the list of the start is compared with it before; and what operators said before holds.
+// mayAct tells whether requests may be sent by what is known of hosts. What an agent has counts as told
+// from the first moment on, so the list of the start is compared with it before; and what operators said
+// before holds.
 func (r *Router) mayAct() bool {
 	compared := r.set.List != ListFromAgent || r.compared
 	return compared && !r.held || r.now >= r.begunAt+CompareTime
