--- a/internal/gateway/guard_test.go
+++ b/internal/gateway/guard_test.go
@@ -120,6 +120,20 @@
 	}
 }
 
+// A stop may come between the last look at whether an attempt is late and its first byte. It is not begun then.
+func TestStopBeforeTheFirstByteBeginsNothing(t *testing.T) {
+	x := newGuarded(t)
+	q := x.take(x.w, 50*time.Millisecond)
+	x.r.next = []policy.Action{policy.Send{Request: q.id, Host: "a"}}
+	x.events = append(x.events, policy.Elapsed{})
+	x.Step()
+	a := x.w.sent[len(x.w.sent)-1]
+	time.Sleep(60 * time.Millisecond) // the stop
+	assert.Zero(t, x.Begun(a, a.Deadline))
+	assert.False(t, a.begun)
+	assert.Empty(t, x.names)
+}
+
 // What the decisions get right violates nothing.
 func TestGuardIsSilentWhereAllIsRight(t *testing.T) {
 	x := newGuarded(t)
