Begin no attempt whose time turns out to be over when its first byte is due

Gateway.Begun, which reads the clock behind all else, now says no where the time to begin is over; the pool gives the attempt back as not sent and the connection to the next. Only a stop between this reading and the system call itself is left, which nothing in the process can see.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -101,23 +101,38 @@
 	c.timer = c.pool.loop.At(c.pool.loop.Now()+crossing, c.drop)
 }
 
-// start writes a job. Of a statement only the digits of d are new; the rest goes out
-// from where it was read.
+// start writes a job, unless an attempt's time to begin turns out to be over; then the connection serves another.
 func (c *conn) start(j *job) {
+	left := time.Duration(0)
+	if j.attempt != nil {
+		if left = c.pool.core.Begun(j.attempt, j.until); left == 0 {
+			c.pool.finish(j, policy.NotSent, gateway.Reply{})
+			c.pool.free(c)
+			return
+		}
+	}
 	c.job, j.conn = j, c
 	c.answer.reset()
 	j.timer.Stop()
 	j.timer = c.pool.loop.At(j.until, func() { c.pool.abandon(j, policy.Timeout) })
 	if j.attempt == nil {
-		text := "SELECT 1"
-		if c.pool.opt.ProbeReport {
-			text = "SHOW load"
-		}
-		c.nc.Write(pgwire.AppendQuery(nil, text))
+		c.probe()
 		return
 	}
-	st := j.attempt.Statement.(*pgwire.Statement)
-	left := c.pool.core.Begun(j.attempt, j.until)
+	c.statement(j.attempt.Statement.(*pgwire.Statement), left)
+}
+
+// probe asks for what the settings say that probes tell.
+func (c *conn) probe() {
+	text := "SELECT 1"
+	if c.pool.opt.ProbeReport {
+		text = "SHOW load"
+	}
+	c.nc.Write(pgwire.AppendQuery(nil, text))
+}
+
+// statement writes one. Only the digits of d are new; the rest goes out from where it was read.
+func (c *conn) statement(st *pgwire.Statement, left time.Duration) {
 	digits := pgwire.AppendMillis(c.answer.digits[:0], left.Milliseconds())
 	before, behind := st.Head.Around(st.Text)
 	head := pgwire.QueryHead(st.Length() - len(st.Text) + len(before) + len(digits) + len(behind) + 1)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,11 +10,14 @@
 )
 
 // Begun tells that the first byte of an attempt is written now, and returns the time that its database is told to have until
-// a moment: whole milliseconds, rounded up. The clock is read once, behind all that comes before the write, so that nothing
-// that holds this process up meanwhile is told as left.
+// a moment: whole milliseconds, rounded up; 0: its time to begin is over, and it is not to be written. The clock is read once,
+// behind all that comes before the write, so that nothing that holds this process up meanwhile is told as left.
 func (g *Gateway) Begun(a *Attempt, until time.Duration) (left time.Duration) {
-	a.begun = true
 	now := g.loop.Clock()
+	if a.Begin > 0 && now >= a.Begin {
+		return 0
+	}
+	a.begun = true
 	left = max(1, (until-now+time.Millisecond-1)/time.Millisecond) * time.Millisecond
 	if g.guard != nil {
 		g.check(a, now, left)
