--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -36,6 +36,7 @@
 	Hear     func(n *Node, line string) // each line of each gateway's log; nil: nobody listens
 	Judge    func(run.Sample)           // each request; nil: nobody listens
 	Patience time.Duration              // of clients beyond their deadlines
+	Version  int                        // of the list at first; 0: 1
 
 	world *standin.World
 	apart map[int]*standin.Discovery
@@ -65,6 +66,7 @@
 	opt := standin.Options{
 		Groups: p.Groups, Members: p.Lab.Members, Cores: p.Lab.Cores, Queue: p.Lab.Queue, Service: p.Lab.Service,
 		Exponential: p.Lab.Delay == "exponential", Lag: p.Lab.Lag, Cold: p.Lab.Cold, Seed: p.Seed, Bounds: map[string]time.Duration{},
+		Version: l.Version,
 	}
 	for _, c := range p.Classes {
 		if c.Kind == plan.BoundedRead {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -40,6 +40,7 @@
 	memoryPart    = 2                      // of the machine's: half of it
 	ownLateness   = 250 * time.Millisecond // of the generator: beyond it this machine starved the run
 	patience      = answerLate + judgeSlack
+	firstVersion  = 1_000_000 // of the list: discovery may be restored with lower ones
 )
 
 // Requests are how many there were, by what became of them.
@@ -173,7 +174,7 @@
 	defer os.RemoveAll(s.folder)
 	s.lab = &lab.Lab{
 		Plan: p, Arrivals: arrivals, Gateway: []string{opt.Program}, Log: opt.Log, Pushed: opt.Seed%3 == 0,
-		Hear: s.judge.heard, Judge: s.judge.request, Patience: patience,
+		Hear: s.judge.heard, Judge: s.judge.request, Patience: patience, Version: firstVersion,
 	}
 	for i := range heldGateways {
 		s.lab.Held = append(s.lab.Held, i)
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -10,11 +10,8 @@
 	"time"
 )
 
-// Versions of the list begin so high that a discovery which is restored from a backup can be behind by restoreBehind.
-const (
-	firstVersion  = 1_000_000
-	restoreBehind = 1000
-)
+// restoreBehind is by how many versions a discovery that is restored from a backup is behind.
+const restoreBehind = 1000
 
 // Discovery serves the list and its changes.
 type Discovery struct {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -38,6 +38,7 @@
 	Lag             time.Duration // of replicas
 	Cold            time.Duration // how long a new database takes to get from a quarter of its speed to all
 	Bounds          map[string]time.Duration
+	Version         int // of the list at first; 0: 1. Restore takes restoreBehind off it
 	Seed            uint64
 }
 
@@ -123,7 +124,7 @@
 
 // New starts a world.
 func New(opt Options) (*World, error) {
-	w := &World{opt: opt, rnd: rand.New(rand.NewPCG(opt.Seed, 0x73746e64)), watch: map[chan []byte]*Discovery{}, muted: map[chan []byte]bool{}, tried: map[string]bool{}, ran: map[string]int{}, seq: firstVersion, done: make(chan struct{})}
+	w := &World{opt: opt, rnd: rand.New(rand.NewPCG(opt.Seed, 0x73746e64)), watch: map[chan []byte]*Discovery{}, muted: map[chan []byte]bool{}, tried: map[string]bool{}, ran: map[string]int{}, seq: max(1, opt.Version), done: make(chan struct{})}
 	for g := range opt.Groups {
 		for m := range opt.Members {
 			if opt.Most > 0 && len(w.hosts) == opt.Most {
