--- a/internal/soak/processes.go
+++ b/internal/soak/processes.go
@@ -4,7 +4,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io/fs"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -61,6 +63,9 @@
 		node := s.lab.Node(i)
 		for k := range 5 {
 			text, err := os.ReadFile(node.Config)
+			if errors.Is(err, fs.ErrNotExist) {
+				break // another trouble has taken its folder away
+			}
 			if err != nil {
 				return err
 			}
@@ -72,7 +77,9 @@
 			if text, err = json.Marshal(config); err != nil {
 				return err
 			}
-			if err := os.WriteFile(node.Config, text, 0o600); err != nil {
+			if err := os.WriteFile(node.Config, text, 0o600); errors.Is(err, fs.ErrNotExist) {
+				break
+			} else if err != nil {
 				return err
 			}
 			if err := node.Signal(syscall.SIGHUP); err != nil {
