Set the wait for ReadyForQuery once a read, not for each message behind an answer

The last read of the change: awaitReady stopped and set a timer for CommandComplete and again for each ParameterStatus behind it, also where ReadyForQuery had come with them, on the path of every request. Received now takes all that has come first, and waits only where the answer is whole and ReadyForQuery is not among it. What drips in behind an answer still sets the wait anew, up to the attempt's time.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -163,6 +163,14 @@
 
 // Received takes in the database's messages.
 func (c *conn) Received() {
+	c.messages()
+	if !c.nc.Closed() && c.job != nil && c.answer.whole() && !c.answer.passed {
+		c.awaitReady()
+	}
+}
+
+// messages takes in those that are whole.
+func (c *conn) messages() {
 	for !c.nc.Closed() && !c.held && len(c.nc.Input()) > 0 {
 		if c.left > 0 {
 			c.pass()
@@ -186,8 +194,6 @@
 		c.nc.Consume(n)
 		if kind == pgwire.Ready {
 			c.ready()
-		} else if c.job != nil && c.answer.whole() && !c.answer.passed {
-			c.awaitReady()
 		}
 	}
 }
