Show that words on a disk that is in use at the start are never taken in (listed as red)

Found by reading the start path for what fails for a moment. With the lock on a gateway's file of words held by another process for longer than the two seconds that are waited for, the gateway starts without the words, serves at once, and does not learn the word within the 10 s that the test waits: wordstore.Open is tried once; the write at the next stamp merges the file but hands what it found to nobody; and the two seconds of Open run on the clock by which the wait for others' words ends, so that wait is over before it begins.

--- a/cmd/lilaccove/store_test.go
+++ b/cmd/lilaccove/store_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"lilaccove/internal/load/plan"
 )
@@ -112,6 +113,46 @@
 	p.judge(0.5)
 }
 
+// locks holds the lock on a gateway's file of words, as a process of it would that hangs on a slow disk.
+func (p *party) locks(i int) (release func()) {
+	p.t.Helper()
+	lock, err := os.OpenFile(filepath.Join(p.WordsDir(i), "words.lock"), os.O_CREATE|os.O_RDWR, 0o640)
+	require.NoError(p.t, err)
+	p.t.Cleanup(func() { lock.Close() })
+	p.eventually("the lock is free", func() bool { return unix.Flock(int(lock.Fd()), unix.LOCK_EX|unix.LOCK_NB) == nil })
+	return func() { lock.Close() }
+}
+
+// The file cannot be read while the gateway starts, for another process holds its lock for longer than is waited for. The
+// disk alone has the word: the gateway takes it in as soon as it can, and serves nobody until then.
+func TestFleetStateDiskInUseAtStart(t *testing.T) {
+	p := newPartyOf(t, 4, storePlan)
+	host := p.World().Members()[2].ID
+	p.Mesh().Partition([][]int{{3}, {0, 1, 2}}, true)
+	assert.Equal(t, "ok: held by 0 of 3 others, on disk", p.word(3, host, "suspend"))
+	p.Node(3).Kill()
+	release := p.locks(3)
+	_, err := p.Start(3)
+	require.NoError(t, err)
+	p.eventually("it has met the lock", func() bool { return p.told(3, "another process holds the lock") })
+	assert.Zero(t, p.figure(3, "skipped_databases"))
+	release()
+	early := 0
+	p.eventually("it knows the word", func() bool {
+		served := p.figure(3, "passed.browse") + p.figure(3, "passed.write")
+		known := p.figure(3, "skipped_databases") == 1
+		if !known {
+			early = served
+		}
+		return known
+	})
+	assert.Zero(t, early, "served without the word")
+	p.Mesh().Partition([][]int{{3}, {0, 1, 2}}, false)
+	p.left(1, p.all()...)
+	p.equal()
+	p.judge(0.5)
+}
+
 // A gateway returns with a copy from before the last word: what all others know to be over does not come back. The copy is
 // theirs by then.
 func TestFleetStateDiskOldCopy(t *testing.T) {
