Take in words on a disk that could not be read at the start, and wait for them

Cause: wordstore.Open read the file once. Where the lock was held for longer than two seconds, a descriptor was lacking or the directory was out of reach, the process started without the words; the stamp's write merged the file with what the process had, but the words found were handed to nobody unless an operator's word happened to be saved. And the two seconds of Open ran on the clock by which the wait for the others' words ends: that wait was over before it began.

Change: Open ends with ErrUnread, the store goes on reading, and Options.Found hands over what any write finds, also that of a stamp and one that then fails. CaughtUp waits for it, no longer than for others' words; that time begins once the store is open. The callback of Save no longer carries words: one way for each thing.

Losses: a gateway whose file of words stays unreadable begins to serve up to two seconds later. Ruled out: the writes did not undo the unread words, they merge with the file.

--- a/internal/peer/words.go
+++ b/internal/peer/words.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log"
 	"math/rand/v2"
@@ -30,12 +31,14 @@
 type words struct {
 	l     *Links
 	w     *state.Words
-	begun time.Duration
+	begun time.Duration // since when others' words are waited for
 	apply func(host string, out bool)
 	said  netloop.Sparse
 	store *wordstore.Store // nil: none is kept
 	done  chan func()      // what the store's goroutine has for the loop
 	owed  []*saying
+
+	unread bool // what the store's file has is not known yet
 }
 
 // saying is a word whose operator waits to hear who has it.
@@ -58,25 +61,29 @@
 
 func (l *Links) newWords() *words {
 	own, _ := l.m.Own()
-	s := &words{l: l, said: netloop.Sparse{Most: wordsSaid}, begun: l.loop.Now(), w: state.NewWords(own.Name, fmt.Sprintf("%s@%x", own.Name, own.Session), rand.Uint64())}
+	s := &words{l: l, said: netloop.Sparse{Most: wordsSaid}, w: state.NewWords(own.Name, fmt.Sprintf("%s@%x", own.Name, own.Session), rand.Uint64())}
 	l.every(wordsEvery, s.tick)
 	if f := l.file.Words; f != nil {
 		s.w.Keep(f.Keep)
 		s.open(f, own)
 	}
+	s.begun = l.loop.Clock() // opening may have taken a while
 	return s
 }
 
 // open takes in what was kept. Whatever is wrong with it is told and costs a catch-up from the others, never the start.
 func (s *words) open(f *fleet.Words, own membership.Entry) {
-	store, kept, err := wordstore.Open(wordstore.Options{Dir: f.Dir, Fleet: s.l.file.Fleet, Gateway: own.Name, Session: own.Session, Horizon: f.Keep})
+	s.done = make(chan func(), 256)
+	store, kept, err := wordstore.Open(wordstore.Options{
+		Dir: f.Dir, Fleet: s.l.file.Fleet, Gateway: own.Name, Session: own.Session, Horizon: f.Keep, Found: s.found,
+	})
 	if err != nil {
 		log.Printf("event=fleet_words_file kept=%t err=%q", store != nil, err)
 	}
 	if store == nil {
 		return
 	}
-	s.store, s.done = store, make(chan func(), 256)
+	s.store, s.unread = store, errors.Is(err, wordstore.ErrUnread)
 	s.w.Load(kept)
 	log.Printf("event=fleet_words_loaded words=%d", len(kept))
 	s.l.loop.OnWake(func() {
@@ -86,20 +93,29 @@
 	})
 }
 
+// found takes in what the file had besides: it could not be read before, or another process of this gateway was told. It
+// runs on the store's goroutine.
+func (s *words) found(more []state.Word) {
+	s.done <- func() {
+		s.unread = false
+		for _, host := range s.w.Load(more) {
+			s.tell(host, "disk")
+		}
+	}
+	s.l.loop.Wake()
+}
+
 // keep has all words written to the disk, if there is one, and then tells how that went.
 func (s *words) keep(then func(err error)) {
 	if s.store == nil {
 		return
 	}
-	s.store.Save(s.w.All(), func(more []state.Word, err error) {
-		s.done <- func() {
-			for _, host := range s.w.Load(more) { // another process of this gateway had been told
-				s.tell(host, "disk")
-			}
-			if then != nil {
-				then(err)
-			}
-		}
+	if then == nil {
+		s.store.Save(s.w.All(), nil)
+		return
+	}
+	s.store.Save(s.w.All(), func(err error) {
+		s.done <- func() { then(err) }
 		s.l.loop.Wake()
 	})
 }
@@ -230,8 +246,11 @@
 
 // CaughtUp tells whether this gateway knows what operators told the fleet, or need not wait for it any longer.
 func (l *Links) CaughtUp() bool {
-	age := l.loop.Now() - l.words.begun
-	return l.words.w.Synced() || age > catchUpMost || len(l.file.Seeds) == 0 && len(l.m.Members()) == 0
+	if l.loop.Now()-l.words.begun > catchUpMost {
+		return true
+	}
+	alone := len(l.file.Seeds) == 0 && len(l.m.Members()) == 0
+	return !l.words.unread && (alone || l.words.w.Synced())
 }
 
 // StateReport is what GET /v1/fleet/state tells.
--- a/internal/wordstore/wordstore.go
+++ b/internal/wordstore/wordstore.go
@@ -46,6 +46,7 @@
 	ErrOld     = errors.New("its process was away for longer than words are kept")
 	ErrTorn    = errors.New("it is damaged")
 	ErrInUse   = errors.New("another process holds the lock")
+	ErrUnread  = errors.New("it cannot be read yet") // it is tried again: see Options.Found
 )
 
 // Options are a store's.
@@ -56,6 +57,10 @@
 	Session uint64        // of the process
 	Horizon time.Duration // a copy that was not in use for so long may bring back what others have forgotten
 	Now     func() Moment // nil: the machine's clocks
+
+	// Found is called from another goroutine with words that the file has besides those saved; nil: nobody asks. Behind an
+	// Open that ended with ErrUnread it is called once the file has been read, also if there are none.
+	Found func(words []state.Word)
 }
 
 // content is what the file tells.
@@ -90,17 +95,18 @@
 	mu     sync.Mutex // between the writer and who hands over
 	wake   sync.Cond
 	words  []state.Word
-	then   []func(more []state.Word, err error)
+	then   []func(err error)
 	due    bool
 	closed bool
 	state  State
 
 	before uint64 // the session that the last file was of; only the writer's
+	known  bool   // what the file had has been read, or it was put aside; only the writer's
 	told   time.Time
 }
 
 // Open reads the words and begins to take new ones. What is wrong with a file is told in the error; the store beside it is
-// nil where the file is not this gateway's to replace.
+// nil where the file is not this gateway's to replace. With ErrUnread the store goes on trying to read.
 func Open(opt Options) (*Store, []state.Word, error) {
 	if opt.Now == nil {
 		opt.Now = Now
@@ -118,6 +124,10 @@
 	if errors.Is(err, ErrForeign) || errors.Is(err, ErrFormat) {
 		return nil, nil, err
 	}
+	if !s.known {
+		err = fmt.Errorf("%w: %w", ErrUnread, err)
+		s.due = true
+	}
 	go s.run()
 	return s, words, err
 }
@@ -145,18 +155,16 @@
 
 // read takes in the file; one that is damaged or too old is put aside.
 func (s *Store) read(now Moment) ([]state.Word, error) {
-	info, err := os.Stat(s.path())
-	switch {
-	case errors.Is(err, fs.ErrNotExist):
-		return nil, nil
-	case err != nil:
+	text, err := s.load()
+	if err != nil && !errors.Is(err, ErrTorn) {
 		return nil, err
-	case info.Size() > mostBytes:
-		return nil, s.aside("torn", ErrTorn, now)
 	}
-	text, err := os.ReadFile(s.path())
+	s.known = true
 	if err != nil {
-		return nil, err
+		return nil, s.aside("torn", err, now)
+	}
+	if text == nil {
+		return nil, nil
 	}
 	c, err := parse(text)
 	switch {
@@ -179,6 +187,20 @@
 	return c.Words, nil
 }
 
+// load is the file's text; nil: there is none.
+func (s *Store) load() ([]byte, error) {
+	info, err := os.Stat(s.path())
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		return nil, nil
+	case err != nil:
+		return nil, err
+	case info.Size() > mostBytes:
+		return nil, ErrTorn
+	}
+	return sys.ReadFile(s.path())
+}
+
 // aside renames the file, so that it can be looked at, and the next begins anew.
 func (s *Store) aside(what string, why error, now Moment) error {
 	to := fmt.Sprintf("%s.%s.%d", s.path(), what, now.Wall.UnixMilli())
@@ -216,9 +238,9 @@
 	return append(binary.BigEndian.AppendUint64([]byte(magic), xxhash.Sum64(text)), text...), nil
 }
 
-// Save hands over all words there are; then is called from another goroutine once they are on the disk, or are not, with
-// words that the file had besides. Sets that wait are written as one, the newest.
-func (s *Store) Save(words []state.Word, then func(more []state.Word, err error)) {
+// Save hands over all words there are; then is called from another goroutine once they are on the disk, or are not, and
+// behind Options.Found. Sets that wait are written as one, the newest.
+func (s *Store) Save(words []state.Word, then func(err error)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.words, s.due = words, true
@@ -269,14 +291,10 @@
 		if !due {
 			return
 		}
-		var more []state.Word
-		err := s.locked(func() (err error) {
-			more, err = s.write(words, s.opt.Now())
-			return err
-		})
+		err := s.save(words)
 		s.note(err)
 		for _, do := range then {
-			do(more, err)
+			do(err)
 		}
 		pause := every
 		if err != nil {
@@ -286,7 +304,21 @@
 	}
 }
 
-// write merges what the file has with the words and replaces it; it returns what the words lacked.
+// save writes the words and hands on what the file had besides.
+func (s *Store) save(words []state.Word) error {
+	knew := s.known
+	var more []state.Word
+	err := s.locked(func() (err error) {
+		more, err = s.write(words, s.opt.Now())
+		return err
+	})
+	if s.opt.Found != nil && (len(more) > 0 || s.known && !knew) {
+		s.opt.Found(more)
+	}
+	return err
+}
+
+// write merges what the file has with the words and replaces it; it returns what the words lacked, also where it fails.
 func (s *Store) write(words []state.Word, now Moment) (more []state.Word, err error) {
 	had, err := s.read(now)
 	if err != nil && !errors.Is(err, ErrTorn) && !errors.Is(err, ErrOld) {
@@ -301,10 +333,10 @@
 		AtMS: now.Wall.UnixMilli(), Boot: now.Boot, BootMS: now.SinceBoot.Milliseconds(),
 	})
 	if err != nil {
-		return nil, err
+		return more, err
 	}
 	if err := replace(s.path(), text); err != nil {
-		return nil, err
+		return more, err
 	}
 	s.before = s.opt.Session
 	return more, nil
