Show two more yeses and starts lost to a moment's want of descriptors (listed as red)

The same mistake elsewhere, found by reading every place that opens a file: handover.Share.Agreed passes over a process whose file cannot be read, so an operator hears that it has acted; control.LoadFleet reads the fleet file once, and the process ends (EMFILE three times: event=stopped). The plan of faults can name a file now.

--- a/cmd/lilaccove/faults_test.go
+++ b/cmd/lilaccove/faults_test.go
@@ -350,3 +350,23 @@
 		s.watches(old, 0)
 	})
 }
+
+// Nor may it have one for the fleet file in the moment of the start, or for the operators' words on the disk: the start waits.
+func TestFleetFilesCannotBeOpenedAtOnce(t *testing.T) {
+	for _, file := range []string{"fleet.yaml", "words.lock", "words"} {
+		t.Run(file, func(t *testing.T) {
+			p := newPartyOf(t, 4, storePlan)
+			host := p.World().Members()[0]
+			assert.Equal(t, "ok: held by 3 of 3 others, on disk", p.word(1, host.ID, "suspend"))
+			p.Node(2).Kill()
+			path := filepath.Join(t.TempDir(), "plan.json")
+			fault := fmt.Sprintf(`{"faults":[{"call":"open","error":"EMFILE","file":%q,"most":3}]}`, file)
+			require.NoError(t, os.WriteFile(path, []byte(fault), 0o600))
+			_, err := p.StartAs(2, []string{faultyProgram(t)}, "LILACCOVE_FAULTS="+path)
+			require.NoError(t, err)
+			p.left(1, 2)
+			p.equal()
+			p.judge(0.5)
+		})
+	}
+}
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
-	"os"
 	"runtime/debug"
 	"strconv"
 	"time"
@@ -85,7 +84,7 @@
 	if !set.Peers {
 		return nil, fmt.Errorf("fleet file %s: the settings forbid that gateways talk to each other (Allowed.Peers is not true); start without the file", path)
 	}
-	text, err := os.ReadFile(path)
+	text, err := sys.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("fleet file: %w", err)
 	}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -128,3 +128,19 @@
 	assert.True(t, s.Entered() && s.Known())
 	assert.True(t, join(t, dir).Poll(ignore), "it is seen")
 }
+
+// The file of another process cannot be opened just now, as when this one has no descriptor for it: nobody knows whether that
+// process has acted on a word, and an operator is not told so.
+func TestProcessThatCannotBeReadHasNotAgreed(t *testing.T) {
+	dir := t.TempDir()
+	s := join(t, dir)
+	other := filepath.Join(dir, processes+"other")
+	require.NoError(t, os.Symlink(other, other)) // ELOOP whenever it is opened
+	s.Suspend("a", true, sec)
+	assert.True(t, s.Kept())
+	assert.True(t, s.Poll(ignore), "it may live")
+	assert.False(t, s.Agreed())
+	require.NoError(t, os.Remove(other))
+	assert.False(t, s.Poll(ignore), "it has ended")
+	assert.True(t, s.Agreed())
+}
--- a/internal/sys/faults.go
+++ b/internal/sys/faults.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -32,6 +33,7 @@
 	DelayMS int64   `json:"delay_ms"` // behind the call
 	Share   float64 `json:"share"`    // of the calls; 0: all
 	Peer    string  `json:"peer"`     // ADDRESS:PORT of who is at the other end, for connect, read and write; empty: anybody
+	File    string  `json:"file"`     // the last part of the path, for open, write_file, sync and rename (the new one); empty: any
 	FromMS  int64   `json:"from_ms"`  // since the start of the process
 	ForMS   int64   `json:"for_ms"`   // 0: to the end
 	Most    int     `json:"most"`     // times; 0: without bound
@@ -78,27 +80,36 @@
 	return 0, fmt.Errorf("unknown error %q", name)
 }
 
-// nobody is the other end of a call that has none.
-func nobody() unix.Sockaddr { return nil }
+// target is what a call is made on.
+type target struct {
+	peer func() unix.Sockaddr // the other end of a socket, asked for only where it matters; nil: there is none
+	file string               // a path
+}
 
-// peer is the other end of a socket.
-func peer(fd int) func() unix.Sockaddr {
-	return func() unix.Sockaddr {
+// socket is a target with the other end of an open socket.
+func socket(fd int) target {
+	return target{peer: func() unix.Sockaddr {
 		to, err := unix.Getpeername(fd)
 		if err != nil {
 			return nil
 		}
 		return to
-	}
+	}}
 }
 
-// meets tells whether a fault is for a call to somebody.
-func (f *Fault) meets(to func() unix.Sockaddr) bool {
+// meets tells whether a fault is for a call on a target.
+func (f *Fault) meets(on target) bool {
+	if f.File != "" && f.File != filepath.Base(on.file) {
+		return false
+	}
 	if f.Peer == "" {
 		return true
 	}
+	if on.peer == nil {
+		return false
+	}
 	var at netip.AddrPort
-	switch to := to().(type) {
+	switch to := on.peer().(type) {
 	case *unix.SockaddrInet4:
 		at = netip.AddrPortFrom(netip.AddrFrom4(to.Addr), uint16(to.Port))
 	case *unix.SockaddrInet6:
@@ -107,15 +118,15 @@
 	return at.String() == f.Peer
 }
 
-// drawn is the fault that meets a call now, whose other end is asked for only where it matters; nil: none does.
-func drawn(call string, to func() unix.Sockaddr) *Fault {
+// drawn is the fault that meets a call on a target now; nil: none does.
+func drawn(call string, on target) *Fault {
 	mutex.Lock()
 	defer mutex.Unlock()
 	now := time.Since(begun).Milliseconds()
 	for i := range plan.Faults {
 		f := &plan.Faults[i]
 		switch {
-		case f.Call != call, now < f.FromMS, f.ForMS > 0 && now >= f.FromMS+f.ForMS, !f.meets(to):
+		case f.Call != call, now < f.FromMS, f.ForMS > 0 && now >= f.FromMS+f.ForMS, !f.meets(on):
 		case f.Most > 0 && f.met >= f.Most, f.Share > 0 && random.Float64() >= f.Share:
 		default:
 			f.met++
@@ -150,7 +161,7 @@
 
 // Accept takes a connection from a listener's queue.
 func Accept(fd, flags int) (int, error) {
-	f := drawn("accept", nobody)
+	f := drawn("accept", target{})
 	if err := f.fails(); err != nil {
 		return -1, err
 	}
@@ -161,7 +172,7 @@
 
 // Socket opens one.
 func Socket(family, kind, protocol int) (int, error) {
-	if err := drawn("socket", nobody).fails(); err != nil {
+	if err := drawn("socket", target{}).fails(); err != nil {
 		return -1, err
 	}
 	return unix.Socket(family, kind, protocol)
@@ -169,7 +180,7 @@
 
 // Connect begins to connect a socket.
 func Connect(fd int, to unix.Sockaddr) error {
-	if err := drawn("connect", func() unix.Sockaddr { return to }).fails(); err != nil {
+	if err := drawn("connect", target{peer: func() unix.Sockaddr { return to }}).fails(); err != nil {
 		return err
 	}
 	return unix.Connect(fd, to)
@@ -177,7 +188,7 @@
 
 // Read reads from a socket.
 func Read(fd int, b []byte) (int, error) {
-	f := drawn("read", peer(fd))
+	f := drawn("read", socket(fd))
 	if err := f.fails(); err != nil {
 		return -1, err
 	}
@@ -188,7 +199,7 @@
 
 // Write writes to a socket.
 func Write(fd int, b []byte) (int, error) {
-	f := drawn("write", peer(fd))
+	f := drawn("write", socket(fd))
 	if err := f.fails(); err != nil {
 		return -1, err
 	}
@@ -197,7 +208,7 @@
 
 // Writev writes the parts to a socket, one behind the other.
 func Writev(fd int, parts [][]byte) (int, error) {
-	f := drawn("write", peer(fd))
+	f := drawn("write", socket(fd))
 	if err := f.fails(); err != nil {
 		return -1, err
 	}
@@ -210,7 +221,7 @@
 // EpollCtl changes what epoll watches.
 func EpollCtl(epoll, op, fd int, event *unix.EpollEvent) error {
 	call := map[int]string{unix.EPOLL_CTL_ADD: "epoll_add", unix.EPOLL_CTL_MOD: "epoll_mod"}[op]
-	if err := drawn(call, nobody).fails(); err != nil {
+	if err := drawn(call, target{}).fails(); err != nil {
 		return err
 	}
 	return unix.EpollCtl(epoll, op, fd, event)
@@ -218,7 +229,7 @@
 
 // EpollWait waits for events.
 func EpollWait(epoll int, events []unix.EpollEvent, milliseconds int) (int, error) {
-	f := drawn("epoll_wait", nobody)
+	f := drawn("epoll_wait", target{})
 	if err := f.fails(); err != nil {
 		return -1, err
 	}
@@ -234,7 +245,7 @@
 
 // CreateTemp makes a new file with a name of its own.
 func CreateTemp(dir, pattern string) (*os.File, error) {
-	if err := drawn("create", nobody).fails(); err != nil {
+	if err := drawn("create", target{file: dir}).fails(); err != nil {
 		return nil, &os.PathError{Op: "open", Path: dir, Err: err}
 	}
 	return os.CreateTemp(dir, pattern)
@@ -242,7 +253,7 @@
 
 // ReadFile reads a whole file.
 func ReadFile(path string) ([]byte, error) {
-	if err := drawn("open", nobody).fails(); err != nil {
+	if err := drawn("open", target{file: path}).fails(); err != nil {
 		return nil, &os.PathError{Op: "open", Path: path, Err: err}
 	}
 	return os.ReadFile(path)
@@ -250,7 +261,7 @@
 
 // OpenFile opens a file, or makes it.
 func OpenFile(path string, flags int, mode os.FileMode) (*os.File, error) {
-	if err := drawn("open", nobody).fails(); err != nil {
+	if err := drawn("open", target{file: path}).fails(); err != nil {
 		return nil, &os.PathError{Op: "open", Path: path, Err: err}
 	}
 	return os.OpenFile(path, flags, mode)
@@ -258,7 +269,7 @@
 
 // WriteFile writes to an open file.
 func WriteFile(f *os.File, b []byte) (int, error) {
-	fault := drawn("write_file", nobody)
+	fault := drawn("write_file", target{file: f.Name()})
 	if err := fault.fails(); err != nil {
 		n, _ := f.Write(b[:len(b)/2]) // a disk that is full takes what there was room for
 		return n, &os.PathError{Op: "write", Path: f.Name(), Err: err}
@@ -268,7 +279,7 @@
 
 // Sync has a file's content reach the disk.
 func Sync(f *os.File) error {
-	if err := drawn("sync", nobody).fails(); err != nil {
+	if err := drawn("sync", target{file: f.Name()}).fails(); err != nil {
 		return &os.PathError{Op: "sync", Path: f.Name(), Err: err}
 	}
 	return f.Sync()
@@ -276,7 +287,7 @@
 
 // Rename puts a file in another's place.
 func Rename(from, to string) error {
-	if err := drawn("rename", nobody).fails(); err != nil {
+	if err := drawn("rename", target{file: to}).fails(); err != nil {
 		return &os.LinkError{Op: "rename", Old: from, New: to, Err: err}
 	}
 	return os.Rename(from, to)
