Wait for descriptors at the start in one place, and take who cannot be read for not agreed

Change: sys.AtStart calls again while a call fails for what the machine lacks for a moment; the configuration, the fleet file and the sockets of a start use it in place of two loops of their own. Share.hasActed: a file that is gone is a process that ended; one that cannot be read has not agreed. The operator then hears that the word is not kept everywhere, and may repeat it.

Ruled out: Share.others, which takes a file that it cannot look at for a living process's; reload, which reads again by itself. Left: epoll and eventfd of a start are opened once (netloop.New).

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -33,20 +33,16 @@
 	Sockets  float64 `json:"sockets"`
 }
 
-// What the system lacks for the moment in which the configuration is read is waited for.
+// A reload waits for what the system lacks for the moment in which the configuration is read.
 const (
 	readPause = 50 * time.Millisecond
 	readMost  = 2 * time.Second
 )
 
-// Load reads the configuration; the plain variables go before what it says.
+// Load reads the configuration at the start; the plain variables go before what it says.
 func Load(env func(string) string) (Config, error) {
 	var cfg Config
-	err := read(env, &cfg)
-	for late := time.Now().Add(readMost); sys.Passing(err) && time.Now().Before(late); err = read(env, &cfg) {
-		time.Sleep(readPause)
-	}
-	if err != nil {
+	if err := sys.AtStart(func() error { return read(env, &cfg) }); err != nil {
 		return cfg, err
 	}
 	for name, to := range map[string]*string{
@@ -84,7 +80,11 @@
 	if !set.Peers {
 		return nil, fmt.Errorf("fleet file %s: the settings forbid that gateways talk to each other (Allowed.Peers is not true); start without the file", path)
 	}
-	text, err := sys.ReadFile(path)
+	var text []byte
+	err := sys.AtStart(func() (err error) {
+		text, err = sys.ReadFile(path)
+		return err
+	})
 	if err != nil {
 		return nil, fmt.Errorf("fleet file: %w", err)
 	}
--- a/internal/handover/share.go
+++ b/internal/handover/share.go
@@ -144,15 +144,23 @@
 // Agreed tells whether every other process that lives has acted on all words known here.
 func (s *Share) Agreed() bool {
 	for _, path := range s.others() {
-		text, err := os.ReadFile(path)
-		seen, bad := strconv.ParseInt(string(bytes.TrimSpace(text)), 10, 64)
-		if err == nil && (bad != nil || seen < s.state.at()) {
+		if !s.hasActed(path) {
 			return false
 		}
 	}
 	return true
 }
 
+// hasActed tells whether the process that a file belongs to has acted on all words known here, or has ended.
+func (s *Share) hasActed(path string) bool {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Is(err, fs.ErrNotExist)
+	}
+	seen, err := strconv.ParseInt(string(bytes.TrimSpace(text)), 10, 64)
+	return err == nil && seen >= s.state.at()
+}
+
 func (s *Share) path() string { return filepath.Join(s.dir, statePath) }
 
 // others are the files of the other processes that live. Those that the dead left are removed. A file that cannot be looked at
--- a/internal/netloop/listener.go
+++ b/internal/netloop/listener.go
@@ -14,7 +14,6 @@
 	acceptMost = 64                    // connections taken from one listener in a round
 	backlog    = 4096                  // connections that the system keeps in a queue
 	restTime   = 20 * time.Millisecond // before a call is made again that failed for want of something
-	startTime  = 2 * time.Second       // for which a process that starts waits for a socket
 )
 
 // Listener accepts connections.
@@ -61,15 +60,13 @@
 	return ln, nil
 }
 
-// socketAtStart opens a socket and waits for one a while: a process that starts should not end for what the system lacks
-// for a moment.
+// socketAtStart opens a socket, and waits for one as sys.AtStart does.
 func socketAtStart(family, kind int) (fd int, err error) {
-	for late := time.Now().Add(startTime); ; time.Sleep(restTime) {
+	err = sys.AtStart(func() (err error) {
 		fd, err = sys.Socket(family, kind|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
-		if !sys.Passing(err) || time.Now().After(late) {
-			return fd, err
-		}
-	}
+		return err
+	})
+	return fd, err
 }
 
 // ListenReserved is Listen with so many descriptors set aside for the connections, which are read
--- a/internal/sys/sys.go
+++ b/internal/sys/sys.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"slices"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -21,3 +22,19 @@
 	var number unix.Errno
 	return errors.As(err, &number) && slices.Contains(passing, number)
 }
+
+const (
+	startTime  = 2 * time.Second       // for which a process that starts waits for what the machine lacks
+	startPause = 20 * time.Millisecond // between two tries
+)
+
+// AtStart calls do again and again while it fails for what this machine lacks for a moment, for two seconds at most: a process
+// that starts should not end for that. It blocks.
+func AtStart(do func() error) error {
+	for late := time.Now().Add(startTime); ; time.Sleep(startPause) {
+		err := do()
+		if !Passing(err) || time.Now().After(late) {
+			return err
+		}
+	}
+}
