Show that words to which many processes have spoken never arrive (listed as red)

Found by asking what each structure of the fleet grows with. A word's version vector keeps an entry for each process that ever gave a word on its database, and each start of a gateway is a process of its own; nothing removes an entry. Six words go into one datagram whatever their size, and a gateway reads 2048 bytes. With three gateways of short names, one word to each of twelve databases per start, the thirteenth process never catches up: pages are dropped as too large, it waits its two seconds, and serves databases that operators have suspended. With processes: six words of twenty writers on one disk do not reach the other gateways within 10 s. From the 65th writer on, a word is no longer taken by anybody (Sound), and the file that has it counts as damaged.

--- a/cmd/lilaccove/store_test.go
+++ b/cmd/lilaccove/store_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -11,7 +12,9 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
+	"lilaccove/internal/fleet/state"
 	"lilaccove/internal/load/plan"
+	"lilaccove/internal/wordstore"
 )
 
 // storePlan has four gateways that keep operators' words on a disk.
@@ -240,3 +243,38 @@
 	p.left(0, p.all()...)
 	p.judge(0.5)
 }
+
+// Words on six databases to which each of twenty processes has spoken, as after as many releases, come whole to gateways that
+// have lost their disks: no message is too large to arrive.
+func TestFleetStateOfManyProcesses(t *testing.T) {
+	const databases, processes = 6, 20
+	var words []state.Word
+	for d := range databases {
+		w := state.Word{Host: fmt.Sprintf("database-%d", d), Out: true, Vector: map[string]uint64{}, By: "n0"}
+		for k := range processes {
+			w.Vector[fmt.Sprintf("n%d@%016x", k%4, k+1)] = uint64(d + 1)
+		}
+		words = append(words, w)
+	}
+	p := newPartyOf(t, 4, storePlan)
+	p.restart(func() {
+		for i := range 4 {
+			require.NoError(t, os.RemoveAll(p.WordsDir(i)))
+		}
+		store, _, err := wordstore.Open(wordstore.Options{Dir: p.WordsDir(0), Fleet: "lab", Gateway: "n0", Session: 1, Horizon: time.Minute})
+		require.NoError(t, err)
+		saved := make(chan error, 1)
+		store.Save(words, func(err error) { saved <- err })
+		require.NoError(t, <-saved)
+		store.Close(time.Second)
+	}, p.all()...)
+	p.eventually("all have all words", func() bool {
+		for i := range 4 {
+			if len(p.state(i).Words) != databases {
+				return false
+			}
+		}
+		return true
+	})
+	p.equal()
+}
--- a/internal/fleet/state/words_test.go
+++ b/internal/fleet/state/words_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -21,8 +22,14 @@
 	loss  float64
 	held  []WordsSend
 	from  []int
+
+	measured bool // messages are measured, and one that is too large for who reads it does not arrive
+	largest  int  // bytes of one
 }
 
+// arrives is how many bytes of a message a gateway reads: 2048 with the envelope and the sender's name.
+const arrives = 2048 - 100
+
 func newCrew(n int, seed uint64) *crew {
 	c := &crew{rnd: rand.New(rand.NewPCG(seed, 2)), now: now}
 	for i := range n {
@@ -65,10 +72,23 @@
 
 func (c *crew) collect(i int) {
 	for _, s := range c.list[i].Take() {
+		if c.measured && !c.fits(s.Message) {
+			continue
+		}
 		c.held, c.from = append(c.held, s), append(c.from, i)
 	}
 }
 
+// fits measures a message.
+func (c *crew) fits(m WordsMessage) bool {
+	text, err := cbor.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	c.largest = max(c.largest, len(text))
+	return len(text) <= arrives
+}
+
 func (c *crew) say(i int, host string, out bool) {
 	c.list[i].Say(c.now, host, out)
 	c.collect(i)
@@ -271,3 +291,33 @@
 	}
 	assert.Greater(t, knows, 20*16*3/4)
 }
+
+// Over the years each database's word is given by hundreds of processes, for each start is a process of its own. Messages go
+// on fitting into datagrams of 1200 bytes with their envelopes, every copy takes each word, and none counts as unsound.
+func TestWordsOfHundredsOfProcesses(t *testing.T) {
+	const hosts, generations = 2 * wordsPerSend, 200
+	c := newCrew(3, 1)
+	c.measured = true
+	for g := range generations {
+		i := g % len(c.list)
+		c.start(i)
+		for k := 0; k < 20 && !c.list[i].Synced(); k++ {
+			c.round()
+		}
+		require.True(t, c.list[i].Synced(), "generation %d catches up", g)
+		for h := range hosts {
+			c.say(i, fmt.Sprintf("database-%d", h), g%2 == 0)
+		}
+		c.round()
+		c.round()
+		require.True(t, c.equal(), "generation %d", g)
+		for _, s := range c.list {
+			for _, w := range s.All() {
+				require.True(t, w.Sound())
+				require.Equal(t, g%2 == 0, w.Out)
+			}
+			require.Len(t, s.All(), hosts, "no conflict")
+		}
+	}
+	assert.LessOrEqual(t, c.largest, 1200-100, "a datagram, without the envelope and the sender's name")
+}
