Cut messages of words by their bytes, and fold version vectors that have grown large

Cause: a vector has an entry for each process that ever spoke on a database and never lost one; six words went into a datagram whatever their size.

Change: a message takes words of 1000 bytes at most, so that it fits into 1200 with its envelope; a word whose vector would pass a third of that is said with what came before it folded into one key, a hash, which everybody who holds that word recognises as knowledge of it. Of 1024 words the largest take 342 messages then, under the 500 a second of one sender.

Losses: a copy that still holds a word from before the folded one keeps both, as of two sides of a partition: if one says out the database is left out, the conflict is told, and an operator's next word ends it.

--- a/internal/fleet/state/words.go
+++ b/internal/fleet/state/words.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -13,6 +14,10 @@
 
 const (
 	wordsPerSend = 6
+	bytesPerSend = 1000             // of the words in one message, which with its envelope goes into a datagram of 1200
+	wordMost     = bytesPerSend / 3 // bytes, above which a vector is folded: wordsMost words then take 342 messages at most
+	wordRest     = 32               // bytes of a word beside its texts, at most
+	entryRest    = 11               // bytes of an entry of its vector beside the writer's name, at most
 	compareEvery = time.Second
 	wordsMost    = 1024
 	writersMost  = 64 // of one vector
@@ -25,7 +30,7 @@
 type Word struct {
 	Host   string            `cbor:"1,keyasint" json:"host"`
 	Out    bool              `cbor:"2,keyasint" json:"out"`    // leave it out; else it may serve
-	Vector map[string]uint64 `cbor:"3,keyasint" json:"vector"` // version vector (Parker and others 1983): by process that took the word
+	Vector map[string]uint64 `cbor:"3,keyasint" json:"vector"` // version vector (Parker and others 1983): by process that took the word; see fold
 	AtMS   int64             `cbor:"4,keyasint" json:"at_ms"`  // Unix time at the process that took it: for people, nothing is decided by it
 	By     string            `cbor:"5,keyasint" json:"by"`     // the gateway that took it
 }
@@ -44,16 +49,32 @@
 	return w.Host != "" && len(w.Host) <= hostMost && len(w.By) <= 64 && len(w.Vector) > 0 && len(w.Vector) <= writersMost
 }
 
-// order compares two vectors: whether a knows all of b, and b all of a.
-func order(a, b map[string]uint64) (knows, known bool) {
-	knows, known = true, true
-	for k, n := range b {
-		knows = knows && a[k] >= n
+// size is how many bytes a word takes in a message, or somewhat less.
+func (w *Word) size() int {
+	n := wordRest + len(w.Host) + len(w.By)
+	for k := range w.Vector {
+		n += entryRest + len(k)
 	}
-	for k, n := range a {
-		known = known && b[k] >= n
+	return n
+}
+
+// folded begins the key that stands for all of a word in the vector of one that was said with knowledge of it. No writer's
+// name begins so.
+const folded = "~"
+
+// fold is the key of a word in the vectors of later ones.
+func (w *Word) fold() string {
+	return folded + strconv.FormatUint(xxhash.Sum64String(print(*w)), 16)
+}
+
+// knows tells whether a word was said with knowledge of another: its vector has all of the other's, or the other folded. A
+// word that folds another does not know those before that one: where a copy still has one of these, both are kept.
+func (w *Word) knows(other *Word) bool {
+	all := true
+	for k, n := range other.Vector {
+		all = all && w.Vector[k] >= n
 	}
-	return knows, known
+	return all || w.Vector[other.fold()] > 0
 }
 
 // WordsMessage is one about words.
@@ -144,10 +165,24 @@
 	}
 	others := slices.DeleteFunc(slices.Clone(s.live), func(n string) bool { return n == from })
 	for _, to := range s.some(others, passOn) {
-		for page := range slices.Chunk(words, wordsPerSend) {
-			s.send(to, WordsMessage{Words: page})
+		for rest := words; len(rest) > 0; {
+			n := page(rest)
+			s.send(to, WordsMessage{Words: rest[:n]})
+			rest = rest[n:]
+		}
+	}
+}
+
+// page is how many of some words the next message takes: one at least, if there are any.
+func page(words []Word) (n int) {
+	bytes := 0
+	for n < min(len(words), wordsPerSend) {
+		if bytes += words[n].size(); n > 0 && bytes > bytesPerSend {
+			break
 		}
+		n++
 	}
+	return n
 }
 
 // Synced tells whether this copy has been found equal to another's since the start, by an answer to this process.
@@ -159,13 +194,7 @@
 	if len(s.words[host]) == 0 && len(s.words) >= wordsMost && !s.makeRoom() {
 		return 0
 	}
-	w := Word{Host: host, Out: out, Vector: map[string]uint64{}, AtMS: now.Milliseconds(), By: s.name}
-	for _, o := range s.words[host] {
-		for k, n := range o.Vector {
-			w.Vector[k] = max(w.Vector[k], n)
-		}
-	}
-	w.Vector[s.writer]++
+	w := s.following(host, out)
 	s.words[host], s.digest = []Word{w}, 0
 	s.serial++
 	a := asked{id: s.serial, word: w, of: slices.Clone(s.live), held: map[string]bool{}}
@@ -174,6 +203,26 @@
 	return a.id
 }
 
+// following is a word said with knowledge of all that there are on a database. Its vector is theirs; where that has grown too
+// large, for each process that ever spoke has an entry, they are folded.
+func (s *Words) following(host string, out bool) Word {
+	w := Word{Host: host, Out: out, Vector: map[string]uint64{}, AtMS: s.now.Milliseconds(), By: s.name}
+	for _, o := range s.words[host] {
+		for k, n := range o.Vector {
+			w.Vector[k] = max(w.Vector[k], n)
+		}
+	}
+	own := w.Vector[s.writer] + 1 // a number of a writer never comes twice
+	w.Vector[s.writer] = own
+	if w.size() > wordMost || len(w.Vector) > writersMost {
+		w.Vector = map[string]uint64{s.writer: own}
+		for _, o := range s.words[host] {
+			w.Vector[o.fold()] = 1
+		}
+	}
+	return w
+}
+
 // ask tells a word to those who have not said that they hold it.
 func (s *Words) ask(a asked) {
 	for _, to := range a.of {
@@ -250,11 +299,10 @@
 // join adds a word to those on one database: it takes the place of those that it knows of, and is none if one knows of it.
 func join(list []Word, w Word) (kept []Word, news bool) {
 	for _, o := range list {
-		knows, known := order(o.Vector, w.Vector)
-		if knows {
+		if o.knows(&w) {
 			return list, false
 		}
-		if !known {
+		if !w.knows(&o) {
 			kept = append(kept, o)
 		}
 	}
@@ -326,7 +374,7 @@
 func (s *Words) pages(to string, want bool, round uint64) {
 	all := s.All()
 	for {
-		n := min(len(all), wordsPerSend)
+		n := page(all)
 		last := n == len(all)
 		m := WordsMessage{Words: all[:n], Want: want && last, Round: round}
 		if last {
--- a/internal/fleet/state/words_test.go
+++ b/internal/fleet/state/words_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -104,17 +105,18 @@
 }
 
 // Words, losses, cuts and restarts in any order: afterwards all copies are equal, and what was said last with knowledge
-// of the rest holds.
+// of the rest holds. With long names vectors are folded as soon as three processes have spoken.
 func TestWordsConverge(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		n := rapid.IntRange(2, 8).Draw(r, "n")
 		c := newCrew(n, rapid.Uint64().Draw(r, "seed"))
 		c.loss = rapid.Float64Range(0, 0.5).Draw(r, "loss")
+		name := "s" + strings.Repeat("x", rapid.SampledFrom([]int{0, 200}).Draw(r, "long"))
 		for range rapid.IntRange(1, 25).Draw(r, "steps") {
 			i := rapid.IntRange(0, n-1).Draw(r, "who")
 			switch rapid.SampledFrom([]string{"say", "say", "round", "cut", "heal", "restart"}).Draw(r, "what") {
 			case "say":
-				c.say(i, fmt.Sprint("s", rapid.IntRange(0, 3).Draw(r, "host")), rapid.Bool().Draw(r, "out"))
+				c.say(i, fmt.Sprint(name, rapid.IntRange(0, 3).Draw(r, "host")), rapid.Bool().Draw(r, "out"))
 			case "round":
 				c.round()
 			case "cut":
@@ -132,10 +134,10 @@
 			c.round()
 		}
 		require.True(r, c.equal())
-		c.say(0, "s0", false)
+		c.say(0, name+"0", false)
 		c.round()
 		for _, s := range c.list {
-			out, conflict := s.Out("s0")
+			out, conflict := s.Out(name + "0")
 			require.False(r, out || conflict, "a word said with knowledge of all prevails")
 		}
 	})
@@ -321,3 +323,37 @@
 	}
 	assert.LessOrEqual(t, c.largest, 1200-100, "a datagram, without the envelope and the sender's name")
 }
+
+// A word that folds others takes the place of those that it was said with knowledge of. A copy that still has one from before
+// them keeps both: the database is left out if either says so, until an operator speaks again.
+func TestFoldedWords(t *testing.T) {
+	c := newCrew(3, 1)
+	host := "s" + strings.Repeat("x", 200)
+	lagging := func(a, b int) bool { return a == 2 || b == 2 }
+	c.say(0, host, true)
+	c.round()
+	c.cut = lagging
+	for k := range 6 {
+		c.start(k % 2)
+		c.round()
+		c.round()
+		c.say(k%2, host, false)
+		c.round()
+		for _, s := range c.list[:2] {
+			require.Len(t, s.words[host], 1, "what was said last has taken the place of all before")
+			require.False(t, s.words[host][0].Out)
+			require.LessOrEqual(t, s.words[host][0].size(), wordMost)
+		}
+	}
+	c.cut = nil
+	for range 20 {
+		c.round()
+	}
+	require.True(t, c.equal())
+	out, conflict := c.list[1].Out(host)
+	assert.True(t, out && conflict, "what nobody knows to be over leaves it out, and that is told")
+	c.say(1, host, false)
+	c.round()
+	out, conflict = c.list[2].Out(host)
+	assert.False(t, out || conflict)
+}
