Show that news of databases with long names are larger than a datagram (listed as red)

The same mistake elsewhere: thirty positions go into one message whatever the names. With names of 42 bytes a message has 1684 bytes where 1200 are meant, and with names of 100 bytes it is over the 2048 that a gateway reads.

--- a/internal/fleet/state/positions_test.go
+++ b/internal/fleet/state/positions_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -117,3 +119,25 @@
 	p.Forget()
 	assert.Len(t, p.at, 1)
 }
+
+// Databases may have names of up to 256 bytes: news of many still fit into datagrams of 1200 bytes with their envelopes, and
+// all arrive.
+func TestPositionsOfLongNamesFitTheirMessages(t *testing.T) {
+	const hosts = 40
+	for _, long := range []int{0, 40, 100, hostMost - 2} {
+		a, b := New("a", 1, step, all), New("b", 2, step, all)
+		a.Live([]string{"b"})
+		for i := range hosts {
+			a.Learned(fmt.Sprintf("%02d%s", i, strings.Repeat("x", long)), now)
+		}
+		for range hosts {
+			for _, s := range a.Tick() {
+				text, err := cbor.Marshal(s.Message)
+				require.NoError(t, err)
+				require.LessOrEqual(t, len(text), 1200-100, "names of %d bytes", long+2)
+				b.Receive(now, s.Message)
+			}
+		}
+		assert.EqualValues(t, hosts, b.Counts().Heard)
+	}
+}
