Cut news of positions by their bytes, with the words' rule in one place

Change: state.page cuts lists by a number of items and by bytes, for words and positions. Measured: TestPositionsOfLongNamesFitTheirMessages red before, green now; the fleet's packages and peer pass with -race. Ruled out: versions (eight of at most 168 bytes with names of 64), budgets and membership (one item, or cut by bytes).

--- a/internal/fleet/state/positions.go
+++ b/internal/fleet/state/positions.go
@@ -18,6 +18,8 @@
 	perSend  = 30          // positions in one message
 	ahead    = time.Second // a position so far past the own clock is not believed
 	hostMost = 256         // bytes of a name
+
+	positionRest = 16 // bytes of a position beside its name, at most
 )
 
 // Position is how far a database has come, as somebody heard from it.
@@ -121,7 +123,7 @@
 
 // Tick sends what is news to a few members. What does not fit waits for the next time.
 func (p *Positions) Tick() (out []Send) {
-	n := min(len(p.queue), perSend)
+	n := page(p.queue, perSend, func(host string) int { return positionRest + len(host) })
 	if n == 0 || len(p.live) == 0 {
 		return nil
 	}
--- a/internal/fleet/state/words.go
+++ b/internal/fleet/state/words.go
@@ -14,7 +14,6 @@
 
 const (
 	wordsPerSend = 6
-	bytesPerSend = 1000             // of the words in one message, which with its envelope goes into a datagram of 1200
 	wordMost     = bytesPerSend / 3 // bytes, above which a vector is folded: wordsMost words then take 342 messages at most
 	wordRest     = 32               // bytes of a word beside its texts, at most
 	entryRest    = 11               // bytes of an entry of its vector beside the writer's name, at most
@@ -50,7 +49,7 @@
 }
 
 // size is how many bytes a word takes in a message, or somewhat less.
-func (w *Word) size() int {
+func (w Word) size() int {
 	n := wordRest + len(w.Host) + len(w.By)
 	for k := range w.Vector {
 		n += entryRest + len(k)
@@ -166,25 +165,13 @@
 	others := slices.DeleteFunc(slices.Clone(s.live), func(n string) bool { return n == from })
 	for _, to := range s.some(others, passOn) {
 		for rest := words; len(rest) > 0; {
-			n := page(rest)
+			n := page(rest, wordsPerSend, Word.size)
 			s.send(to, WordsMessage{Words: rest[:n]})
 			rest = rest[n:]
 		}
 	}
 }
 
-// page is how many of some words the next message takes: one at least, if there are any.
-func page(words []Word) (n int) {
-	bytes := 0
-	for n < min(len(words), wordsPerSend) {
-		if bytes += words[n].size(); n > 0 && bytes > bytesPerSend {
-			break
-		}
-		n++
-	}
-	return n
-}
-
 // Synced tells whether this copy has been found equal to another's since the start, by an answer to this process.
 func (s *Words) Synced() bool { return s.synced }
 
@@ -374,7 +361,7 @@
 func (s *Words) pages(to string, want bool, round uint64) {
 	all := s.All()
 	for {
-		n := page(all)
+		n := page(all, wordsPerSend, Word.size)
 		last := n == len(all)
 		m := WordsMessage{Words: all[:n], Want: want && last, Round: round}
 		if last {
