--- a/cmd/lilaccove/words_test.go
+++ b/cmd/lilaccove/words_test.go
@@ -80,6 +80,39 @@
 	p.judge(0.7)
 }
 
+// Two gateways are killed and return at once without a memory, each nearer to the other than to those that have the word. That
+// neither knows of a word tells them nothing: both learn it before they take clients.
+func TestFleetStateTwoReturnAtOnce(t *testing.T) {
+	p := newPartyOf(t, 4, fmt.Sprintf(sharedPlan, 4))
+	host := p.World().Members()[0]
+	p.eventually("it is in use", func() bool { return host.Begun() > 20 })
+	p.word(0, host.ID, "suspend")
+	p.left(1, p.all()...)
+	p.eventually("what was under way is over", func() bool {
+		before, reads := host.Begun(), p.World().Counts().Reads
+		p.eventually("reads go on elsewhere", func() bool { return p.World().Counts().Reads > reads+30 })
+		return host.Begun() == before
+	})
+	begun := host.Begun()
+	for _, i := range []int{0, 1} {
+		for _, j := range []int{2, 3} {
+			p.Mesh().Set(i, j, plan.Link{Delay: 200 * time.Millisecond})
+			p.Mesh().Set(j, i, plan.Link{Delay: 200 * time.Millisecond})
+		}
+	}
+	for range 2 {
+		p.restart(nil, 2, 3)
+		p.eventually("both are back in the front", func() bool {
+			return p.Front().Admitted() == 4 && p.state(2).CaughtUp && p.state(3).CaughtUp
+		})
+		reads := p.World().Counts().Reads
+		p.eventually("reads go on", func() bool { return p.World().Counts().Reads > reads+200 })
+		p.left(1, p.all()...)
+	}
+	assert.Equal(t, begun, host.Begun(), "a gateway that returned used it")
+	p.judge(0.6)
+}
+
 // Words said on both sides of a partition: the database stays out and the conflict is told until an operator speaks again.
 func TestFleetStateConflict(t *testing.T) {
 	p := newPartyOf(t, 4, fmt.Sprintf(sharedPlan, 4))
--- a/internal/fleet/state/words_test.go
+++ b/internal/fleet/state/words_test.go
@@ -357,3 +357,39 @@
 	out, conflict = c.list[2].Out(host)
 	assert.False(t, out || conflict)
 }
+
+// A gateway that has not caught up itself may be equal to another that has not: that is no proof that both know all. It is
+// where all gateways there are say so, as when a whole fleet starts.
+func TestNobodyVouchesWhoHasNotCaughtUp(t *testing.T) {
+	c := newCrew(3, 1)
+	c.say(0, "s1", true)
+	for range 3 {
+		c.round()
+	}
+	require.True(t, c.equal())
+	c.start(1)
+	c.start(2)
+	for _, s := range c.list[1:] {
+		s.Take()
+	}
+	c.list[1].compare("n2")
+	c.list[2].Receive("n1", c.list[1].Take()[0].Message)
+	c.list[1].Receive("n2", c.list[2].Take()[0].Message)
+	assert.False(t, c.list[1].Synced(), "it met one that returned as well")
+	for range 4 {
+		c.round()
+	}
+	for _, s := range c.list {
+		assert.True(t, s.Synced())
+		out, _ := s.Out("s1")
+		assert.True(t, out)
+	}
+
+	whole := newCrew(8, 2)
+	for range 4 { // two seconds
+		whole.round()
+	}
+	for i, s := range whole.list {
+		assert.True(t, s.Synced(), "gateway %d of a fleet that starts", i)
+	}
+}
