Let nobody vouch for operators' words who has not caught up itself

Cause: Words.Synced took an answer of any gateway for proof, also of one that had started a moment before and knew nothing.

Change: an answer of who has not caught up says so (Unsure, a new optional field of the fleet's messages). It counts once all other gateways that can be told, as many as there are seeds at least, have been found equal at the same digest, as when a whole fleet starts; meanwhile those that were not found equal yet are asked first. Who serves because nobody else is there, or because two seconds are over, counts as caught up from then on.

Losses: a whole fleet of more than a dozen that starts at once may wait its two seconds, where it served at once before.

--- a/internal/fleet/state/words.go
+++ b/internal/fleet/state/words.go
@@ -87,6 +87,8 @@
 	// Round is drawn by each process that asks to compare, and told back: an answer to the process before must not pass.
 	Round uint64 `cbor:"7,keyasint,omitempty"`
 	Sum   uint64 `cbor:"8,keyasint,omitempty"` // the digest of all words of which these are the last
+	// Unsure is set in an answer by who has not caught up itself: that a copy is equal to its own proves little.
+	Unsure bool `cbor:"9,keyasint,omitempty"`
 }
 
 // WordsSend is such a message to a member.
@@ -107,6 +109,8 @@
 	next   time.Duration
 	out    []WordsSend
 	synced bool
+	equals map[string]uint64 // the digest at which others were found equal that had not caught up themselves
+	least  int               // how many others there are at least
 	round  uint64
 	digest uint64 // of all words; 0: to be made anew
 
@@ -130,9 +134,12 @@
 // NewWords makes an empty copy. The writer must differ from that of every other process, those before this one included.
 func NewWords(name, writer string, seed uint64) *Words {
 	rnd := rand.New(rand.NewPCG(seed, 0x776f7264))
-	return &Words{rnd: rnd, round: rnd.Uint64() | 1, name: name, writer: writer, words: map[string][]Word{}}
+	return &Words{rnd: rnd, round: rnd.Uint64() | 1, name: name, writer: writer, words: map[string][]Word{}, equals: map[string]uint64{}}
 }
 
+// Expect sets how many other gateways there are at least.
+func (s *Words) Expect(others int) { s.least = others }
+
 // Live tells which other gateways can be told.
 func (s *Words) Live(names []string) {
 	had := s.live
@@ -172,9 +179,27 @@
 	}
 }
 
-// Synced tells whether this copy has been found equal to another's since the start, by an answer to this process.
+// Synced tells whether this copy has been found equal, since the start and by answers to this process, to that of one that had
+// caught up, or to those of all others.
 func (s *Words) Synced() bool { return s.synced }
 
+// Settle has this copy count as caught up: nobody is waited for any longer.
+func (s *Words) Settle() { s.synced = true }
+
+// foundEqual notes that another's copy is equal to this one.
+func (s *Words) foundEqual(other string, unsure bool) {
+	s.equals[other] = s.Digest()
+	met := len(s.live) > 0 && len(s.live) >= s.least
+	if !unsure || met && len(s.unequal()) == 0 {
+		s.synced = true
+	}
+}
+
+// unequal are the other gateways that can be told and whose copies have not been found equal to this one.
+func (s *Words) unequal() []string {
+	return slices.DeleteFunc(slices.Clone(s.live), func(other string) bool { return s.equals[other] == s.Digest() })
+}
+
 // Say takes an operator's word. It returns a number by which Holders tells who has it; 0: there is no room for one more.
 func (s *Words) Say(now time.Duration, host string, out bool) uint64 {
 	s.now = max(s.now, now)
@@ -363,7 +388,7 @@
 	for {
 		n := page(all, wordsPerSend, Word.size)
 		last := n == len(all)
-		m := WordsMessage{Words: all[:n], Want: want && last, Round: round}
+		m := WordsMessage{Words: all[:n], Want: want && last, Round: round, Unsure: !s.synced}
 		if last {
 			m.Sum = s.Digest()
 		}
@@ -379,7 +404,9 @@
 	if changed = s.Load(m.Words); len(changed) > 0 {
 		s.pass(from, changed)
 	}
-	s.synced = s.synced || m.Round == s.round && (m.Same || m.Sum == s.Digest())
+	if !s.synced && m.Round == s.round && (m.Same || m.Sum == s.Digest()) {
+		s.foundEqual(from, m.Unsure)
+	}
 	switch {
 	case m.Asked != 0 && len(m.Words) > 0:
 		s.send(from, WordsMessage{Held: m.Asked})
@@ -392,7 +419,7 @@
 	case m.Want:
 		s.pages(from, false, 0)
 	case m.Digest != 0 && m.Digest == s.Digest():
-		s.send(from, WordsMessage{Same: true, Round: m.Round})
+		s.send(from, WordsMessage{Same: true, Round: m.Round, Unsure: !s.synced})
 	case m.Digest != 0:
 		s.pages(from, true, m.Round)
 	}
@@ -406,10 +433,14 @@
 		return
 	}
 	s.next = now + compareEvery
+	others := s.live
 	if !s.synced {
 		s.next = now + compareEvery/5
+		if rest := s.unequal(); len(rest) > 0 {
+			others = rest
+		}
 	}
-	s.compare(s.live[s.rnd.IntN(len(s.live))])
+	s.compare(others[s.rnd.IntN(len(others))])
 }
 
 // Take hands over what is to be sent.
--- a/internal/fleet/state/words_test.go
+++ b/internal/fleet/state/words_test.go
@@ -376,6 +376,14 @@
 	c.list[2].Receive("n1", c.list[1].Take()[0].Message)
 	c.list[1].Receive("n2", c.list[2].Take()[0].Message)
 	assert.False(t, c.list[1].Synced(), "it met one that returned as well")
+	c.list[2].Say(c.now, "s2", true) // now they differ, and the second sends what it has
+	c.list[2].Take()
+	c.list[1].compare("n2")
+	c.list[2].Receive("n1", c.list[1].Take()[0].Message)
+	c.list[1].Receive("n2", c.list[2].Take()[0].Message)
+	assert.Equal(t, c.list[2].Digest(), c.list[1].Digest())
+	assert.False(t, c.list[1].Synced(), "it has all of one that returned as well")
+	c.collect(1)
 	for range 4 {
 		c.round()
 	}
@@ -386,10 +394,27 @@
 	}
 
 	whole := newCrew(8, 2)
-	for range 4 { // two seconds
+	for range 2 * time.Second / (compareEvery / 5) { // a round has one comparison of each that has not caught up
 		whole.round()
 	}
 	for i, s := range whole.list {
 		assert.True(t, s.Synced(), "gateway %d of a fleet that starts", i)
 	}
 }
+
+// Those that have not caught up count as all others only for the copy to which each of them has been found equal.
+func TestEqualBeforeAWordIsNotEqualBehindIt(t *testing.T) {
+	s := NewWords("n0", "n0@1", 1)
+	s.Expect(2)
+	s.Live([]string{"n1"})
+	s.Take()
+	same := WordsMessage{Same: true, Round: s.round, Unsure: true}
+	s.Receive("n1", same)
+	assert.False(t, s.Synced(), "there is another that it has not met")
+	s.Live([]string{"n1", "n2"})
+	s.Load([]Word{{Host: "s1", Out: true, Vector: map[string]uint64{"n9@1": 1}}})
+	s.Receive("n2", same)
+	assert.False(t, s.Synced(), "the first knew nothing of the word")
+	s.Receive("n1", same)
+	assert.True(t, s.Synced())
+}
--- a/internal/peer/words.go
+++ b/internal/peer/words.go
@@ -62,6 +62,7 @@
 func (l *Links) newWords() *words {
 	own, _ := l.m.Own()
 	s := &words{l: l, said: netloop.Sparse{Most: wordsSaid}, w: state.NewWords(own.Name, fmt.Sprintf("%s@%x", own.Name, own.Session), rand.Uint64())}
+	s.w.Expect(len(l.file.Seeds))
 	l.every(wordsEvery, s.tick)
 	if f := l.file.Words; f != nil {
 		s.w.Keep(f.Keep)
@@ -134,6 +135,9 @@
 }
 
 func (s *words) tick() {
+	if s.l.CaughtUp() {
+		s.w.Settle()
+	}
 	s.w.Tick(s.l.loop.Now())
 	for _, o := range s.owed {
 		s.w.Again(o.id, false)
