--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -55,6 +55,9 @@
 
 func ignore(State) {}
 
+// entered tells whether other processes can know of this one.
+func entered(s *Share) bool { return s.own != nil }
+
 // Two processes: each sees the other, the words of either reach both, and a yes can wait for that.
 func TestTwoProcesses(t *testing.T) {
 	dir := t.TempDir()
@@ -121,11 +124,11 @@
 	dir := filepath.Join(t.TempDir(), "none")
 	s := Join(dir)
 	t.Cleanup(s.Close)
-	assert.False(t, s.Entered(), "nobody can know of it")
+	assert.False(t, entered(s), "nobody can know of it")
 	assert.False(t, s.Known(), "nor it of what was told before")
 	require.NoError(t, os.Mkdir(dir, 0o700))
 	s.Poll(ignore)
-	assert.True(t, s.Entered() && s.Known())
+	assert.True(t, entered(s) && s.Known())
 	assert.True(t, join(t, dir).Poll(ignore), "it is seen")
 }
 
--- a/internal/handover/share.go
+++ b/internal/handover/share.go
@@ -46,7 +46,7 @@
 }
 
 // Join enters the directory and takes over the state that lies there. One that is no state is logged and left aside. What
-// fails now is tried again by each Poll: see Entered and Known.
+// fails now is tried again by each Poll: see Known.
 func Join(dir string) *Share {
 	s := &Share{dir: dir, state: State{Version: version, Suspended: map[string]Entry{}}, backs: backs{}}
 	s.enter()
@@ -85,9 +85,6 @@
 	return err
 }
 
-// Entered tells whether other processes can know of this one.
-func (s *Share) Entered() bool { return s.own != nil }
-
 // Known tells whether what operators told the processes before this one is known.
 func (s *Share) Known() bool { return s.known }
 
