--- a/internal/wordstore/wordstore_test.go
+++ b/internal/wordstore/wordstore_test.go
@@ -319,3 +319,24 @@
 		assert.Equal(t, []state.Word{out}, await(t, found))
 	})
 }
+
+// An earlier build wrote words with an entry for each process that ever spoke, without a bound. None of the file is lost for
+// that: such a word counts, folded.
+func TestWordsOfMoreProcessesThanAreTakenNow(t *testing.T) {
+	dir := t.TempDir()
+	before, _, err := Open(options(dir))
+	require.NoError(t, err)
+	many := word("s2", true, map[string]uint64{})
+	for k := range 200 {
+		many.Vector[fmt.Sprint("n1@", k)] = 1
+	}
+	require.NoError(t, keep(t, before, out, many))
+	before.Close(time.Second)
+	s, words := open(t, options(dir))
+	require.Len(t, words, 2)
+	assert.Equal(t, out, words[0])
+	assert.True(t, words[1].Out && words[1].Sound())
+	require.NoError(t, keep(t, s, words...))
+	_, again := open(t, options(dir))
+	assert.Equal(t, words, again, "once and for all")
+}
