Read words of earlier builds that bear more writers than are taken now

Change: a word of over 64 writers is folded when its file is read, and stands for itself alone. A copy with one from before it keeps both: out wins and the conflict is told, as of two sides of a partition; before, all words of the file were put aside. Left: such a word in a message of an earlier build is still turned down, as it is by those builds.

--- a/internal/fleet/state/words.go
+++ b/internal/fleet/state/words.go
@@ -66,6 +66,14 @@
 	return folded + strconv.FormatUint(xxhash.Sum64String(print(*w)), 16)
 }
 
+// Bound folds a word that bears more writers than are taken, as earlier builds made them: it then stands for itself alone, and a
+// copy that has one from before it keeps both.
+func (w *Word) Bound() {
+	if len(w.Vector) > writersMost {
+		w.Vector = map[string]uint64{w.fold(): 1}
+	}
+}
+
 // knows tells whether a word was said with knowledge of another: its vector has all of the other's, or the other folded. A
 // word that folds another does not know those before that one: where a copy still has one of these, both are kept.
 func (w *Word) knows(other *Word) bool {
--- a/internal/wordstore/wordstore.go
+++ b/internal/wordstore/wordstore.go
@@ -223,7 +223,7 @@
 		return c, ErrFormat
 	}
 	for i := range c.Words {
-		if !c.Words[i].Sound() {
+		if c.Words[i].Bound(); !c.Words[i].Sound() {
 			return c, ErrTorn
 		}
 	}
