Show that what waited in the socket lifts the fence behind a stop (listed as red)

Found by asking whom a process believes when it goes on. One that stood still takes no writes until it has heard from others. What is read in the first round does not count, but a round reads 64 datagrams, and what the kernel kept beyond them is as old: with 100 datagrams waiting the gateway lifts its fence 0.25 s behind a stop of 3 s though it is cut off from all others.

--- a/cmd/lilaccove/fence_test.go
+++ b/cmd/lilaccove/fence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -122,3 +123,43 @@
 	}
 	p.judge(0.7)
 }
+
+// What was on its way while a gateway stood still tells of then, however much of it waits: cut off from the others behind its
+// stop, it takes no write for the two seconds in which it might hear of them.
+func TestFleetAuditFenceIsNotLiftedByWhatWaited(t *testing.T) {
+	const waits = 100 // datagrams, more than a round reads
+	p := newPartyWith(t, 4, fencePlan(4), nil)
+	c := p.direct(1)
+	c.ask("")
+	require.NoError(t, p.Node(1).Stop())
+	to, err := net.Dial("udp", p.peerAddress(1))
+	require.NoError(t, err)
+	t.Cleanup(func() { to.Close() })
+	for range waits {
+		_, err := to.Write([]byte("nothing that a gateway says"))
+		require.NoError(t, err)
+	}
+	time.Sleep(3 * time.Second) // the fault itself; the others go on telling
+	p.Mesh().Partition([][]int{{1}, {0, 2, 3}}, true)
+	require.NoError(t, p.Node(1).Continue())
+	begun := time.Now()
+	for time.Since(begun) < time.Second {
+		assert.Equal(t, pgwire.CodeTooManyConnections, c.ask(inGroup(stmt("write", 1000, ""), 0)).code, "%v behind its stop", time.Since(begun))
+	}
+	p.Mesh().Partition([][]int{{1}, {0, 2, 3}}, false)
+	p.eventually("it has heard", func() bool { return len(p.fenced(1)) == 0 })
+	p.judge(0.7)
+}
+
+// peerAddress is where a gateway itself listens for the others, behind all relays.
+func (p *party) peerAddress(i int) string {
+	p.t.Helper()
+	for _, e := range p.Node(i).Events() {
+		if strings.HasPrefix(e, "fleet_started ") {
+			_, rest, _ := strings.Cut(e, "listen=")
+			return strings.Fields(rest)[0]
+		}
+	}
+	p.t.Fatal("it has not told where it listens")
+	return ""
+}
