Count nothing as news behind a stop that may have waited in the socket

Cause: what is read in the first round behind a stop was not counted, but a round reads 64 datagrams, and the rest that the kernel kept counted in the next. Change: the socket tells when all that had come was last read; what gateways tell of their versions is passed over until that is behind the stop. Ruled out: membership and budgets, whose answers bear numbers that are told back; positions, which only rise; words, whose round is told back.

--- a/internal/fleet/audit/fence.go
+++ b/internal/fleet/audit/fence.go
@@ -43,6 +43,9 @@
 	return f.wokeAt > 0
 }
 
+// WokeAt is until when this process stood still, where it has heard nothing since; 0: it has.
+func (f *Fence) WokeAt() time.Duration { return f.wokeAt }
+
 // Tick judges. own is the list that this process acts on, others what the rest tell; members are those of the view.
 func (f *Fence) Tick(now time.Duration, own int64, others []Known, members []string) {
 	lists := []int64{own}
--- a/internal/netloop/packets.go
+++ b/internal/netloop/packets.go
@@ -26,6 +26,7 @@
 	began time.Time
 	spent time.Duration // since then
 	rests uint64
+	empty time.Duration  // when all that had come was last read
 	Addr  netip.AddrPort // where it is bound, the port found where 0 was asked for
 }
 
@@ -66,8 +67,11 @@
 		if err == unix.EINTR {
 			continue
 		}
+		if err == unix.EAGAIN {
+			p.empty = p.loop.Clock()
+		}
 		if err != nil {
-			break // EAGAIN; or what an earlier datagram met (ECONNREFUSED): the socket is still good
+			break // or what an earlier datagram met (ECONNREFUSED): the socket is still good
 		}
 		if n > MostPacket {
 			p.large(addrPort(from))
@@ -85,6 +89,9 @@
 	}
 }
 
+// Emptied is when all that had come was last read: what comes later was not there then.
+func (p *Packets) Emptied() time.Duration { return p.empty }
+
 // Rests is how often the socket was left alone, as its share was used up.
 func (p *Packets) Rests() uint64 { return p.rests }
 
--- a/internal/peer/versions.go
+++ b/internal/peer/versions.go
@@ -83,6 +83,9 @@
 	if s.l.spans != nil {
 		s.l.spans.r.Clock().Heard(s.l.loop.Now(), msg.Stamp)
 	}
+	if s.l.fence != nil && s.l.udp.Emptied() < s.l.fence.WokeAt() {
+		return nil // it waited while this process stood still, and tells of then
+	}
 	s.v.Receive(s.l.loop.Now(), msg)
 	return nil
 }
