Show that gateways that have gone are never forgotten by their fleet (listed as red)

Found by asking what grows with time: each gateway passes on what it knows of others and forgets one that it has heard nothing new of for a minute, but whoever has forgotten one takes it from another again, as heard now. And what a process told before its end takes the place of what its successor tells.

--- a/internal/fleet/audit/versions_test.go
+++ b/internal/fleet/audit/versions_test.go
@@ -103,3 +103,31 @@
 	v.Tick(start + 2*keepAfter)
 	assert.Len(t, v.All(), 1)
 }
+
+// What others still remember of one that has gone does not keep it known for ever, and what they remember of a process does
+// not take the place of what its successor tells, also where its numbers are lower.
+func TestWhoHasGoneIsForgottenByAll(t *testing.T) {
+	c := newTroop(16)
+	c.run(30*time.Second, func(int) {})
+	gone, returns := "n003", "n005"
+	c.list[3].Live(nil) // it tells nobody any more
+	c.list[5] = New(Config{Name: returns, Bound: 2 * time.Second, Pace: 100 * time.Millisecond, Seed: 99})
+	var names []string
+	for _, v := range c.list {
+		names = append(names, v.cfg.Name)
+	}
+	c.list[5].Live(names)
+	c.list[5].Set(Version{Session: 2, List: 5})
+	c.run(10*time.Second, func(int) {})
+	for _, v := range c.list {
+		if v.cfg.Name != returns {
+			assert.EqualValues(t, 2, v.others[returns].Session, "as %s knows it", v.cfg.Name)
+		}
+	}
+	c.run(3*keepAfter, func(int) {})
+	for _, v := range c.list {
+		if v.cfg.Name != gone {
+			assert.NotContains(t, v.others, gone, "as %s knows it", v.cfg.Name)
+		}
+	}
+}
