Forget versions by when their gateway told them; show the same fault of members (red)

Change: a version goes with its age, whoever passes it on; it is dropped a minute behind its gateway's telling, and 0.2 s later for each gateway; another process of a gateway counts if it told later. Losses: gateways of earlier builds tell no ages, so that all is as before until they are replaced.

Members, listed as red: a fleet in which gateways come and go with names of their own remembers one for 21 minutes where ten are meant: whoever has forgotten it takes it in again from a list that still has it, for ten minutes more.

--- a/internal/fleet/audit/versions.go
+++ b/internal/fleet/audit/versions.go
@@ -13,7 +13,10 @@
 	tellEvery = time.Second
 	tellTo    = 2
 	perSend   = 8
-	keepAfter = time.Minute // what was heard of one that says nothing any more
+	keepAfter = time.Minute // what was heard of one that says nothing any more,
+	// and so much longer for each gateway of the fleet: two messages with nine versions come in each second, so that one is renewed
+	// every N/18 s in the mean; four times that.
+	keepEach  = 200 * time.Millisecond
 	knownMost = 4096
 	asksMost  = 3 // that bring nothing newer, after which the newer version is taken for another service's
 )
@@ -29,6 +32,7 @@
 	Config  string `cbor:"7,keyasint" json:"config"`          // digest of the settings, without what is each gateway's own
 	File    string `cbor:"8,keyasint" json:"file"`            // digest of the fleet file, likewise
 	Build   string `cbor:"9,keyasint,omitempty" json:"build"` // of the program
+	AgeMS   uint32 `cbor:"10,keyasint,omitempty" json:"-"`    // in a message: how long ago its gateway told it
 }
 
 // Sound tells whether a version can be one.
@@ -52,6 +56,7 @@
 type Known struct {
 	Version
 	Heard  time.Duration // when it was last heard of
+	Told   time.Duration // when its gateway told it, at the earliest, whoever passed it on
 	Behind time.Duration // since when others have had a newer list; 0: it has the newest
 }
 
@@ -100,17 +105,32 @@
 // Receive takes in what another gateway tells.
 func (v *Versions) Receive(now time.Duration, msg Message) {
 	for _, x := range msg.Versions {
+		told := now - time.Duration(x.AgeMS)*time.Millisecond
+		x.AgeMS = 0
 		o := v.others[x.Name]
 		switch {
-		case x.Name == v.cfg.Name || !x.Sound():
+		case x.Name == v.cfg.Name || !x.Sound() || told+v.keep() <= now:
 		case o == nil && len(v.others) < knownMost:
-			v.others[x.Name] = &Known{Version: x, Heard: now}
-		case o != nil && (x.Session != o.Session || x.Count > o.Count):
-			o.Version, o.Heard = x, now
+			v.others[x.Name] = &Known{Version: x, Heard: now, Told: told}
+		case o != nil && o.before(x, told):
+			o.Version, o.Heard, o.Told = x, now, max(o.Told, told)
 		}
 	}
 }
 
+// keep is for how long a version is known that its gateway does not tell any more.
+func (v *Versions) keep() time.Duration {
+	return keepAfter + time.Duration(len(v.live))*keepEach
+}
+
+// before tells whether a version is newer than this one: by its count, or as another process of the gateway told it later.
+func (k *Known) before(x Version, told time.Duration) bool {
+	if x.Session == k.Session {
+		return x.Count > k.Count
+	}
+	return told > k.Told
+}
+
 // newest is the newest list that anybody lately told of.
 func (v *Versions) newest() (list int64) {
 	list = v.own.List
@@ -124,7 +144,7 @@
 // that: what is in a newer list is discovery's to tell.
 func (v *Versions) Tick(now time.Duration) (out []Send, ask bool) {
 	for n, o := range v.others {
-		if o.Heard+keepAfter <= now {
+		if o.Told+v.keep() <= now {
 			delete(v.others, n)
 		}
 	}
@@ -157,6 +177,7 @@
 		list := v.All()
 		for _, i := range v.rnd.Perm(len(list)) {
 			if k := list[i]; k.Name != v.cfg.Name && len(msg.Versions) < perSend {
+				k.AgeMS = uint32(max(0, now-k.Told) / time.Millisecond)
 				msg.Versions = append(msg.Versions, k.Version)
 			}
 		}
--- a/internal/fleet/audit/versions_test.go
+++ b/internal/fleet/audit/versions_test.go
@@ -131,3 +131,20 @@
 		}
 	}
 }
+
+// In a large fleet, where each hears of another now and then only, those that live stay known, and one that has gone does not.
+func TestManyVersionsStayKnown(t *testing.T) {
+	const fleet = 120
+	c := newTroop(fleet)
+	c.run(time.Minute, func(int) {})
+	gone := c.list[7].cfg.Name
+	c.list[7].Live(nil)
+	c.run(150*time.Second, func(int) {})
+	known := 0
+	for _, v := range c.list {
+		if known += len(v.others); v.cfg.Name != gone {
+			assert.NotContains(t, v.others, gone, "as %s knows it", v.cfg.Name)
+		}
+	}
+	assert.Greater(t, known, fleet*(fleet-2)*95/100)
+}
--- a/internal/fleet/membership/machine_test.go
+++ b/internal/fleet/membership/machine_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -275,3 +276,29 @@
 	}
 	assert.Equal(t, sum(), sum())
 }
+
+// Who has gone is forgotten by all, though gateways come, go and compare their lists all the time, each start under a name of
+// its own.
+func TestWhoHasGoneIsForgottenByAll(t *testing.T) {
+	const size, seeds, every = 6, 2, 20 * time.Second
+	w := joined(t, 1, size)
+	gone := map[string]time.Duration{}
+	for next := size; w.now < epoch+5*forget/2; next++ {
+		i := seeds + next%(size-seeds)
+		n := w.nodes[i]
+		n.m.Leave(w.now)
+		w.step(n)
+		gone[n.name] = w.now
+		w.run(time.Second)
+		w.kill(i)
+		w.start(i, fmt.Sprintf("n%03d", next), w.now)
+		w.run(every)
+	}
+	for _, n := range w.nodes {
+		for _, o := range n.m.names {
+			if at, ok := gone[o.Name]; ok {
+				assert.Less(t, w.now-at, forget*3/2, "%s remembers %s", n.name, o.Name)
+			}
+		}
+	}
+}
