--- a/internal/fleet/membership/machine_test.go
+++ b/internal/fleet/membership/machine_test.go
@@ -302,3 +302,20 @@
 		}
 	}
 }
+
+// One that all forget by now is not news, and one that went a while ago is remembered for the rest of its time.
+func TestOldDepartureIsNoNews(t *testing.T) {
+	w := joined(t, 1, 3)
+	m := w.nodes[0].m
+	other := w.nodes[1].m.own
+	tell := func(name string, gone time.Duration) {
+		e := Entry{Name: name, Addr: at(9), Incarnation: 5, Session: 7, State: Left, GoneMS: uint32(gone / time.Millisecond)}
+		m.take(Message{Kind: Gossip, From: other, News: []Entry{e}}, 0)
+	}
+	tell("old", forget)
+	assert.NotContains(t, m.members, "old")
+	tell("late", forget-time.Minute)
+	require.Contains(t, m.members, "late")
+	w.run(2 * time.Minute)
+	assert.NotContains(t, m.members, "late")
+}
