Begin each answer of all words with another page

Change: the pages of an answer begin at a word drawn each time. Measured: TestTailOfALongAnswerArrives red before, green now.

--- a/internal/fleet/state/words.go
+++ b/internal/fleet/state/words.go
@@ -390,9 +390,14 @@
 	s.out = append(s.out, WordsSend{To: to, Message: m})
 }
 
-// pages sends all words, as the answer to a round.
+// pages sends all words, as the answer to a round. Each answer begins with another: what comes last may find no room in the
+// other's socket.
 func (s *Words) pages(to string, want bool, round uint64) {
 	all := s.All()
+	if len(all) > 0 {
+		first := s.rnd.IntN(len(all))
+		all = append(all[first:], all[:first]...)
+	}
 	for {
 		n := page(all, wordsPerSend, Word.size)
 		last := n == len(all)
