Show that a request that waited through a stop is answered too late (listed as red)

A request's time counts from when its client sent it; the gateway counts it from when it reads it. With a stop of 1.2 s a request of 2 s is answered 3.2 s behind its sending (later than 0.5 s behind its time is lost), and its database was told 2 s where 0.8 were left.

--- a/cmd/lilaccove/slow_test.go
+++ b/cmd/lilaccove/slow_test.go
@@ -71,3 +71,35 @@
 	assert.True(t, s.ready())
 	assert.NotEmpty(t, s.client().ask(stmt("own", 2000, "")).value)
 }
+
+// A request waits in the system while the gateway stands still, for longer than the terms allow a gateway to be held up. The
+// time that its client has waited by then is neither told to the database nor given to the answer.
+func TestRequestThatWaitedWhileTheGatewayStoodStill(t *testing.T) {
+	t.Parallel()
+	const (
+		patient = 2 * time.Second
+		stopped = 1200 * time.Millisecond
+		heldUp  = 150 * time.Millisecond // the terms' slack
+		late    = 500 * time.Millisecond // an answer later than this behind its time is lost
+	)
+	s := newSite(t, nil)
+	s.serves() // a connection to the primary is up
+	c := s.client()
+	release := s.p.waits()
+	defer close(release)
+	before := len(s.p.Statements())
+	var sent, goesOn time.Time
+	s.stops(func() {
+		sent = time.Now()
+		c.write(query(stmt("write", int(patient.Milliseconds()), "")))
+		time.Sleep(stopped) // the fault itself
+		goesOn = time.Now()
+	})
+	assert.Equal(t, pgwire.CodeUnknownOutcome, c.read().code)
+	assert.Less(t, time.Since(sent), patient+late)
+	require.Len(t, s.p.Statements(), before+1)
+	head, err := pgwire.ParseHead([]byte(s.p.Statements()[before]))
+	require.NoError(t, err)
+	told := time.Duration(head.Millis) * time.Millisecond
+	assert.LessOrEqual(t, told, patient-goesOn.Sub(sent)+heldUp, "what is left, and the slack")
+}
