--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -175,6 +175,7 @@
 	at    time.Time
 	had   map[string]bool
 	took  []float64 // s
+	late  []string  // gateways that had it behind its time, and when
 	whole bool
 }
 
@@ -194,7 +195,11 @@
 				since = g.began
 			}
 			c.had[g.name] = true
-			c.took = append(c.took, s.at.Sub(since).Seconds())
+			took := s.at.Sub(since)
+			c.took = append(c.took, took.Seconds())
+			if took > inForce+reportEvery {
+				c.late = append(c.late, fmt.Sprintf("%s list %d after %.1f s", g.name, c.seq, took.Seconds()))
+			}
 		default:
 			c.whole = false
 		}
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -305,14 +305,10 @@
 // lists are the changes of the list.
 func (r *Run) lists(out *Report, partial bool) {
 	var took []float64
-	late := 0
+	var late []string
 	for _, c := range r.changes {
 		took = append(took, c.took...)
-		for _, s := range c.took {
-			if s > (inForce + reportEvery).Seconds() {
-				late++
-			}
-		}
+		late = append(late, c.late...)
 		if !c.whole && !partial && r.ended.Sub(c.at) > inForce+2*reportEvery {
 			missing := 0
 			for _, g := range r.gates {
@@ -324,8 +320,9 @@
 		}
 	}
 	out.ListInForce = percentiles(took)
-	if late > 0 {
-		out.fail("%d times a gateway had a change of the list later than %v after it, the report's second included; the latest %.1f s", late, inForce+reportEvery, out.ListInForce.Max)
+	if len(late) > 0 {
+		out.fail("%d times a gateway had a change of the list later than %v after it, the report's second included: %s",
+			len(late), inForce+reportEvery, strings.Join(late, ", "))
 	}
 }
 
