Call what the project has already: statements, cancel requests, socket addresses

Two comments said what no longer held. No behaviour, bound or assertion is changed. Left: wordstore reads the machine's boot with each save, once a minute; Router.retryAll goes over a map, as the loop before it did.

--- a/cmd/lilaccove/words_test.go
+++ b/cmd/lilaccove/words_test.go
@@ -12,6 +12,7 @@
 
 	"lilaccove/internal/load/plan"
 	"lilaccove/internal/peer"
+	"lilaccove/internal/standin"
 )
 
 // state is what gateway i knows of operators' words.
@@ -43,6 +44,17 @@
 	})
 }
 
+// begunBy is how many statements a database that is left out has begun, once what was under way is over.
+func (p *party) begunBy(host *standin.Host) int {
+	p.t.Helper()
+	p.eventually("what was under way is over", func() bool {
+		before, reads := host.Begun(), p.World().Counts().Reads
+		p.eventually("reads go on elsewhere", func() bool { return p.World().Counts().Reads > reads+30 })
+		return host.Begun() == before
+	})
+	return host.Begun()
+}
+
 // A word told to one gateway binds all. One that is killed and returns without a memory knows it before it takes clients:
 // the database gets nothing all along.
 func TestFleetStateSuspension(t *testing.T) {
@@ -52,12 +64,7 @@
 	p.word(2, host.ID, "suspend")
 	p.left(1, p.all()...)
 	require.Equal(t, p.state(0).Digest, p.state(3).Digest)
-	p.eventually("what was under way is over", func() bool {
-		before, reads := host.Begun(), p.World().Counts().Reads
-		p.eventually("reads go on elsewhere", func() bool { return p.World().Counts().Reads > reads+30 })
-		return host.Begun() == before
-	})
-	begun := host.Begun()
+	begun := p.begunBy(host)
 	for _, i := range []int{2, 0} {
 		p.Node(i).Kill()
 		for j := range 4 { // what others know is long on its way
@@ -88,12 +95,7 @@
 	p.eventually("it is in use", func() bool { return host.Begun() > 20 })
 	p.word(0, host.ID, "suspend")
 	p.left(1, p.all()...)
-	p.eventually("what was under way is over", func() bool {
-		before, reads := host.Begun(), p.World().Counts().Reads
-		p.eventually("reads go on elsewhere", func() bool { return p.World().Counts().Reads > reads+30 })
-		return host.Begun() == before
-	})
-	begun := host.Begun()
+	begun := p.begunBy(host)
 	for _, i := range []int{0, 1} {
 		for _, j := range []int{2, 3} {
 			p.Mesh().Set(i, j, plan.Link{Delay: 200 * time.Millisecond})
--- a/internal/datapath/clients.go
+++ b/internal/datapath/clients.go
@@ -657,10 +657,7 @@
 	if k.Kind == plan.SessionRead && c.commit > 0 {
 		head += fmt.Sprintf(",after=%d", c.commit)
 	}
-	if k.Kind == plan.Write {
-		return fmt.Sprintf(`/* %s */ INSERT INTO rows (handle, blob) VALUES ('%016x', '\x9f03') RETURNING blob`, head, c.number+1)
-	}
-	return fmt.Sprintf("/* %s */ SELECT blob FROM rows WHERE handle = '%016x'", head, c.number+1)
+	return pgwire.ClientStatement(head, fmt.Sprintf("%016x", c.number+1), k.Kind == plan.Write)
 }
 
 // count puts a statement into the figures, by when it was due.
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -281,7 +281,7 @@
 	return head, class, err
 }
 
-// bad answers a statement that cannot be taken.
+// refuse answers a statement that cannot be taken.
 func (c *conn) refuse(err error) {
 	c.front.bad.Printf(c.front.loop.Now(), "event=bad_query client=%d err=%q", c.number, err)
 	c.say(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeProtocolViolation, err.Error(), "")))
--- a/internal/load/run/run.go
+++ b/internal/load/run/run.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"lilaccove/internal/load/plan"
+	"lilaccove/internal/pgwire"
 )
 
 // Outcome is how a request ended for its client, retries included.
@@ -282,10 +283,7 @@
 	if class.Kind == plan.SessionRead {
 		key = fmt.Sprintf("%016x", a.Session)
 	}
-	if class.Kind == plan.Write {
-		return fmt.Sprintf(`/* %s */ INSERT INTO rows (handle, blob) VALUES ('%s', '\x9f03') RETURNING blob`, head, key), id
-	}
-	return fmt.Sprintf("/* %s */ SELECT blob FROM rows WHERE handle = '%s'", head, key), id
+	return pgwire.ClientStatement(head, key, class.Kind == plan.Write), id
 }
 
 // pool finds the connections to a session's gateway; nil: there is none.
--- a/internal/netloop/listener.go
+++ b/internal/netloop/listener.go
@@ -47,7 +47,7 @@
 	if err == nil {
 		bound, err = unix.Getsockname(fd)
 	}
-	ln := &Listener{loop: l, fd: fd, Addr: addrPort(bound)}
+	ln := &Listener{loop: l, fd: fd, Addr: sys.AddrPort(bound)}
 	ln.accept = func() queue { return ln.take(take) }
 	if err == nil {
 		err = ln.Start()
@@ -91,7 +91,7 @@
 	if err == nil {
 		bound, err = unix.Getsockname(fd)
 	}
-	ln.Addr = addrPort(bound)
+	ln.Addr = sys.AddrPort(bound)
 	switch {
 	case err != nil:
 		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -304,13 +304,3 @@
 	}
 	return &unix.SockaddrInet6{Port: int(a.Port()), Addr: a.Addr().As16()}
 }
-
-func addrPort(sa unix.Sockaddr) netip.AddrPort {
-	switch sa := sa.(type) {
-	case *unix.SockaddrInet4:
-		return netip.AddrPortFrom(netip.AddrFrom4(sa.Addr), uint16(sa.Port))
-	case *unix.SockaddrInet6:
-		return netip.AddrPortFrom(netip.AddrFrom16(sa.Addr), uint16(sa.Port))
-	}
-	return netip.AddrPort{}
-}
--- a/internal/netloop/packets.go
+++ b/internal/netloop/packets.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"lilaccove/internal/sys"
 )
 
 const (
@@ -44,7 +46,7 @@
 		bound, err = unix.Getsockname(fd)
 	}
 	if err == nil {
-		p.Addr = addrPort(bound)
+		p.Addr = sys.AddrPort(bound)
 		err = l.register(fd, unix.EPOLLIN, slot{udp: p})
 	}
 	if err != nil {
@@ -74,9 +76,9 @@
 			break // or what an earlier datagram met (ECONNREFUSED): the socket is still good
 		}
 		if n > MostPacket {
-			p.large(addrPort(from))
+			p.large(sys.AddrPort(from))
 		} else {
-			p.take(addrPort(from), b[:n])
+			p.take(sys.AddrPort(from), b[:n])
 		}
 		if p.fd < 0 {
 			return
--- a/internal/peer/words.go
+++ b/internal/peer/words.go
@@ -72,7 +72,8 @@
 	return s
 }
 
-// open takes in what was kept. Whatever is wrong with it is told and costs a catch-up from the others, never the start.
+// open takes in what was kept. Whatever is wrong with it is told and costs a catch-up from the others, or, where it cannot be
+// read yet, a wait for it; never the start.
 func (s *words) open(f *fleet.Words, own membership.Entry) {
 	s.done = make(chan func(), 256)
 	store, kept, err := wordstore.Open(wordstore.Options{
@@ -97,12 +98,17 @@
 // found takes in what the file had besides: it could not be read before, or another process of this gateway was told. It
 // runs on the store's goroutine.
 func (s *words) found(more []state.Word) {
-	s.done <- func() {
+	s.onLoop(func() {
 		s.unread = false
 		for _, host := range s.w.Load(more) {
 			s.tell(host, "disk")
 		}
-	}
+	})
+}
+
+// onLoop has the loop do something that the store's goroutine has for it.
+func (s *words) onLoop(do func()) {
+	s.done <- do
 	s.l.loop.Wake()
 }
 
@@ -116,8 +122,7 @@
 		return
 	}
 	s.store.Save(s.w.All(), func(err error) {
-		s.done <- func() { then(err) }
-		s.l.loop.Wake()
+		s.onLoop(func() { then(err) })
 	})
 }
 
--- a/internal/pgwire/message.go
+++ b/internal/pgwire/message.go
@@ -214,6 +214,14 @@
 	return binary.BigEndian.AppendUint64([]byte{0, 0, 0, 16, 4, 0xd2, 0x16, 0x2e}, key)
 }
 
+// ClientStatement is a statement as clients of the platform write it, to the row with a handle, headed by a comment.
+func ClientStatement(head, handle string, write bool) string {
+	if write {
+		return fmt.Sprintf(`/* %s */ INSERT INTO rows (handle, blob) VALUES ('%s', '\x9f03') RETURNING blob`, head, handle)
+	}
+	return fmt.Sprintf("/* %s */ SELECT blob FROM rows WHERE handle = '%s'", head, handle)
+}
+
 // Startup is the packet with which a gateway greets a database.
 func Startup(user, database string) []byte {
 	b := binary.BigEndian.AppendUint32(nil, 0)
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -12,6 +12,7 @@
 const (
 	badClientPause = 30 * time.Millisecond
 	badClientTime  = time.Second
+	nobodysKey     = 1<<32 | 2 // by which nothing can be cancelled
 )
 
 // client is one connection that misbehaves. What it asks for is not judged by answers: databases judge what of it runs.
@@ -39,11 +40,12 @@
 
 // statement is one that a client of the platform might write, of a class of reads or of writes.
 func statement(write bool, d time.Duration) []byte {
-	id := 1<<63 | badIDs.Add(1)
+	id, class := fmt.Sprintf("%016x", 1<<63|badIDs.Add(1)), "browse"
 	if write {
-		return pgwire.AppendQuery(nil, fmt.Sprintf("/* id=%016x,c=write,d=%d,cluster=0 */ INSERT INTO rows (handle, blob) VALUES ('%016x', '\\x9f03') RETURNING blob", id, d.Milliseconds(), id))
+		class = "write"
 	}
-	return pgwire.AppendQuery(nil, fmt.Sprintf("/* id=%016x,c=browse,d=%d,cluster=0 */ SELECT blob FROM rows WHERE handle = '%016x'", id, d.Milliseconds(), id))
+	head := fmt.Sprintf("id=%s,c=%s,d=%d,cluster=0", id, class, d.Milliseconds())
+	return pgwire.AppendQuery(nil, pgwire.ClientStatement(head, id, write))
 }
 
 func (c *client) say(b []byte) { _, _ = c.Write(b) }
@@ -66,7 +68,7 @@
 		return
 	}
 	defer other.Close()
-	_, _ = other.Write([]byte("\x00\x00\x00\x10\x04\xd2\x16\x2e\x00\x00\x00\x01\x00\x00\x00\x02"))
+	_, _ = other.Write(pgwire.CancelRequest(nobodysKey))
 	c.listen()
 }
 
--- a/internal/sys/faults.go
+++ b/internal/sys/faults.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net/netip"
 	"os"
 	"path/filepath"
 	"sync"
@@ -108,14 +107,7 @@
 	if on.peer == nil {
 		return false
 	}
-	var at netip.AddrPort
-	switch to := on.peer().(type) {
-	case *unix.SockaddrInet4:
-		at = netip.AddrPortFrom(netip.AddrFrom4(to.Addr), uint16(to.Port))
-	case *unix.SockaddrInet6:
-		at = netip.AddrPortFrom(netip.AddrFrom16(to.Addr), uint16(to.Port))
-	}
-	return at.String() == f.Peer
+	return AddrPort(on.peer()).String() == f.Peer
 }
 
 // drawn is the fault that meets a call on a target now; nil: none does.
--- a/internal/sys/sys.go
+++ b/internal/sys/sys.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -23,6 +24,17 @@
 	return errors.As(err, &number) && slices.Contains(passing, number)
 }
 
+// AddrPort is a socket's address; the zero value where it is of no family of IP.
+func AddrPort(to unix.Sockaddr) netip.AddrPort {
+	switch to := to.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(to.Addr), uint16(to.Port))
+	case *unix.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(to.Addr), uint16(to.Port))
+	}
+	return netip.AddrPort{}
+}
+
 const (
 	startTime  = 2 * time.Second       // for which a process that starts waits for what the machine lacks
 	startPause = 20 * time.Millisecond // between two tries
