Let the majority of primaries' answers decide on the databases' clock

Cause: any two answers of a primary that matched the clock of the start confirmed it, whatever all others showed, and a match dropped the candidate on which those agreed. Change: the latest 16 answers vote (ten a second at most): a majority confirms the offset, or steps it over a second; it is not relied on once as many answers show a later time. Two replicas that confirm are of two groups; positions accepted by a clock that was ahead are forgotten with a step back; answers read after a pause do not vote; a contradicted clock is not used after 2 s. edge_gw.clock.* and log lines show it. TestReplicasConfirmClock expected two replicas of one group to confirm: they stop together when their primary fails, so it expects the opposite there now, and two of different groups to confirm. Losses: the first two answers of a start still confirm; a gateway whose primaries mostly lag too far ahead reads at primaries.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,7 @@
 	Step(now time.Duration, events []policy.Event) []policy.Action
 	ExcludedHosts() int
 	Plausible(position time.Duration) bool
+	ClockCounts() policy.ClockCounts
 }
 
 // Request is one request that a front has received. The front fills in the exported fields.
@@ -187,8 +188,16 @@
 // SetGuard sets the guard that checks invariants.
 func (g *Gateway) SetGuard(guard *invariant.Guard) { g.guard = guard }
 
-// Metrics appends the counts of requests that were given up, by reason.
-func (g *Gateway) Metrics(b []byte) []byte { return g.givenUpCounts.Append(b) }
+// Metrics appends the counts of requests that were given up, by reason, and those of the databases' clock.
+func (g *Gateway) Metrics(b []byte) []byte {
+	clock := g.router.ClockCounts()
+	b = stats.AppendMetric(b, "clock.matching", clock.Matching)
+	b = stats.AppendMetric(b, "clock.later", clock.Later)
+	b = stats.AppendMetric(b, "clock.earlier", clock.Earlier)
+	b = stats.AppendMetric(b, "clock.steps", clock.Steps)
+	b = stats.AppendMetric(b, "clock.doubts", clock.Doubts)
+	return g.givenUpCounts.Append(b)
+}
 
 // Connect sets the backends and the discovery client that actions are carried out with.
 func (g *Gateway) Connect(backends Backends, discovery Discovery) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -28,6 +28,8 @@
 func (s *stubRouter) ExcludedHosts() int         { return 0 }
 func (*stubRouter) Plausible(time.Duration) bool { return true }
 
+func (*stubRouter) ClockCounts() policy.ClockCounts { return policy.ClockCounts{} }
+
 // environment fakes a client, the backends and discovery, and records calls.
 type environment struct {
 	calls                 []string
--- a/internal/stats/named.go
+++ b/internal/stats/named.go
@@ -1,7 +1,5 @@
 package stats
 
-import "strconv"
-
 // NamedCounters counts events by name, by reason for example.
 type NamedCounters struct {
 	prefix string
@@ -27,8 +25,7 @@
 // Append appends all metrics, one per line.
 func (n *NamedCounters) Append(b []byte) []byte {
 	for i, name := range n.names {
-		b = append(append(append(append(b, "edge_gw."...), n.prefix...), '.'), name...)
-		b = append(strconv.AppendUint(append(b, '='), n.counts[i], 10), '\n')
+		b = AppendMetric(b, n.prefix+"."+name, n.counts[i])
 	}
 	return b
 }
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -45,27 +45,25 @@
 	StallTime                                    time.Duration // for which this process was stalled, since its start
 }
 
+// AppendMetric appends one metric as a line.
+func AppendMetric(b []byte, name string, value uint64) []byte {
+	b = append(append(b, "edge_gw."...), name...)
+	return append(strconv.AppendUint(append(b, '='), value, 10), '\n')
+}
+
 // Append appends all metrics, one per line.
 func (c *Counters) Append(b []byte, gauges Gauges) []byte {
-	appendLine := func(name, class string, value uint64) {
-		b = append(append(b, "edge_gw."...), name...)
-		if class != "" {
-			b = append(append(b, '.'), class...)
-		}
-		b = append(strconv.AppendUint(append(b, '='), value, 10), '\n')
-	}
 	for i, name := range c.names {
 		counters := &c.classes[i]
-		appendLine("passed", name, counters.Served)
-		appendLine("dropped", name, counters.Refused)
-		appendLine("bad_gateway", name, counters.Failed)
-		appendLine("upstream_tries", name, counters.Attempts)
+		b = AppendMetric(b, "passed."+name, counters.Served)
+		b = AppendMetric(b, "dropped."+name, counters.Refused)
+		b = AppendMetric(b, "bad_gateway."+name, counters.Failed)
+		b = AppendMetric(b, "upstream_tries."+name, counters.Attempts)
 	}
-	appendLine("in_progress", "", uint64(max(0, gauges.InProgress)))
-	appendLine("known_databases", "", uint64(max(0, gauges.KnownDatabases)))
-	appendLine("skipped_databases", "", uint64(max(0, gauges.SkippedDatabases)))
-	appendLine("lost_ms", "", uint64(gauges.StallTime.Milliseconds()))
-	return b
+	b = AppendMetric(b, "in_progress", uint64(max(0, gauges.InProgress)))
+	b = AppendMetric(b, "known_databases", uint64(max(0, gauges.KnownDatabases)))
+	b = AppendMetric(b, "skipped_databases", uint64(max(0, gauges.SkippedDatabases)))
+	return AppendMetric(b, "lost_ms", uint64(gauges.StallTime.Milliseconds()))
 }
 
 // Traffic counts what one role sends and receives: bytes on the socket, and whole messages.
@@ -99,8 +97,7 @@
 		name string
 		n    uint64
 	}{{"out_bytes", t.OutBytes}, {"out_messages", t.OutMessages}, {"in_bytes", t.InBytes}, {"in_messages", t.InMessages}} {
-		b = append(append(append(append(append(b, "edge_gw.fleet_"...), role...), '_'), metric.name...), '=')
-		b = append(strconv.AppendUint(b, metric.n, 10), '\n')
+		b = AppendMetric(b, "fleet_"+role+"_"+metric.name, metric.n)
 	}
 	return b
 }
--- a/policy/clock_test.go
+++ b/policy/clock_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,10 +17,10 @@
 	requestCount int
 }
 
-func newClockRig(t *testing.T, step time.Duration) *clockRig {
+func newClockRig(t *testing.T, step time.Duration, members ...Member) *clockRig {
 	settings := baseSettings()
 	settings.IndependentClock = true
-	return &clockRig{rig: newRig(t, settings), step: step}
+	return &clockRig{rig: newRig(t, settings, members...), step: step}
 }
 
 // request makes a request of a class. The host to which the router sends it answers after a time, with a position, and
@@ -74,21 +75,23 @@
 	}
 }
 
-// If no primary answers, two replicas without lag confirm the clock. One does not, nor do two that lag.
+// If no primary answers, two replicas without lag confirm the clock, if they are of different groups: those of one group
+// stop together when their primary fails. One does not, nor do two that lag.
 func TestReplicasConfirmClock(t *testing.T) {
 	for name, c := range map[string]struct {
 		step, lag time.Duration
 		hosts     []HostID
 		want      bool
 	}{
-		"two":               {0, 20 * ms, []HostID{"a", "b"}, true},
+		"two":               {0, 20 * ms, []HostID{"a", "c"}, true},
+		"two of one group":  {0, 20 * ms, []HostID{"a", "b"}, false},
 		"one, twice":        {0, 20 * ms, []HostID{"a", "a"}, false},
-		"two that lag":      {0, 400 * ms, []HostID{"a", "b"}, false},
-		"two, step forward": {3 * time.Second, 20 * ms, []HostID{"a", "b"}, false},
-		"two, step back":    {-3 * time.Second, 20 * ms, []HostID{"a", "b"}, false},
+		"two that lag":      {0, 400 * ms, []HostID{"a", "c"}, false},
+		"two, step forward": {3 * time.Second, 20 * ms, []HostID{"a", "c"}, false},
+		"two, step back":    {-3 * time.Second, 20 * ms, []HostID{"a", "c"}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := newClockRig(t, c.step).router
+			r := newClockRig(t, c.step, Member{Host: "p", Primary: true}, Member{Host: "a"}, Member{Host: "b"}, Member{Host: "c", Group: 2}).router
 			for _, host := range c.hosts {
 				r.observeDatabaseTime(&attempt{host: r.hosts[host], sentAt: r.now - 5*ms}, Replica, r.now+c.step-c.lag)
 			}
@@ -97,6 +100,117 @@
 	}
 }
 
+// Two of sixty answers that match this router's wrong clock do not confirm it: the other 58 agree on the true time.
+func TestMinorityOfMatchesDoesNotConfirmClock(t *testing.T) {
+	const step, took = 1250 * ms, clockSampleInterval // each answer votes
+	for name, invalid := range map[string][]int{"first": {0, 9}, "close together": {9, 11}, "far apart": {3, 25}, "late": {45, 50}} {
+		t.Run(name, func(t *testing.T) {
+			rig := newClockRig(t, step)
+			for i := range 60 {
+				rig.request(latest, took, func(_ HostID, now time.Duration) time.Duration {
+					if slices.Contains(invalid, i) {
+						return now - step
+					}
+					return now
+				})
+				clock := &rig.router.clock
+				assert.True(t, !clock.confirmed || clock.offset > step/2, "offset %v is confirmed after %d answers", clock.offset, i+1)
+			}
+			assert.True(t, rig.router.clock.confirmed)
+			assert.InDelta(t, step, rig.router.clock.offset, float64(clockTolerance+took))
+			assert.EqualValues(t, 1, rig.router.ClockCounts().Steps)
+		})
+	}
+}
+
+// Neither a burst of answers that agree nor a group of agreeing answers that is no majority steps the clock.
+func TestClockIsSteppedByMajorityOverTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		took time.Duration
+		off  []time.Duration // of the answers, in turn
+	}{
+		"burst":    {5 * ms, []time.Duration{2 * time.Second, 2 * time.Second, 2 * time.Second}},
+		"minority": {60 * ms, []time.Duration{0, 2 * time.Second, -4 * time.Second}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rig := newClockRig(t, 0)
+			answers := 60
+			if name == "burst" {
+				answers = len(c.off)
+			}
+			for i := range answers {
+				rig.request(latest, c.took, func(_ HostID, now time.Duration) time.Duration { return now + c.off[i%len(c.off)] })
+				assert.Zero(t, rig.router.clock.offset, "after %d", i+1)
+			}
+		})
+	}
+}
+
+// A primary that shows another time keeps the router from relying on its own clock, after the timeout and whatever replicas
+// show, until it is known.
+func TestContradictedClockIsNotTrusted(t *testing.T) {
+	rig := newClockRig(t, 900*ms, Member{Host: "p", Primary: true}, Member{Host: "a"}, Member{Host: "b", Group: 2})
+	rig.request(latest, 30*ms, replicasLagging(900*ms))
+	r := rig.router
+	for _, host := range []HostID{"a", "b"} {
+		r.observeDatabaseTime(&attempt{host: r.hosts[host], sentAt: r.now - 5*ms}, Replica, r.now)
+	}
+	assert.False(t, r.clock.confirmed)
+	rig.advance(2 * clockTimeout)
+	assert.False(t, r.knowsDatabaseTime())
+}
+
+// A confirmed offset that as many answers contradict as match is not relied on: bounded reads go to the primary until the
+// clock is stepped.
+func TestLaterAnswersEndConfirmationOfClock(t *testing.T) {
+	rig := newClockRig(t, 0)
+	for range 2 {
+		rig.request(latest, 30*ms, replicasLagging(20*ms))
+	}
+	assert.True(t, rig.router.knowsDatabaseTime())
+	rig.step = 900 * ms
+	for range 20 {
+		rig.request(latest, 30*ms, replicasLagging(900*ms))
+		rig.request(own, 20*ms, replicasLagging(900*ms))
+		host, sent := rig.request(recent, 20*ms, replicasLagging(900*ms))
+		if rig.router.ClockCounts().Doubts > 0 {
+			assert.True(t, !sent || host == "p", "%s lags 900 ms, 500 are allowed", host)
+		}
+	}
+	counts := rig.router.ClockCounts()
+	assert.EqualValues(t, 1, counts.Doubts)
+	assert.EqualValues(t, 1, counts.Steps)
+	assert.InDelta(t, rig.step, rig.router.clock.offset, float64(clockTolerance))
+}
+
+// Positions that were accepted while the clock was ahead are forgotten when it is stepped back: replicas that have stopped
+// would look fresh later on.
+func TestStepBackForgetsPositionsAheadOfClock(t *testing.T) {
+	rig := newClockRig(t, -5*time.Second)
+	rig.request(own, 20*ms, func(_ HostID, now time.Duration) time.Duration { return now + 5*time.Second })
+	assert.NotZero(t, max(rig.router.hosts["a"].position, rig.router.hosts["b"].position))
+	for range 60 {
+		rig.request(latest, 30*ms, replicasLagging(0))
+	}
+	assert.InDelta(t, -5*time.Second, rig.router.clock.offset, float64(clockTolerance))
+	for id, h := range rig.router.hosts {
+		assert.LessOrEqual(t, h.position, rig.router.databaseTime()+clockTolerance, "%s", id)
+	}
+}
+
+// An answer that waited while this process was paused matches a wide range of offsets, so it shows nothing.
+func TestAnswerReadAfterPauseDoesNotConfirmClock(t *testing.T) {
+	rig := newClockRig(t, 900*ms)
+	r := rig.router
+	for i := range 2 {
+		a := &attempt{host: r.hosts["p"], sentAt: r.now, pausedTotal: r.pausedTotal}
+		position := r.now + 910*ms
+		rig.advance(time.Second, ProcessPaused{Total: time.Duration(i+1) * 980 * ms})
+		r.observeDatabaseTime(a, Primary, position)
+	}
+	assert.False(t, r.clock.confirmed)
+}
+
 // A single answer with another time does not step the clock, nor does a stopped log.
 func TestSingleAnswerDoesNotStepClock(t *testing.T) {
 	rig := newClockRig(t, 0)
