Let replicas of one group confirm the databases' clock again, until a primary contradicts

Cause: two replicas had to be of different groups to confirm the clock, which a deployment with one group, or one whose primaries fail, cannot meet. Change: any two replicas confirm it, as before, while no primary's answer contradicts it; the first one that does ends that. Open: replicas that both lag by just the step of a clock, until the first answer of a primary.

--- a/policy/clock.go
+++ b/policy/clock.go
@@ -63,7 +63,7 @@
 	samples   []clockSample // the latest, oldest first
 	counts    ClockCounts
 
-	replicaMatch *group // the first group of which a replica matched the offset; nil: none
+	replicaMatch HostID // the replica that matched the offset last; empty: none
 }
 
 // clockChange is a change of what is known of the databases' clock.
@@ -167,15 +167,14 @@
 	return true
 }
 
-// observeReplica applies an answer of a replica. One from a lagging replica shows nothing. The replicas of a
-// group stop at the same position when its primary fails, so two that match have to be of different groups,
-// and no primary's answer may show another time.
-func (c *databaseClock) observeReplica(g *group, observed offsetRange) {
+// observeReplica applies an answer of a replica. One from a lagging replica shows nothing. Two that lag by
+// exactly the step of a clock would confirm a wrong one, until a primary's answer shows another time.
+func (c *databaseClock) observeReplica(h HostID, observed offsetRange) {
 	if c.confirmed || c.contradicted() || !observed.contains(c.offset) {
 		return
 	}
-	c.confirmed = c.replicaMatch != nil && c.replicaMatch != g
-	c.replicaMatch = g
+	c.confirmed = c.replicaMatch != "" && c.replicaMatch != h
+	c.replicaMatch = h
 }
 
 // contradicted reports whether primaries have answered and half of their samples or more do not match.
@@ -212,7 +211,7 @@
 	granularity := r.settings.PositionGranularity
 	observed := offsetRange{low: position - granularity - r.now, high: position + granularity - a.sentAt}
 	if role != Primary {
-		r.clock.observeReplica(a.host.group, observed)
+		r.clock.observeReplica(a.host.id, observed)
 		return
 	}
 	before := r.clock.offset
