Refuse commands that are pipelined to a connection that ends at shutdown

Cause: from 0.7 s after SIGTERM a connection with outstanding answers read all further input and threw it away. Ruled out: exhausted buffers (6 of 80 MB in use), closes that cross a request. Change: the front refuses such statements in order (53300, nothing has run; counted as dropped), sends none of them, and looks once more for a command before it ends a connection. Refusals are immediate, so a client that keeps sending does not delay the end. Not covered by a test: the last look at the input.

--- a/cmd/lilaccove/shutdown_test.go
+++ b/cmd/lilaccove/shutdown_test.go
@@ -119,6 +119,45 @@
 	gw.waitExitInTime(termTime)
 }
 
+// A client pipelines statements while it waits for an answer of a gateway that shuts down. They are refused, in order, and not
+// sent to a database; they were read and dropped once, and the connection ended without their answers.
+func TestTermAnswersPipelinedCommands(t *testing.T) {
+	t.Parallel()
+	for name, texts := range map[string][]string{
+		"small": {statement("own", 3000, ""), statement("browse", 3000, ""), statement("write", 3000, "")},
+		"large": {statement("own", 3000, ""), strings.Replace(statement("write", 3000, ""), `\x9f03`, `\x`+strings.Repeat("9f", 60<<10), 1)},
+		"many":  strings.Split(strings.Repeat(statement("browse", 3000, "")+"\n", 100), "\n")[:100],
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			gw := startGateway(t, nil)
+			release := gw.primary.blockAnswers()
+			c := gw.connect()
+			c.write(queryMessage(statement("write", 3000, "")))
+			gw.eventually("the write arrives", func() bool { return len(gw.primary.Statements()) > 0 })
+			termTime := gw.terminate()
+			time.Sleep(time.Until(termTime.Add(acceptTime + disconnectGrace))) // it accepts no more clients
+			for i, text := range texts {
+				if i == len(texts)-1 {
+					time.Sleep(disconnectGrace) // the last one is read later than the others
+				}
+				c.write(queryMessage(text))
+			}
+			time.Sleep(disconnectGrace)
+			close(release)
+			assert.Equal(t, "late", c.readAnswer().value)
+			for i := range texts {
+				got := c.readAnswer()
+				assert.Equal(t, pgwire.CodeTooManyConnections, got.code, "%d %+v", i, got)
+				assert.Zero(t, got.rows)
+			}
+			assert.True(t, c.readAnswer().ended)
+			gw.waitExitInTime(termTime)
+			assert.Len(t, gw.primary.Statements(), 1)
+		})
+	}
+}
+
 // The primary and a replica hang for good when SIGTERM arrives: alone, twice, together with SIGHUP, and while the gateway is
 // drained. Each request gets one answer, a write within its own deadline, and the process exits before it would be killed.
 func TestTermWhileDatabasesHang(t *testing.T) {
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -29,6 +29,8 @@
 	bufferedBytes  int             // bytes of answers that wait for earlier ones
 	takesRemaining bool            // received input is still handled during shutdown
 	finishing      bool            // input is ignored; the connection ends when all is answered
+	refusing       bool            // further statements are refused; the connection ends when all is answered
+	lastRead       bool            // input was polled before the connection ends
 	large          *largeStatement // a large statement that is not completely received
 	enteredAt      time.Duration   // when it entered its state
 	lastPending    int             // unread bytes at the last call of hasRead
@@ -141,6 +143,7 @@
 	}
 	c.serving = true
 	for c.acceptsCommand() && c.handlePacket() {
+		c.refusing = c.refusing || c.queried && c.front.shuttingDown && !c.takesRemaining
 	}
 	c.serving = false
 	if c.nc.Closed() {
@@ -149,8 +152,14 @@
 	if c.finishing {
 		c.nc.Consume(len(c.nc.Input()))
 	}
-	drained := c.front.drainUntil != 0 && c.queried
-	if len(c.calls) == 0 && (c.finishing || drained && len(c.nc.Input()) == 0 && c.nc.Pending() == 0) {
+	if c.mayEnd() && !c.lastRead {
+		c.lastRead = true
+		c.nc.Poll() // a pipelined command may have arrived; it calls serve
+		if c.nc.Closed() {
+			return
+		}
+	}
+	if c.mayEnd() {
 		c.finish(c.drainReason())
 		return
 	}
@@ -158,6 +167,12 @@
 	c.front.reclaimMemory(c)
 }
 
+// mayEnd reports whether the gateway may end the connection now: it wants to, and everything is answered.
+func (c *conn) mayEnd() bool {
+	drained := c.front.drainUntil != 0 && c.queried
+	return len(c.calls) == 0 && (c.finishing || c.refusing || drained && len(c.nc.Input()) == 0 && c.nc.Pending() == 0)
+}
+
 // reply answers a command that needs no request, after the answers to earlier commands.
 func (c *conn) reply(message []byte) {
 	if len(c.calls) == 0 {
@@ -237,7 +252,7 @@
 
 // handleQuery answers the empty query, which asks whether the gateway is ready, and submits other statements.
 func (c *conn) handleQuery(body []byte, n int) bool {
-	c.queried, c.finishing = true, c.front.shuttingDown && !c.takesRemaining
+	c.queried = true
 	c.dequeue() // the timeout of its state restarts
 	text, err := pgwire.ParseText(body)
 	if err == nil && pgwire.IsEmptyQuery(text) {
@@ -307,7 +322,11 @@
 	call := &call{conn: c, request: request, id: id, buffers: buffers, largeBytes: largeBytes}
 	request.Client, request.Statement = call, statement
 	c.calls = append(c.calls, call)
-	c.front.core.Submit(request)
+	if c.refusing {
+		c.front.core.Refuse(request)
+	} else {
+		c.front.core.Submit(request)
+	}
 }
 
 // arrivalTime returns the earliest time at which the current input may have arrived: it waited while this process was stalled. A
--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -5,8 +5,9 @@
 import "time"
 
 // Shutdown stops accepting and closes each connection as soon as all its requests are answered. Input received so far is still
-// handled, and the rest of a command that has begun; later commands are not, or clients that keep sending could delay the end
-// without limit. All answers are due by the time until.
+// handled, and the rest of a command that has begun. Later commands, which a client pipelines while it waits for those answers, are
+// refused at once: if they were served, clients that keep sending could delay the end without limit. All answers are due by the
+// time until.
 func (f *Front) Shutdown(until time.Duration) {
 	f.shutdownDeadline, f.shuttingDown = until, true
 	f.closeListener()
@@ -33,7 +34,7 @@
 	c.nc.Poll() // a request may have arrived that was not read yet
 	c.serve()
 	c.takesRemaining = false
-	c.finishing = c.finishing || len(c.nc.Input()) == 0 && c.large == nil
+	c.refusing = c.refusing || len(c.nc.Input()) == 0 && c.large == nil
 	c.serve()
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,6 +21,7 @@
 // Core processes requests.
 type Core interface {
 	Submit(req *gateway.Request)
+	Refuse(req *gateway.Request)
 	ClientGone(req *gateway.Request)
 	ResumeStream(req *gateway.Request)
 	Cancel(req *gateway.Request)
--- a/internal/front/large.go
+++ b/internal/front/large.go
@@ -48,7 +48,7 @@
 	}
 	c.large = nil
 	c.nc.SetMinBuffer(0)
-	c.queried, c.finishing = true, c.front.shuttingDown && !c.takesRemaining
+	c.queried = true
 	c.dequeue()
 	statement, class, err := c.assembleStatement(pending)
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -229,14 +229,20 @@
 	g.events = slices.Insert(g.events, 0, policy.Event(policy.FenceChanged{Active: active}))
 }
 
+// Refuse refuses a request that this process cannot take any more. The decision module does not learn of it, and no attempt is
+// made.
+func (g *Gateway) Refuse(req *Request) {
+	req.finished = true
+	g.counts.Class(req.Class).Refused++
+	req.Client.Refused(0)
+	req.Client.Released()
+}
+
 // Submit accepts a request. Its answer may come before Submit returns.
 func (g *Gateway) Submit(req *Request) {
 	now := g.loop.Now()
 	if g.unanswered >= g.maxUnanswered {
-		req.finished = true
-		g.counts.Class(req.Class).Refused++
-		req.Client.Refused(0)
-		req.Client.Released()
+		g.Refuse(req)
 		return
 	}
 	g.lastID++
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -262,9 +262,9 @@
 	return err == unix.EAGAIN
 }
 
-// Poll reads at once what has arrived, as if epoll had reported it.
+// Poll reads at once what has arrived, as if epoll had reported it. While the handler's Received runs it does nothing.
 func (c *Conn) Poll() {
-	if !c.Closed() && c.connected && c.interest&unix.EPOLLIN != 0 {
+	if !c.Closed() && !c.inReceived && c.connected && c.interest&unix.EPOLLIN != 0 {
 		c.handleEvents(unix.EPOLLIN)
 	}
 }
