Let only replicas that keep up confirm the databases' clock

Change: a replica confirms the clock only if it lags by 30 ms at most. One that is ahead of the clock contradicts it: then the timeout of 2 s does not make the clock usable, until a primary confirms it. Open: replicas that both lag by the step to within 30 ms and the time of their answers, until a primary answers.

--- a/policy/clock.go
+++ b/policy/clock.go
@@ -20,6 +20,7 @@
 	minClockStepSamples = 3                      // samples that have to agree on another offset,
 	minClockStepSpan    = time.Second            // first to last: those of a stopped log disagree by then
 	clockTimeout        = 2 * time.Second        // until this router's clock is used, if no primary answers
+	maxConfirmingLag    = 30 * time.Millisecond  // of a replica that confirms the offset
 )
 
 // offsetRange is the range of offsets of the databases' clock that fit an answer.
@@ -64,6 +65,7 @@
 	counts    ClockCounts
 
 	replicaMatch HostID // the replica that matched the offset last; empty: none
+	replicaAhead bool   // a replica has shown a later time, since the offset was last confirmed
 }
 
 // clockChange is a change of what is known of the databases' clock.
@@ -136,7 +138,7 @@
 	if c.confirmed {
 		return clockUnchanged
 	}
-	c.confirmed = true
+	c.confirmed, c.replicaAhead = true, false
 	return clockConfirmed
 }
 
@@ -162,24 +164,33 @@
 	if last-first < minClockStepSpan {
 		return false
 	}
-	c.offset, c.confirmed = offset, true
+	c.offset, c.confirmed, c.replicaAhead = offset, true, false
 	c.counts.Steps++
 	return true
 }
 
-// observeReplica applies an answer of a replica. One from a lagging replica shows nothing. Two that lag by
-// exactly the step of a clock would confirm a wrong one, until a primary's answer shows another time.
+// observeReplica applies an answer of a replica. No replica is ahead of the databases' clock, so one that is
+// ahead of the offset contradicts it. One from a lagging replica shows nothing. Two that lag by exactly the
+// step of a clock would confirm a wrong one, until a primary's answer shows another time.
 func (c *databaseClock) observeReplica(h HostID, observed offsetRange) {
-	if c.confirmed || c.contradicted() || !observed.contains(c.offset) {
+	if observed.isLaterThan(c.offset) && observed.low <= c.offset+maxPositionLead {
+		c.replicaAhead = true
+	}
+	keepsUp := observed.low <= c.offset && c.offset <= observed.high+maxConfirmingLag
+	if c.confirmed || c.contradicted() || !keepsUp {
 		return
 	}
 	c.confirmed = c.replicaMatch != "" && c.replicaMatch != h
 	c.replicaMatch = h
 }
 
-// contradicted reports whether primaries have answered and half of their samples or more do not match.
+// contradicted reports whether half of the primaries' samples or more do not match, or, if there are none,
+// whether a replica is ahead.
 func (c *databaseClock) contradicted() bool {
-	return len(c.samples) > 0 && !c.voteOn(c.offset).isMajority()
+	if len(c.samples) == 0 {
+		return c.replicaAhead
+	}
+	return !c.voteOn(c.offset).isMajority()
 }
 
 // databaseTime returns the current time on the databases' clock.
--- a/policy/clock_test.go
+++ b/policy/clock_test.go
@@ -144,6 +144,26 @@
 	}
 }
 
+// Replicas that are ahead of the clock, or that lag by more than those that keep up, do not confirm it. One that is ahead
+// also shows that this router's clock is slow: the timeout does not make it usable.
+func TestReplicasAheadContradictClock(t *testing.T) {
+	for name, c := range map[string]struct {
+		lag                time.Duration
+		usableAfterTimeout bool
+	}{"ahead": {-150 * ms, false}, "slightly ahead": {-50 * ms, true}, "behind": {60 * ms, true}} {
+		t.Run(name, func(t *testing.T) {
+			rig := newClockRig(t, 0)
+			r := rig.router
+			for _, host := range []HostID{"a", "b"} {
+				r.observeDatabaseTime(&attempt{host: r.hosts[host], sentAt: r.now - 5*ms}, Replica, r.now-c.lag)
+			}
+			assert.False(t, r.knowsDatabaseTime())
+			rig.advance(2 * clockTimeout)
+			assert.Equal(t, c.usableAfterTimeout, r.knowsDatabaseTime())
+		})
+	}
+}
+
 // A clock that replicas have confirmed is not relied on once a primary shows another time.
 func TestPrimaryEndsConfirmationByReplicas(t *testing.T) {
 	for _, step := range []time.Duration{900 * ms, -900 * ms} {
