Decide an attempt again if the process was held up since its decision

Callers saw nothing; a database got a write 2.5 s after discovery had told the gateway that it drains (2 s are allowed). Cause: a stall between reading a request and sending it leaves the decision with an older list; only the attempt's own deadline was checked again before its first byte. Evidence: the new test makes the order happen each time (a read that takes 2.6 s, a drain after 0.1 s); on the code before, the primary gets the write. Traced: it begins in the next loop iteration, so measuring the stall of the current one was not enough. Change: an attempt that was decided before a stall of over half of the drain grace ends as not sent and is decided again.

--- a/cmd/lilaccove/pause_test.go
+++ b/cmd/lilaccove/pause_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"strings"
@@ -9,6 +10,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"lilaccove/internal/pgwire"
 )
 
 // starvedPlan keeps seven gateways so busy that a paused one leaves many requests unfinished.
@@ -102,3 +105,27 @@
 		assert.Zero(t, fleet.metric(1, "bad_gateway."+class), class)
 	}
 }
+
+// The process is held up between reading a write and sending it, and its primary begins to drain meanwhile. The decision rests
+// on a list that is older than the grace period: the write is not begun by it.
+func TestStallWithinRoundStartsNoAttemptAtDrainingDatabase(t *testing.T) {
+	t.Parallel()
+	reserved, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	local := reserved.Addr().(*net.TCPAddr)
+	require.NoError(t, reserved.Close())
+	gw := startGateway(t, withFaults(`{"call":"read","delay_ms":2600,"most":1,"peer":"`+local.String()+`"}`))
+	gw.waitServed()
+	before := len(gw.primary.Statements())
+	conn, err := (&net.Dialer{LocalAddr: local}).Dial("tcp", gw.clientAddr)
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	c := &client{t: t, conn: conn, reader: bufio.NewReader(conn)}
+	c.write(string(pgwire.Startup("api", "ledger")) + queryMessage(statement("write", 3000, "")))
+	time.Sleep(disconnectGrace) // the gateway has read it
+	gw.primary.Announce("terminating", time.Time{})
+	c.readAnswer() // the greeting
+	got := c.readAnswer()
+	assert.Equal(t, pgwire.CodeTooManyConnections, got.code, "%+v", got)
+	assert.Len(t, gw.primary.Statements(), before)
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -48,6 +48,9 @@
 // maxViolationLinesPerSecond limits the log lines only: the metrics count every violation.
 const maxViolationLinesPerSecond = 20
 
+// maxStallDivisor: attempts decided before a stall of this part of the drain grace are decided again after it.
+const maxStallDivisor = 2
+
 // logViolation logs the violation of an invariant.
 func (s *Side) logViolation(violation invariant.Violation) {
 	s.violationLog.Printf(s.Loop.Now(), "event=violation name=%s request=%q client=%d database=%s list=%d transition=%s by_ms=%d",
@@ -72,6 +75,7 @@
 	s.Watch = discovery.New(loop, s.Core, discoveryAddr, decoded.Zones)
 	s.Guard = invariant.New(decoded.Policy, s.logViolation)
 	s.Core.SetGuard(s.Guard)
+	s.Core.SetMaxStall(decoded.Policy.DrainGrace / maxStallDivisor)
 	if fleetFile == nil {
 		return s, nil
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -15,7 +15,7 @@
 // then is not counted as remaining time.
 func (g *Gateway) BeginAttempt(attempt *Attempt, until time.Duration) (remaining time.Duration) {
 	now := g.loop.Clock()
-	if attempt.BeginBy > 0 && now >= attempt.BeginBy {
+	if attempt.BeginBy > 0 && now >= attempt.BeginBy || g.stalled(attempt, now) {
 		return 0
 	}
 	attempt.started = true
@@ -26,6 +26,13 @@
 	return remaining
 }
 
+// stalled reports whether this process was held up since an attempt was decided for so long that the list behind the decision
+// may be too old. The attempt is decided again, after what has arrived meanwhile.
+func (g *Gateway) stalled(attempt *Attempt, now time.Duration) bool {
+	stall := g.loop.StallTime() - attempt.stallTime + now - g.loop.Now()
+	return g.maxStall > 0 && stall > g.maxStall
+}
+
 // checkAttempt has the guard check an attempt that is about to be written.
 func (g *Gateway) checkAttempt(attempt *Attempt, now, databaseTimeout time.Duration) {
 	req := attempt.request
@@ -118,7 +125,7 @@
 	}
 	attempt := &Attempt{
 		Host: action.Host, Statement: req.Statement, Deadline: req.Deadline,
-		request: req, number: len(req.attempts), sentAt: g.actionTime,
+		request: req, number: len(req.attempts), sentAt: g.actionTime, stallTime: g.loop.StallTime(),
 	}
 	if action.Timeout != 0 {
 		attempt.Deadline = min(attempt.Deadline, now+action.Timeout)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,13 +110,14 @@
 	BeginBy     time.Duration // it must be started before this time or not at all
 	BackendData any           // private to the backend
 
-	request  *Request
-	number   int
-	sentAt   time.Duration
-	done     bool
-	started  bool // its first byte was about to be written
-	written  bool // its last byte was written
-	reported bool // the decision module has its result already: its value is being streamed
+	request   *Request
+	number    int
+	sentAt    time.Duration
+	stallTime time.Duration // of the loop when it was decided
+	done      bool
+	started   bool // its first byte was about to be written
+	written   bool // its last byte was written
+	reported  bool // the decision module has its result already: its value is being streamed
 }
 
 // Reply is what a backend learned from the answer to an attempt or a probe.
@@ -147,6 +148,7 @@
 	lastID        uint64
 	unanswered    int // requests without an answer
 	maxUnanswered int
+	maxStall      time.Duration // see SetMaxStall
 	probeTimes    map[policy.HostID]time.Duration
 	counts        *stats.Counters
 	members       map[policy.HostID]policy.Member
@@ -185,6 +187,10 @@
 	return names
 }
 
+// SetMaxStall sets for how long this process may be held up between the decision on an attempt and its first byte; 0: for any
+// time.
+func (g *Gateway) SetMaxStall(d time.Duration) { g.maxStall = d }
+
 // SetGuard sets the guard that checks invariants.
 func (g *Gateway) SetGuard(guard *invariant.Guard) { g.guard = guard }
 
