Let the invariant on stale reads know the positions that rejections report

Cause: a replica that rejects a write reports its position, by which the decision module then sends reads; the invariant recorded positions of served answers only. Change: the invariant records the plausible position of any answer. Old and missing positions still violate it (same test).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,6 +69,9 @@
 		g.streamEnded(attempt, outcome, reply)
 		return
 	}
+	if reply.HasPosition && g.router.Plausible(reply.Position) {
+		g.guard.RecordPosition(attempt.Host, reply.Position) // a rejection has one, too
+	}
 	g.reportPosition(attempt.Host, reply.HasPosition, reply.Position)
 	g.reportPosition(attempt.Host, reply.Report.HasPosition, reply.Report.Position)
 	if outcome == policy.OK {
--- a/internal/gateway/guard_test.go
+++ b/internal/gateway/guard_test.go
@@ -135,6 +135,30 @@
 	assert.Empty(t, guarded.violations)
 }
 
+// A replica that rejects a write reports its position. A read goes there by that report: the guard has to know it.
+func TestGuardKnowsPositionOfRejection(t *testing.T) {
+	for name, c := range map[string]struct {
+		position time.Duration // that the rejection reports, before now; 0: none
+		want     []invariant.Name
+	}{"fresh": {time.Millisecond, nil}, "none": {0, []invariant.Name{invariant.StaleRead}}, "old": {5 * time.Second, []invariant.Name{invariant.StaleRead}}} {
+		t.Run(name, func(t *testing.T) {
+			guarded := newGuarded(t)
+			now := guarded.loop.Now()
+			resolve := func(host policy.HostID, outcome policy.Outcome, reply Reply) {
+				guarded.Resolved(guarded.sendAndBegin(guarded.submitFor(guarded.env, time.Second), host, 0), outcome, reply)
+			}
+			resolve("p", policy.OK, Reply{Role: policy.Primary, Position: now, HasPosition: true})
+			resolve("a", policy.OK, Reply{Role: policy.Replica, Position: now - 10*time.Second, HasPosition: true})
+			resolve("a", policy.Miss, Reply{Role: policy.Replica, Position: now - c.position, HasPosition: c.position > 0})
+			time.Sleep(110 * time.Millisecond) // an answer counts as known by then
+			read := guarded.submitFor(guarded.env, time.Second)
+			read.Class = recentClass
+			guarded.sendAndBegin(read, "a", 0)
+			assert.Equal(t, c.want, guarded.violations)
+		})
+	}
+}
+
 // Correct decisions cause no reports.
 func TestGuardReportsNothingWithoutViolation(t *testing.T) {
 	guarded := newGuarded(t)
