Soak: kill at the earliest time, clients that keep sending, signals in series, crowds

Why: the operators ask for shutdowns as the platform plays them; the soak waited 6 s for a process and no client used its connections.

--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -40,12 +40,18 @@
 
 // statement returns a message with a statement as clients of the platform write it, of a read or a write class.
 func statement(write bool, deadline time.Duration) []byte {
+	message, _ := newStatement(write, deadline)
+	return message
+}
+
+// newStatement is statement that also returns the request's id.
+func newStatement(write bool, deadline time.Duration) (message []byte, id string) {
 	id, class := fmt.Sprintf("%016x", 1<<63|badClientIDs.Add(1)), "browse"
 	if write {
 		class = "write"
 	}
 	head := fmt.Sprintf("id=%s,c=%s,d=%d,cluster=0", id, class, deadline.Milliseconds())
-	return pgwire.AppendQuery(nil, pgwire.ClientStatement(head, id, write))
+	return pgwire.AppendQuery(nil, pgwire.ClientStatement(head, id, write)), id
 }
 
 func (c *badClient) send(b []byte) { _, _ = c.Write(b) }
--- a/internal/soak/gateways.go
+++ b/internal/soak/gateways.go
@@ -19,9 +19,6 @@
 	"lilaccove/internal/stats"
 )
 
-// restartPause is the time between two processes of a gateway.
-const restartPause = 200 * time.Millisecond
-
 func (s *soak) kill(fault Fault) error {
 	return s.eachGateway(fault, func(i int) error {
 		defer s.judge.excuse(s.lab.Node(i).Name)()
@@ -31,16 +28,6 @@
 	})
 }
 
-// gracefulRestart terminates a process gracefully and starts another one. The process must answer every request that it
-// has read: only the time in which no process listens is excused.
-func (s *soak) gracefulRestart(fault Fault) error {
-	return s.eachGateway(fault, func(i int) error {
-		s.terminate(s.lab.Node(i))
-		standin.Sleep(restartPause, s.stop)
-		return s.start(i)
-	})
-}
-
 // pauseProcess stops a process with a signal and lets it continue.
 func (s *soak) pauseProcess(fault Fault) error {
 	return s.eachGateway(fault, func(i int) error {
@@ -115,13 +102,6 @@
 	return do(i, old, successor)
 }
 
-// terminate shuts a process down gracefully. It is a violation if the process does not end in time.
-func (s *soak) terminate(node *lab.Node) {
-	if err := node.Terminate(); err != nil {
-		s.judge.recordViolation("no_end", 1, "%v", err)
-	}
-}
-
 func (s *soak) upgrade(fault Fault) error {
 	return s.withSuccessor(fault, func(_ int, old, _ *lab.Node) error {
 		s.terminate(old)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"math/rand/v2"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -47,6 +49,43 @@
 	}
 }
 
+// Shutdowns as the platform plays them: clients use their connections until the kill at the earliest time, signals come in
+// series, and crowds fill the descriptors of some gateways. Longer runs are done by hand: docs/soak.md.
+func TestSoakOfShutdowns(t *testing.T) {
+	plain, faulty := buildPrograms(t)
+	var logs bytes.Buffer
+	report, err := Run(context.Background(), Options{
+		Gateways: 8, Databases: 8, Duration: 20 * time.Second, Seed: 9001, Program: plain, FaultyProgram: faulty, Log: &logs,
+		FaultNames: []string{"end", "end-paused", "signals", "signals-before-ready", "signals-at-handover", "upgrade", "crowd", "databases-hang", "discovery-down"},
+	})
+	require.NoError(t, err)
+	assert.Empty(t, report.Violations, strings.Join(report.Examples, "\n"))
+	assert.Positive(t, report.Restarts)
+	assert.Greater(t, report.Requests.Served, report.Requests.Sent/2)
+	if !report.Valid {
+		t.Logf("INVALID: %s", report.InvalidReason)
+	}
+	if t.Failed() {
+		t.Log(logs.String())
+	}
+}
+
+// A series of signals ends with SIGTERM, lasts at most a second and a half, and depends on its seed alone.
+func TestSignalSeries(t *testing.T) {
+	for seed := range uint64(200) {
+		signals, pauses := signalSeries(rand.New(rand.NewPCG(seed, 1)))
+		again, _ := signalSeries(rand.New(rand.NewPCG(seed, 1)))
+		assert.Equal(t, signals, again)
+		assert.Len(t, pauses, len(signals))
+		assert.Equal(t, syscall.SIGTERM, signals[len(signals)-1])
+		total := time.Duration(0)
+		for _, pause := range pauses {
+			total += pause
+		}
+		assert.Less(t, total, maxSignals*maxSignalStep)
+	}
+}
+
 func TestBadOptions(t *testing.T) {
 	good := Options{Gateways: 8, Databases: 8, Duration: 10 * time.Second}
 	for message, change := range map[string]func(o *Options){
