Retry to open epoll and eventfd while a start meets a shortage of descriptors

Callers saw: a gateway that starts while the system is out of descriptors for an instant does not start. Cause: netloop.New opened both once; sockets and files of a start are retried for two seconds. Change: the same retries; the fault build can fail epoll_create and eventfd.

--- a/cmd/lilaccove/faults_test.go
+++ b/cmd/lilaccove/faults_test.go
@@ -123,6 +123,13 @@
 	assert.NotEmpty(t, gw.connect().query(statement("own", 1000, "")).value)
 }
 
+// The system may have no free descriptor for the event loop when a process starts.
+func TestNoEpollDescriptorAtStart(t *testing.T) {
+	t.Parallel()
+	gw := startGateway(t, withFaults(`{"call":"epoll_create","error":"ENFILE","most":3},{"call":"eventfd","error":"EMFILE","most":3}`))
+	assert.NotEmpty(t, gw.connect().query(statement("own", 1000, "")).value)
+}
+
 // Reads and writes may be short, waits may be interrupted, and accept and connect may fail: each request gets one complete
 // answer or an error.
 func TestShortReadsAndWrites(t *testing.T) {
--- a/internal/netloop/listener.go
+++ b/internal/netloop/listener.go
@@ -62,8 +62,13 @@
 // openSocketAtStart opens a non-blocking socket, with retries during a shortage as [sys.RetryAtStart] makes
 // them.
 func openSocketAtStart(family, kind int) (fd int, err error) {
+	return openAtStart(func() (int, error) { return sys.Socket(family, kind|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0) })
+}
+
+// openAtStart opens a descriptor, with retries during a shortage as [sys.RetryAtStart] makes them.
+func openAtStart(open func() (int, error)) (fd int, err error) {
 	err = sys.RetryAtStart(func() (err error) {
-		fd, err = sys.Socket(family, kind|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+		fd, err = open()
 		return err
 	})
 	return fd, err
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -62,10 +62,10 @@
 	l.startWallClock = sys.WallClock()
 	l.updateNow()
 	var err error
-	if l.epollFD, err = unix.EpollCreate1(unix.EPOLL_CLOEXEC); err != nil {
+	if l.epollFD, err = openAtStart(func() (int, error) { return sys.EpollCreate(unix.EPOLL_CLOEXEC) }); err != nil {
 		return nil, fmt.Errorf("epoll: %w", err)
 	}
-	if l.wakeFD, err = unix.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC); err != nil {
+	if l.wakeFD, err = openAtStart(func() (int, error) { return sys.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC) }); err != nil {
 		unix.Close(l.epollFD)
 		return nil, fmt.Errorf("eventfd: %w", err)
 	}
--- a/internal/sys/faults.go
+++ b/internal/sys/faults.go
@@ -26,7 +26,7 @@
 
 // Fault makes a call fail with an error, delays its return, or limits the bytes it transfers.
 type Fault struct {
-	Call       string  `json:"call"`     // accept, socket, connect, read, write, epoll_add, epoll_mod, epoll_wait, create, open, write_file, sync, rename
+	Call       string  `json:"call"`     // accept, socket, connect, read, write, epoll_create, eventfd, epoll_add, epoll_mod, epoll_wait, create, open, write_file, sync, rename
 	Error      string  `json:"error"`    // name of an errno, such as EMFILE; empty: the call doesn't fail
 	MaxBytes   int     `json:"short"`    // maximum of bytes transferred, for read and write; 0: all
 	DelayMS    int64   `json:"delay_ms"` // after the call, for accept, read and epoll_wait
@@ -170,6 +170,22 @@
 	return unix.Socket(family, kind, protocol)
 }
 
+// EpollCreate opens an epoll descriptor.
+func EpollCreate(flags int) (int, error) {
+	if err := pickFault("epoll_create", callTarget{}).err(); err != nil {
+		return -1, err
+	}
+	return unix.EpollCreate1(flags)
+}
+
+// Eventfd opens an event counter.
+func Eventfd(initial uint, flags int) (int, error) {
+	if err := pickFault("eventfd", callTarget{}).err(); err != nil {
+		return -1, err
+	}
+	return unix.Eventfd(initial, flags)
+}
+
 // Connect starts to connect a socket.
 func Connect(fd int, to unix.Sockaddr) error {
 	if err := pickFault("connect", callTarget{peer: func() unix.Sockaddr { return to }}).err(); err != nil {
--- a/internal/sys/plain.go
+++ b/internal/sys/plain.go
@@ -21,6 +21,12 @@
 // Socket opens a socket.
 func Socket(family, kind, protocol int) (int, error) { return unix.Socket(family, kind, protocol) }
 
+// EpollCreate opens an epoll descriptor.
+func EpollCreate(flags int) (int, error) { return unix.EpollCreate1(flags) }
+
+// Eventfd opens an event counter.
+func Eventfd(initial uint, flags int) (int, error) { return unix.Eventfd(initial, flags) }
+
 // Connect starts to connect a socket.
 func Connect(fd int, to unix.Sockaddr) error { return unix.Connect(fd, to) }
 
