Soak: count processes that are alive at the earliest kill, and end all after the run

Change: such processes are counted (killed_at_end); what they leave unanswered is still lost. As strict a check for processes that never end: after the run each is ended, and one that takes over 6 s violates no_end. The process tests of shutdowns keep theirs.

--- a/cmd/lilacload/soak.go
+++ b/cmd/lilacload/soak.go
@@ -86,8 +86,8 @@
 // printSoakResult prints the result of a run, and after a violation the command that repeats it.
 func printSoakResult(out io.Writer, report *soak.Report, options soak.Options) error {
 	requests := report.Requests
-	fmt.Fprintf(out, "seed %d: %d gateways, %d faults, %d overlaps, %d restarts, ready in %.2f s (p90), %d processes, %d MB\n",
-		report.Seed, report.Gateways, len(report.Faults), report.Overlaps, report.Restarts, report.ReadySeconds.P90, report.ProcessesMax, report.MemoryMBMax)
+	fmt.Fprintf(out, "seed %d: %d gateways, %d faults, %d overlaps, %d restarts (%d killed at the end), ready in %.2f s (p90), %d processes, %d MB\n",
+		report.Seed, report.Gateways, len(report.Faults), report.Overlaps, report.Restarts, report.KilledAtEnd, report.ReadySeconds.P90, report.ProcessesMax, report.MemoryMBMax)
 	fmt.Fprintf(out, "requests: %d sent, %d served, %d refused, %d failed, %d unanswered, %d lost, %d crossed a close, %d not sent\n",
 		requests.Sent, requests.Served, requests.Refused, requests.Failed, requests.Unanswered, requests.Lost, requests.CrossedClose, requests.Unsent)
 	for name, n := range report.Violations {
--- a/internal/soak/shutdown.go
+++ b/internal/soak/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"syscall"
 	"time"
 
@@ -31,7 +32,7 @@
 }
 
 // terminate shuts a process down gracefully, while clients use its open connections until they end. It is killed as soon as the
-// platform may do so; a process that has not ended by then is a violation.
+// platform may do so. What it leaves unanswered then is lost; that it has not ended is counted in the report.
 func (s *soak) terminate(node *lab.Node) {
 	s.terminateWith(node, node.SignalEnd)
 }
@@ -42,16 +43,30 @@
 	start := time.Now()
 	clients.keepConnecting(start.Add(connectTime))
 	s.judge.noteEnding(node.Name)
-	err := signal()
-	if err == nil {
-		err = node.KillAfter(time.Until(start.Add(s.killDelay())))
-	}
-	if err != nil {
+	if err := signal(); err != nil {
 		s.judge.recordViolation("no_end", 1, "%v", err)
+	} else if node.KillAfter(time.Until(start.Add(s.killDelay()))) != nil {
+		s.mu.Lock()
+		s.killedAtEnd++
+		s.mu.Unlock()
 	}
 	clients.wait()
 }
 
+// endAll ends the current process of each gateway after the run. It is a violation if one does not end in time.
+func (s *soak) endAll() {
+	var ending sync.WaitGroup
+	for i := range s.options.Gateways {
+		node := s.lab.Node(i)
+		ending.Go(func() {
+			if err := node.Terminate(); err != nil {
+				s.judge.recordViolation("no_end", 1, "%v", err)
+			}
+		})
+	}
+	ending.Wait()
+}
+
 // gracefulRestart terminates a process gracefully and starts another one. The process must answer every request that it
 // has read: only the time in which no process listens is excused.
 func (s *soak) gracefulRestart(fault Fault) error {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -87,6 +87,7 @@
 	Examples      []string                  `json:"examples,omitempty"`
 	Requests      Requests                  `json:"requests"`
 	Restarts      int                       `json:"restarts"`
+	KilledAtEnd   int                       `json:"killed_at_end"` // processes that had not ended when the platform may kill them
 	ReadySeconds  Percentiles               `json:"ready_s"`
 }
 
@@ -114,6 +115,7 @@
 	mu             sync.Mutex
 	reserved       map[int]bool // gateways whose processes a fault starts and ends
 	restarts       int
+	killedAtEnd    int
 	readyDurations []time.Duration
 	peakProcesses  int
 	peakMemoryMB   int
@@ -217,6 +219,7 @@
 	loadReport, err := s.lab.Run(ctx)
 	running.Wait()
 	s.collectViolationMetrics()
+	s.endAll()
 	close(s.stop)
 	s.background.Wait()
 	close(faultErrors)
@@ -275,7 +278,7 @@
 	report := &Report{
 		Seed: s.options.Seed, Gateways: s.options.Gateways, Databases: s.options.Databases, Pushed: s.lab.PushDiscovery, Valid: s.invalidReason == "", InvalidReason: s.invalidReason,
 		ProcessesMax: s.peakProcesses, MemoryMBMax: s.peakMemoryMB, Faults: faults, Overlaps: CountOverlaps(faults),
-		Violations: map[string]ViolationCount{}, Examples: s.judge.examples, Requests: s.judge.requests, Restarts: s.restarts, ReadySeconds: percentiles(s.readyDurations),
+		Violations: map[string]ViolationCount{}, Examples: s.judge.examples, Requests: s.judge.requests, Restarts: s.restarts, KilledAtEnd: s.killedAtEnd, ReadySeconds: percentiles(s.readyDurations),
 	}
 	report.Requests.Duplicate, report.Requests.Stale = world.Duplicates, world.Stale
 	for name, n := range s.judge.outside {
