--- a/internal/capacity/sizes.go
+++ b/internal/capacity/sizes.go
@@ -29,8 +29,7 @@
 	allowedPrimary             = 8    // s from the loss of a primary to the first write that every gateway serves
 	allowedDatabaseConnections = 100  // PostgreSQL's default max_connections
 	controlMachines            = 8    // machines reserved for control
-	minDiscoveryRate           = 10.0 // calls per second to discovery, lower limit of the pacing
-	maxDiscoveryRate           = 20.0 // and its upper limit
+	maxDiscoveryRate           = 20.0 // calls per second to discovery, upper limit of the pacing
 	secondsPerDay              = 24 * 60 * 60.0
 	restartsPerDay             = 410.0 // one every 210 s
 	changesPerDay              = 860.0 // of the configuration, one every 100 s
--- a/internal/hollow/feed.go
+++ b/internal/hollow/feed.go
@@ -13,7 +13,6 @@
 )
 
 const (
-	feedInterval      = 40 * time.Millisecond
 	replicaLag        = 10 * time.Millisecond // of the positions in replicas' answers
 	defaultWriteShare = 0.1
 	maxBudgetWait     = 500 * time.Millisecond // of a statement for a connection from the budget
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -27,7 +27,6 @@
 var (
 	ErrPeerClosed   = errors.New("peer closed the connection")
 	ErrNoDescriptor = errors.New("no descriptor to spare")
-	ErrLinger       = errors.New("peer kept a closed connection open")
 )
 
 // Loop is an epoll event loop, made by New.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,7 +22,6 @@
 	Zones         []string      // names; Policy.Zone is an index into them
 	ConnIdle      time.Duration // databases close connections that were idle for this time
 	DialTimeout   time.Duration
-	AnswerSlack   time.Duration
 	MaxOpen       int  // maximum number of requests in progress; 0: no limit
 	ProbeReport   bool // answers to probes contain load reports
 	Peers         bool // gateways may contact each other
@@ -193,7 +192,6 @@
 		Zones:         s.list("Localities"),
 		ConnIdle:      s.duration("Allowed.ConnIdleUs"),
 		DialTimeout:   s.duration("Allowed.DialTimeoutUs"),
-		AnswerSlack:   s.duration("Rules.AnswerSlackUs"),
 		MaxOpen:       s.count("Allowed.MaxOpen"),
 		Peers:         s.bool("Allowed.Peers"),
 		ProbeReport:   values["Report.Fields"] != "" && values["Report.Source"] != "none",
