Count the clock's votes only when something changed

Why: a last read of the change. onClockChange counted the vote of all samples for each answer of a primary, also where nothing changed, on the path of each request; the soak drew a fault's random numbers in two places. Change: it returns first; systemCallFaults calls faultRand. No behaviour changes.

--- a/internal/soak/gateways.go
+++ b/internal/soak/gateways.go
@@ -131,7 +131,7 @@
 	if s.options.FaultyProgram == "" {
 		return nil
 	}
-	faults := drawSystemCallFaults(rand.New(rand.NewPCG(s.options.Seed, uint64(fault.Number))), fault.Duration)
+	faults := drawSystemCallFaults(s.faultRand(fault), fault.Duration)
 	return s.eachGateway(fault, func(i int) error {
 		s.terminate(s.lab.Node(i))
 		return s.startFaulty(fault, i, map[string]any{"seed": s.options.Seed, "faults": faults})
--- a/internal/soak/shutdown.go
+++ b/internal/soak/shutdown.go
@@ -134,6 +134,7 @@
 	})
 }
 
+// faultRand returns the random numbers of one fault, which depend on the run's seed and the fault's number alone.
 func (s *soak) faultRand(fault Fault) *rand.Rand {
 	return rand.New(rand.NewPCG(s.options.Seed, uint64(fault.Number)))
 }
--- a/policy/clock.go
+++ b/policy/clock.go
@@ -231,6 +231,9 @@
 
 // onClockChange logs a change of the databases' clock and applies it to what is known of hosts.
 func (r *Router) onClockChange(change clockChange, before time.Duration) {
+	if change == clockUnchanged {
+		return
+	}
 	vote := r.clock.voteOn(r.clock.offset)
 	switch {
 	case change == clockStepped:
