Bound requests taken during a handover by the time of the kill

Cause: operations.beginShutdown knows the time of SIGKILL, but told the front only with Shutdown, 2 s after SIGTERM when a successor is there. What was read from 0.7 to 2 s kept its own deadline of up to 3 s, which is after the kill (3.7 s). Ruled out that the process hung or forgot them: left alive, it answers each as failed at exactly its deadline, 3.75 and 3.85 s after SIGTERM.

Change: the time of the last answer is set at SIGTERM (Front.SetAnswerDeadline) and bounds each request read from then on. So no path of the shutdown, with a successor, without, or after its loss, can leave a request with a later deadline.

Test: TestHandoverAnswersLateRequestsBeforeKill, in three ways by which such a request arrives. On the code before, all three fail: "request 1 is answered before the kill: 3.746528792s is not less than 3.7s" (and 3.846, 3.764, 3.864 s).

Loss: a request with over 2.9 s to wait that comes late in the first 0.7 s is failed up to 0.1 s earlier than its client asked.

--- a/cmd/lilaccove/handover_test.go
+++ b/cmd/lilaccove/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -103,3 +104,59 @@
 	assert.Empty(t, gw.replicaA.Statements())
 	assert.Empty(t, gw.replicaB.Statements())
 }
+
+// Guards against requests that a process takes late in a handover and that are due only after it is killed: all are answered before.
+func TestHandoverAnswersLateRequestsBeforeKill(t *testing.T) {
+	t.Parallel()
+	const lateRequest = acceptTime + 150*time.Millisecond // after SIGTERM: an answer is owed at the kill
+	for name, sendLate := range map[string]func(gw, successor *testGateway, waiting *client, idle []*client, texts []string) []*client{
+		"on idle connections": func(_, _ *testGateway, _ *client, idle []*client, texts []string) []*client {
+			lateClients := idle[len(idle)-len(texts):] // the last ones to be closed
+			for i, text := range texts {
+				lateClients[i].write(text)
+			}
+			return lateClients
+		},
+		"behind an unanswered request": func(_, _ *testGateway, waiting *client, _ []*client, texts []string) []*client {
+			waiting.write(strings.Join(texts, ""))
+			assert.Equal(t, pgwire.CodeUnknownOutcome, waiting.readAnswer().code, "the earlier write")
+			return slices.Repeat([]*client{waiting}, len(texts))
+		},
+		"on new connections after the successor's end": func(gw, successor *testGateway, _ *client, _ []*client, texts []string) (lateClients []*client) {
+			successor.Kill()
+			for _, text := range texts {
+				c := gw.connect()
+				c.write(text)
+				lateClients = append(lateClients, c)
+			}
+			return lateClients
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			gw := startWithInheritedSocket(t)
+			waiting := gw.connect()
+			gw.learnPositions(waiting)
+			var idle []*client
+			for range 24 {
+				c := gw.connect()
+				c.query(statement("browse", 1200, ""))
+				idle = append(idle, c)
+			}
+			gw.primary.setHandler(neverAnswer)
+			waiting.write(queryMessage(statement("write", 3000, "")))
+			gw.eventually("the write arrives", func() bool { return len(gw.primary.Statements()) > 0 })
+			successor := gw.startSuccessor()
+			gw.eventually("the new process is ready", successor.ready)
+			termTime := gw.terminate()
+			time.Sleep(time.Until(termTime.Add(lateRequest)))
+			texts := []string{queryMessage(statement("write", 3000, "")), queryMessage(largeWrite(40 << 10)), queryMessage(statement("write", 3000, ""))}
+			for i, c := range sendLate(gw, successor, waiting, idle, texts) {
+				got := c.readAnswer()
+				assert.Equal(t, 1, got.rows+got.errors, "%d %+v", i, got)
+				assert.Less(t, time.Since(termTime), acceptTime+killDelay, "request %d is answered before the kill", i)
+			}
+			gw.waitExitInTime(termTime)
+		})
+	}
+}
--- a/cmd/lilaccove/operations.go
+++ b/cmd/lilaccove/operations.go
@@ -27,7 +27,7 @@
 	// A drain must leave no client idle 4 s after the call, nor any client whose request is younger than 2 s.
 	drainDuration = 1700 * time.Millisecond
 	// A process that hands over closes idle clients within handoverIdleTimeout. After handoverMaxDuration it accepts no
-	// more requests, so that those it has accepted are answered before it is killed.
+	// more requests.
 	handoverIdleTimeout = 1200 * time.Millisecond
 	handoverMaxDuration = 2 * time.Second
 	// SIGKILL follows SIGTERM after acceptTimeAfterTerm plus the longest deadline or minKillDelay, whichever is longer.
@@ -65,7 +65,6 @@
 	drainedLocally               bool
 	drainedByFleet               bool
 	shuttingDown                 bool // SIGTERM was received
-	killAt                       time.Duration
 	handingOver                  bool // to a successor
 	frontClosed                  bool // no clients are accepted, and all are closed after their answers
 	pendingReplies               []pendingReply
@@ -384,7 +383,8 @@
 		o.links.Leave()
 	}
 	now, acceptTime := o.loop.Now(), acceptTimeAfterTerm
-	o.killAt = now + max(o.maxDeadline, minKillDelay) + acceptTimeAfterTerm
+	killAt := now + max(o.maxDeadline, minKillDelay) + acceptTimeAfterTerm
+	o.front.SetAnswerDeadline(killAt - lastAnswerMargin)
 	if o.handingOver {
 		o.front.HandOver(now + handoverIdleTimeout)
 		acceptTime = handoverMaxDuration
@@ -396,7 +396,7 @@
 func (o *operations) closeFront() {
 	if !o.frontClosed {
 		o.frontClosed = true
-		o.front.Shutdown(o.killAt - lastAnswerMargin)
+		o.front.Shutdown()
 	}
 }
 
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -313,8 +313,8 @@
 		MinPosition: time.Duration(head.After) * time.Millisecond,
 		Deadline:    c.front.arrivalTime() + time.Duration(head.DeadlineMillis)*time.Millisecond,
 	}
-	if c.front.shuttingDown {
-		request.Deadline = min(request.Deadline, c.front.shutdownDeadline)
+	if c.front.answerDeadline > 0 {
+		request.Deadline = min(request.Deadline, c.front.answerDeadline)
 	}
 	id := string(head.ID)
 	c.front.openIDs[id] = struct{}{}
@@ -365,7 +365,7 @@
 	}
 	deadline := c.front.loop.Now() + limit
 	if c.front.shuttingDown { // the process is killed soon after, so a peer that keeps its side open is not waited for
-		deadline = min(deadline, max(c.front.shutdownDeadline, c.front.loop.Now()+lastAnswerTime))
+		deadline = min(deadline, max(c.front.answerDeadline, c.front.loop.Now()+lastAnswerTime))
 	}
 	c.nc.Finish(deadline)
 	c.updateState()
--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -4,12 +4,15 @@
 
 import "time"
 
+// SetAnswerDeadline bounds the deadlines of all requests that are read from now on: the process ends soon after the given time.
+func (f *Front) SetAnswerDeadline(deadline time.Duration) { f.answerDeadline = deadline }
+
 // Shutdown stops accepting and closes each connection as soon as all its requests are answered. Input received so far is still
 // handled, and the rest of a command that has begun. Later commands, which a client pipelines while it waits for those answers, are
-// refused at once: if they were served, clients that keep sending could delay the end without limit. All answers are due by the
-// time until.
-func (f *Front) Shutdown(until time.Duration) {
-	f.shutdownDeadline, f.shuttingDown = until, true
+// refused at once: if they were served, clients that keep sending could delay the end without limit. SetAnswerDeadline must have been
+// called before.
+func (f *Front) Shutdown() {
+	f.shuttingDown = true
 	f.closeListener()
 	for state := stateBusy; state < stateClosing; state++ {
 		for _, c := range f.connsIn(state) {
@@ -21,7 +24,7 @@
 // closeListener accepts the connections that wait in the listen queue and stops listening. While they cannot be accepted it
 // retries, until no answer could be given in time any more.
 func (f *Front) closeListener() {
-	if !f.listener.Drain() && f.loop.Now()+listenerRetryInterval < f.shutdownDeadline {
+	if !f.listener.Drain() && f.loop.Now()+listenerRetryInterval < f.answerDeadline {
 		f.loop.At(f.loop.Now()+listenerRetryInterval, f.closeListener)
 		return
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -60,28 +60,28 @@
 
 // Front manages all connections of clients.
 type Front struct {
-	loop             *netloop.Loop
-	core             Core
-	options          Options
-	classes          map[string]int
-	openIDs          map[string]struct{} // client's request ids of unanswered requests
-	listener         *netloop.Listener
-	accepting        bool                  // the listener accepts
-	queues           [stateCount]list.List // of *conn
-	streaming        map[*conn]struct{}    // connections whose current answer is streamed
-	largeBytes       int                   // reserved for large statements, including bytes not received yet
-	largeWaiting     []*conn               // connections that wait for such a reservation
-	cancelKeys       map[uint64]*conn      // keys by which clients may cancel; unpredictable from other keys
-	keySource        *rand.ChaCha8
-	shuttingDown     bool          // each connection is closed as soon as all is answered
-	shutdownDeadline time.Duration // when the last answer is due
-	drainUntil       time.Duration // connections close after their next answers, idle ones by this time; 0: not draining
-	starting         bool          // the empty query fails: the gateway is not ready yet
-	drained          bool          // the empty query fails: the gateway is drained
-	refusedLog       netloop.RateLimitedLog
-	clientLog        netloop.RateLimitedLog
-	lastNumber       uint64 // of the last accepted connection
-	closedCounts     *stats.NamedCounters
+	loop           *netloop.Loop
+	core           Core
+	options        Options
+	classes        map[string]int
+	openIDs        map[string]struct{} // client's request ids of unanswered requests
+	listener       *netloop.Listener
+	accepting      bool                  // the listener accepts
+	queues         [stateCount]list.List // of *conn
+	streaming      map[*conn]struct{}    // connections whose current answer is streamed
+	largeBytes     int                   // reserved for large statements, including bytes not received yet
+	largeWaiting   []*conn               // connections that wait for such a reservation
+	cancelKeys     map[uint64]*conn      // keys by which clients may cancel; unpredictable from other keys
+	keySource      *rand.ChaCha8
+	shuttingDown   bool          // each connection is closed as soon as all is answered
+	answerDeadline time.Duration // when the last answer before the process ends is due; 0: it is not ending
+	drainUntil     time.Duration // connections close after their next answers, idle ones by this time; 0: not draining
+	starting       bool          // the empty query fails: the gateway is not ready yet
+	drained        bool          // the empty query fails: the gateway is drained
+	refusedLog     netloop.RateLimitedLog
+	clientLog      netloop.RateLimitedLog
+	lastNumber     uint64 // of the last accepted connection
+	closedCounts   *stats.NamedCounters
 }
 
 // Metrics appends the counts of connections that the gateway has closed, by reason.
