Answer early enough before the kill for a process that is held up

With the process stopped for 0.15 s as SIGTERM arrives, a write that waits to the end is answered 3.75 s after SIGTERM, and SIGKILL comes at 3.7 s.

Cause: the time of the kill is counted from when the signal is read, and the margin before it was 0.1 s.

Change: the margin is twice that stall and 0.05 s.

Test: TestHandoverNoticedLateAnswersBeforeKill fails on the code before: "3.746796181s is not less than "3.55s"" and the exit at 3.798 s is not before 3.7 s. Loss: a request that is still unanswered then is failed 0.25 s earlier than before, 0.35 s before the kill.

--- a/cmd/lilaccove/handover_test.go
+++ b/cmd/lilaccove/handover_test.go
@@ -105,6 +105,26 @@
 	assert.Empty(t, gw.replicaB.Statements())
 }
 
+// startHandoverWhilePrimaryHangs starts a gateway and its successor, with the primary hanging. Of the clients of the gateway one waits for
+// the answer to a write, and the others are idle.
+func startHandoverWhilePrimaryHangs(t *testing.T) (gw, successor *testGateway, waiting *client, idle []*client) {
+	t.Helper()
+	gw = startWithInheritedSocket(t)
+	waiting = gw.connect()
+	gw.learnPositions(waiting)
+	for range 24 { // some are still open 1 s after SIGTERM
+		c := gw.connect()
+		c.query(statement("browse", 1200, ""))
+		idle = append(idle, c)
+	}
+	gw.primary.setHandler(neverAnswer)
+	waiting.write(queryMessage(statement("write", 3000, "")))
+	gw.eventually("the write arrives", func() bool { return len(gw.primary.Statements()) > 0 })
+	successor = gw.startSuccessor()
+	gw.eventually("the new process is ready", successor.ready)
+	return gw, successor, waiting, idle
+}
+
 // Guards against requests that a process takes late in a handover and that are due only after it is killed: all are answered before.
 func TestHandoverAnswersLateRequestsBeforeKill(t *testing.T) {
 	t.Parallel()
@@ -134,20 +154,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			gw := startWithInheritedSocket(t)
-			waiting := gw.connect()
-			gw.learnPositions(waiting)
-			var idle []*client
-			for range 24 {
-				c := gw.connect()
-				c.query(statement("browse", 1200, ""))
-				idle = append(idle, c)
-			}
-			gw.primary.setHandler(neverAnswer)
-			waiting.write(queryMessage(statement("write", 3000, "")))
-			gw.eventually("the write arrives", func() bool { return len(gw.primary.Statements()) > 0 })
-			successor := gw.startSuccessor()
-			gw.eventually("the new process is ready", successor.ready)
+			gw, successor, waiting, idle := startHandoverWhilePrimaryHangs(t)
 			termTime := gw.terminate()
 			time.Sleep(time.Until(termTime.Add(lateRequest)))
 			texts := []string{queryMessage(statement("write", 3000, "")), queryMessage(largeWrite(40 << 10)), queryMessage(statement("write", 3000, ""))}
@@ -160,3 +167,23 @@
 		})
 	}
 }
+
+// Guards against answers after the kill because the process, held up as long as it may be, noticed SIGTERM late and counts from then.
+func TestHandoverNoticedLateAnswersBeforeKill(t *testing.T) {
+	t.Parallel()
+	const allowedStall = 150 * time.Millisecond
+	gw, _, _, idle := startHandoverWhilePrimaryHangs(t)
+	var termTime time.Time
+	gw.whilePaused(func() {
+		termTime = time.Now()
+		gw.sendSIGTERM()
+		time.Sleep(allowedStall)
+	})
+	time.Sleep(time.Until(termTime.Add(acceptTime + allowedStall)))
+	late := idle[len(idle)-1]
+	late.write(queryMessage(statement("write", 3000, "")))
+	got := late.readAnswer()
+	assert.Equal(t, 1, got.rows+got.errors, "%+v", got)
+	assert.Less(t, time.Since(termTime), acceptTime+killDelay-allowedStall, "it may be held up for as long when it answers")
+	gw.waitExitInTime(termTime)
+}
--- a/cmd/lilaccove/operations.go
+++ b/cmd/lilaccove/operations.go
@@ -31,9 +31,11 @@
 	handoverIdleTimeout = 1200 * time.Millisecond
 	handoverMaxDuration = 2 * time.Second
 	// SIGKILL follows SIGTERM after acceptTimeAfterTerm plus the longest deadline or minKillDelay, whichever is longer.
-	// Answers are sent at least lastAnswerMargin before that.
+	// Answers are due lastAnswerMargin before that: this process may be held up for maxStall when SIGTERM arrives, and again
+	// when it answers.
 	minKillDelay     = 3 * time.Second
-	lastAnswerMargin = 100 * time.Millisecond
+	maxStall         = 150 * time.Millisecond
+	lastAnswerMargin = 2*maxStall + 50*time.Millisecond
 	// How often a process checks for sibling processes, without one and with one.
 	pollIntervalAlone       = 100 * time.Millisecond
 	pollIntervalWithSibling = 20 * time.Millisecond
