Keep a connection's other answers when a large value on it breaks off

Cause: call.AbortStream closed the client's connection whenever a streamed value ended incomplete: also when it was not the next answer and none of it had been passed on, and when further commands waited behind it. The close went past the check closed_unanswered. Ruled out that the write's answer was late: with TROUBLE=0 it comes after 250 ms.

Change: a value of which the client has nothing is answered as failed in its turn. If a part was passed on and the client is owed further answers, the row is filled up to its announced length and an error follows in place of CommandComplete, so the client can tell, and the next answers follow. Otherwise the connection ends as before, by way of the check.

Loss: a client with pipelined commands reads up to 4 MiB of zeros before it learns that its value has failed.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -250,6 +250,7 @@
 	b := c.nc.Input()
 	b = b[:min(len(b), c.rowRemaining)]
 	c.rowRemaining -= len(b)
+	c.job.attempt.RowMissing = c.rowRemaining
 	c.lastRead = c.pool.loop.Now()
 	c.forward(b)
 	c.nc.Consume(len(b))
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -17,6 +17,7 @@
 	request    *gateway.Request
 	done       bool     // it is answered, or the client is gone
 	streamed   bool     // its value is streamed
+	filler     int      // bytes that are still to be written in place of the missing part of a streamed value
 	buffered   []byte   // the answer, until all earlier ones are written
 	id         string   // the client's request id
 	buffers    [][]byte // of the statement
@@ -42,9 +43,9 @@
 }
 
 // Failed answers that the outcome is unknown.
-func (call *call) Failed() {
-	call.answer(pgwire.AppendError(nil, "ERROR", pgwire.CodeUnknownOutcome, "failed, the statement may have run", ""))
-}
+func (call *call) Failed() { call.answer(failedMessage) }
+
+var failedMessage = pgwire.AppendError(nil, "ERROR", pgwire.CodeUnknownOutcome, "failed, the statement may have run", "")
 
 // answer writes the answer if it is the connection's next one, else buffers it.
 func (call *call) answer(message []byte) {
@@ -92,16 +93,6 @@
 // EndStream ends a streamed value.
 func (call *call) EndStream() { call.answer(nil) }
 
-// AbortStream closes the connection because the value ended incomplete; that is how the client notices.
-func (call *call) AbortStream() {
-	call.markDone()
-	if c := call.conn; !c.nc.Closed() {
-		c.front.clientLog.Printf(c.front.loop.Now(), "event=client_closed client=%d request=%q reason=%q",
-			c.number, call.id, "the streamed value ended incomplete")
-		c.abort(closedBroken)
-	}
-}
-
 // advance removes the first call, whose answer is written, and writes the answers that are next in order.
 func (c *conn) advance() {
 	delete(c.front.streaming, c)
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -100,9 +100,12 @@
 
 // flushed continues when all output was written.
 func (c *conn) flushed() {
-	if len(c.calls) > 0 && c.calls[0].streamed {
+	switch {
+	case len(c.calls) > 0 && c.calls[0].filler > 0:
+		c.writeFiller()
+	case len(c.calls) > 0 && c.calls[0].streamed:
 		c.front.core.ResumeStream(c.calls[0].request)
-	} else {
+	default:
 		c.serve()
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,10 +38,11 @@
 	Cancelled() // after Gateway.Cancel: nothing has run
 	// A large value is streamed instead: BeginStream, then StreamChunk, and finally EndStream, or AbortStream if
 	// it ended incomplete. StreamChunk reports whether more may follow at once; if not, Gateway.ResumeStream asks for it.
+	// AbortStream is given how many bytes of the row are missing.
 	BeginStream()
 	StreamChunk(chunk []byte) (more bool)
 	EndStream()
-	AbortStream()
+	AbortStream(missingBytes int)
 	Released() // the statement is no longer needed; the last call
 }
 
@@ -109,6 +110,7 @@
 	Deadline    time.Duration
 	BeginBy     time.Duration // it must be started before this time or not at all
 	BackendData any           // private to the backend
+	RowMissing  int           // bytes that are missing of a streamed row, once it has begun to be passed on
 
 	request   *Request
 	number    int
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -49,7 +49,7 @@
 func (env *environment) BeginStream()            { env.calls = append(env.calls, "begin stream") }
 func (env *environment) EndStream()              { env.calls = append(env.calls, "end stream") }
 func (env *environment) Cancelled()              { env.calls = append(env.calls, "cancelled") }
-func (env *environment) AbortStream()            { env.calls = append(env.calls, "abort stream") }
+func (env *environment) AbortStream(int)         { env.calls = append(env.calls, "abort stream") }
 func (env *environment) ResumeStream(a *Attempt) { env.resumed = append(env.resumed, a) }
 func (env *environment) StreamChunk(b []byte) bool {
 	env.calls = append(env.calls, "chunk "+string(b))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,7 +47,7 @@
 		req.Client.EndStream()
 	default:
 		g.endStream(req, &count.Failed)
-		req.Client.AbortStream()
+		req.Client.AbortStream(attempt.RowMissing)
 	}
 	if reply.HasPosition {
 		report := policy.Report{Position: reply.Position, HasPosition: true, Role: reply.Role}
