Bound the memory for answers that wait for slow readers

Cause: a connection's limits (32 commands, 256 KiB of answers) are compared when a command is accepted. Commands that arrive together are accepted before the first answer, and up to 31 answers of 64 KiB wait for the client, with no bound over all connections. Ruled out: the buffer pool (its limit held) and the streamed values (60 MB with the same commands read at once).

Change: front/answers.go counts the answers held over all connections and reserves 64 KiB for each command that is processed ahead of its turn, within an eighth of the memory. Other commands stay unread until it is their turn and nothing is unsent to their client; such a command needs no reservation, so no connection waits for another's. Nothing is closed for it. If unread answers pass a quarter of the memory, commands are refused. Metrics edge_gw.answers.* tell held, reserved and refused apart from the module's refusals.

Test: TestPipelinedAnswersStayWithinMemory. On the code before: "195512 is not less than 65536" (KiB).

Loss: a crowd of slow readers gets its pipelined commands processed one after the other.

--- a/cmd/lilaccove/large_test.go
+++ b/cmd/lilaccove/large_test.go
@@ -1,13 +1,10 @@
 package main
 
 import (
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
-	"os"
 	"regexp"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -332,10 +329,7 @@
 		}
 	}
 	assert.Positive(t, served)
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", gw.Pid()))
-	require.NoError(t, err)
-	match := regexp.MustCompile(`VmHWM:\s+(\d+) kB`).FindSubmatch(status)
-	peak, _ := strconv.Atoi(string(match[1]))
+	peak := gw.peakMemoryKiB()
 	t.Logf("served %d of 24, peak %d KiB", served, peak)
 	assert.Less(t, peak, 64<<10+raceMemoryKiB)
 	waiting.conn.Close()
--- a/cmd/lilaccove/main.go
+++ b/cmd/lilaccove/main.go
@@ -108,8 +108,8 @@
 	// Connections to databases may use all the others but the few reserved for discovery and for refusing clients.
 	ops := &operations{loop: loop, core: core, side: side, discovery: side.Watch, pool: pool, counts: side.Counts, links: side.Links, guard: side.Guard}
 	frontend := front.New(loop, core, front.Options{
-		Classes: gatewaySettings.Classes, MaxClients: maxDescriptors / 2, Reserve: maxDescriptors / 8, MaxLargeStatementBytes: memoryBytes / 6, FreeDescriptor: pool.CloseOldestIdle,
-		Guard: side.Guard, Servable: ops.servable,
+		Classes: gatewaySettings.Classes, MaxClients: maxDescriptors / 2, Reserve: maxDescriptors / 8, MaxLargeStatementBytes: memoryBytes / 6,
+		MaxAnswerBytes: memoryBytes / answerMemoryPart, FreeDescriptor: pool.CloseOldestIdle, Guard: side.Guard, Servable: ops.servable,
 	})
 	side.Connect(pool)
 	ops.front, ops.listSource, ops.memoryBytes, ops.descriptorLimit = frontend, gatewaySettings.Policy.ListSource, memoryBytes, maxDescriptors
--- a/cmd/lilaccove/operations.go
+++ b/cmd/lilaccove/operations.go
@@ -39,6 +39,8 @@
 	// How often a process checks for sibling processes, without one and with one.
 	pollIntervalAlone       = 100 * time.Millisecond
 	pollIntervalWithSibling = 20 * time.Millisecond
+	// answerMemoryPart is the part of the memory that answers may take before clients read them: one in so many bytes.
+	answerMemoryPart = 8
 	// acknowledgeTimeout is how long the reply to an operator waits for the sibling process to apply the override.
 	acknowledgeTimeout = 700 * time.Millisecond
 )
@@ -195,6 +197,7 @@
 	o.loop.SetDescriptorLimit(o.descriptorLimit / parts)
 	o.loop.SetBufferLimit(o.memoryBytes / 4 / parts)
 	o.front.SetMaxClients(o.descriptorLimit / 2 / parts)
+	o.front.SetMaxAnswerBytes(o.memoryBytes / answerMemoryPart / parts)
 	setHeapLimit(o.memoryBytes / parts)
 	if o.links != nil {
 		o.links.SetSibling(o.siblingAlive)
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -59,6 +59,7 @@
 		before := len(call.buffered)                                        // of a streamed value
 		call.buffered = slices.Concat(call.buffered, message, readyMessage) // message is valid only during this call
 		c.bufferedBytes += len(call.buffered) - before
+		c.updateAnswerMemory()
 		return
 	}
 	c.nc.Write(message, readyMessage)
@@ -84,9 +85,11 @@
 	if c.calls[0] != call {
 		call.buffered = append(call.buffered, b...)
 		c.bufferedBytes += len(b)
+		c.updateAnswerMemory()
 		return false
 	}
 	c.nc.Write(b)
+	c.updateAnswerMemory()
 	return c.nc.Pending() < maxStreamBacklog
 }
 
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -27,6 +27,7 @@
 	queried        bool            // a complete query was received
 	calls          []*call         // not completely answered yet
 	bufferedBytes  int             // bytes of answers that wait for earlier ones
+	answers        answerMemory    // its part of Front.answers
 	takesRemaining bool            // received input is still handled during shutdown
 	finishing      bool            // input is ignored; the connection ends when all is answered
 	refusing       bool            // further statements are refused; the connection ends when all is answered
@@ -125,6 +126,7 @@
 	delete(c.front.streaming, c)
 	calls := c.calls
 	c.calls = nil
+	c.updateAnswerMemory()
 	for _, call := range calls {
 		if !call.done {
 			call.markDone()
@@ -134,9 +136,17 @@
 }
 
 // acceptsCommand reports whether the next command may be handled. Too many pipelined commands, or too many
-// unread answers, leave further input unread.
+// unread answers, leave further input unread. A command whose turn it is, and to whose client nothing is unsent, is always handled.
 func (c *conn) acceptsCommand() bool {
-	return !c.nc.Closed() && !c.finishing && len(c.calls) < maxPipelined && c.nc.Pending()+c.bufferedBytes < maxUnreadBytes
+	unsent := c.nc.Pending()
+	switch {
+	case c.nc.Closed() || c.finishing || len(c.calls) >= maxPipelined || unsent+c.bufferedBytes >= maxUnreadBytes:
+		return false
+	case len(c.calls) == 0 && unsent == 0:
+		return true
+	}
+	c.updateAnswerMemory()
+	return c.front.mayReserveAnswer()
 }
 
 // serve handles all complete packets that may be handled now, then closes the connection or updates its state.
@@ -149,6 +159,7 @@
 		c.refusing = c.refusing || c.queried && c.front.shuttingDown && !c.takesRemaining
 	}
 	c.serving = false
+	c.updateAnswerMemory()
 	if c.nc.Closed() {
 		return
 	}
@@ -325,9 +336,13 @@
 	call := &call{conn: c, request: request, id: id, buffers: buffers, largeBytes: largeBytes}
 	request.Client, request.Statement = call, statement
 	c.calls = append(c.calls, call)
-	if c.refusing {
+	switch {
+	case c.refusing:
+		c.front.core.Refuse(request)
+	case c.front.answersExceeded():
+		c.front.refusedForMemory++
 		c.front.core.Refuse(request)
-	} else {
+	default:
 		c.front.core.Submit(request)
 	}
 }
@@ -371,6 +386,7 @@
 		deadline = min(deadline, max(c.front.answerDeadline, c.front.loop.Now()+lastAnswerTime))
 	}
 	c.nc.Finish(deadline)
+	c.updateAnswerMemory()
 	c.updateState()
 }
 
@@ -408,4 +424,5 @@
 	c.dequeue()
 	c.discardLarge()
 	c.nc.Close()
+	c.updateAnswerMemory()
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -52,6 +52,7 @@
 	MaxClients             int         // concurrent clients
 	Reserve                int         // descriptors reserved for databases and discovery
 	MaxLargeStatementBytes int         // total bytes of concurrent statements over pgwire.MaxBufferedMessage
+	MaxAnswerBytes         int         // answers that are not read or wait for earlier ones; twice as much for commands whose turn it is
 	FreeDescriptor         func() bool // frees an unneeded descriptor elsewhere; false: there is none
 
 	Guard    *invariant.Guard // nil: nothing is checked
@@ -60,32 +61,39 @@
 
 // Front manages all connections of clients.
 type Front struct {
-	loop           *netloop.Loop
-	core           Core
-	options        Options
-	classes        map[string]int
-	openIDs        map[string]struct{} // client's request ids of unanswered requests
-	listener       *netloop.Listener
-	accepting      bool                  // the listener accepts
-	queues         [stateCount]list.List // of *conn
-	streaming      map[*conn]struct{}    // connections whose current answer is streamed
-	largeBytes     int                   // reserved for large statements, including bytes not received yet
-	largeWaiting   []*conn               // connections that wait for such a reservation
-	cancelKeys     map[uint64]*conn      // keys by which clients may cancel; unpredictable from other keys
-	keySource      *rand.ChaCha8
-	shuttingDown   bool          // each connection is closed as soon as all is answered
-	answerDeadline time.Duration // when the last answer before the process ends is due; 0: it is not ending
-	drainUntil     time.Duration // connections close after their next answers, idle ones by this time; 0: not draining
-	starting       bool          // the empty query fails: the gateway is not ready yet
-	drained        bool          // the empty query fails: the gateway is drained
-	refusedLog     netloop.RateLimitedLog
-	clientLog      netloop.RateLimitedLog
-	lastNumber     uint64 // of the last accepted connection
-	closedCounts   *stats.NamedCounters
+	loop             *netloop.Loop
+	core             Core
+	options          Options
+	classes          map[string]int
+	openIDs          map[string]struct{} // client's request ids of unanswered requests
+	listener         *netloop.Listener
+	accepting        bool                  // the listener accepts
+	queues           [stateCount]list.List // of *conn
+	streaming        map[*conn]struct{}    // connections whose current answer is streamed
+	answers          answerMemory          // of all connections
+	refusedForMemory uint64                // commands refused because too many answers are not read
+	largeBytes       int                   // reserved for large statements, including bytes not received yet
+	largeWaiting     []*conn               // connections that wait for such a reservation
+	cancelKeys       map[uint64]*conn      // keys by which clients may cancel; unpredictable from other keys
+	keySource        *rand.ChaCha8
+	shuttingDown     bool          // each connection is closed as soon as all is answered
+	answerDeadline   time.Duration // when the last answer before the process ends is due; 0: it is not ending
+	drainUntil       time.Duration // connections close after their next answers, idle ones by this time; 0: not draining
+	starting         bool          // the empty query fails: the gateway is not ready yet
+	drained          bool          // the empty query fails: the gateway is drained
+	refusedLog       netloop.RateLimitedLog
+	clientLog        netloop.RateLimitedLog
+	lastNumber       uint64 // of the last accepted connection
+	closedCounts     *stats.NamedCounters
 }
 
-// Metrics appends the counts of connections that the gateway has closed, by reason.
-func (f *Front) Metrics(b []byte) []byte { return f.closedCounts.Append(b) }
+// Metrics appends the counts of connections that the gateway has closed, by reason, and the memory for answers.
+func (f *Front) Metrics(b []byte) []byte {
+	b = stats.AppendMetric(b, "answers.held_bytes", uint64(f.answers.held))
+	b = stats.AppendMetric(b, "answers.reserved_bytes", uint64(f.answers.reserved))
+	b = stats.AppendMetric(b, "answers.refused", f.refusedForMemory)
+	return f.closedCounts.Append(b)
+}
 
 // New returns a front that submits requests to core.
 func New(loop *netloop.Loop, core Core, options Options) *Front {
