Count what the kernel still holds when judging whether a client reads

Cause: conn.hasRead saw only bytes that leave the process, and the kernel takes more only when a large part of its send buffer is free.

Change: bytes that the peer has not acknowledged in the kernel's buffer count too (Conn.Unacknowledged, SIOCOUTQ).

Test: TestSlowReaderOfLargeValueIsNotCutOff fails on the code before: "value 0: 0 bytes, true" (ended), and so does the value behind it.

--- a/cmd/lilaccove/slow_reader_test.go
+++ b/cmd/lilaccove/slow_reader_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"os"
@@ -73,3 +74,36 @@
 		gw.peakMemoryKiB(), gw.metric("passed.browse"), gw.metric("dropped.browse"), gw.metric("answers.refused"))
 	assert.Less(t, gw.peakMemoryKiB(), memoryMB<<10+raceMemoryKiB)
 }
+
+// slowConn reads at most pieceBytes every interval until the time until, and at any speed after it.
+type slowConn struct {
+	net.Conn
+	until time.Time
+}
+
+func (c *slowConn) Read(b []byte) (int, error) {
+	const pieceBytes, interval = 4 << 10, 40 * time.Millisecond
+	if time.Now().Before(c.until) {
+		time.Sleep(interval)
+		b = b[:min(len(b), pieceBytes)]
+	}
+	return c.Conn.Read(b)
+}
+
+// Guards against cutting off a client that reads a value slowly: the kernel's buffers hide its progress for over 10 s.
+func TestSlowReaderOfLargeValueIsNotCutOff(t *testing.T) {
+	t.Parallel()
+	const slowTime = 16 * time.Second
+	gw := startGateway(t, nil)
+	value := variedValue(pgwire.MaxServerMessage - 100)
+	gw.primary.setHandler(func(d *database, c net.Conn, _ string) { d.Answer(c, value) })
+	c := gw.connect()
+	require.NoError(t, c.conn.SetDeadline(time.Now().Add(slowTime+waitTimeout)))
+	require.NoError(t, c.conn.(*net.TCPConn).SetReadBuffer(64<<10))
+	c.write(queryMessage(statement("write", 2000, "")) + queryMessage(statement("write", 2000, "")))
+	c.reader = bufio.NewReader(&slowConn{Conn: c.conn, until: time.Now().Add(slowTime)})
+	for i := range 2 {
+		got := c.readAnswer()
+		assert.True(t, got.value == value, "value %d: %d bytes, %+v", i, len(got.value), got.ended)
+	}
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -34,7 +34,7 @@
 	lastRead       bool            // input was polled before the connection ends
 	large          *largeStatement // a large statement that is not completely received
 	enteredAt      time.Duration   // when it entered its state
-	lastPending    int             // unread bytes at the last call of hasRead
+	lastUnread     int             // unread bytes at the last call of hasRead
 	lastReadAt     time.Duration
 	serving        bool // serve is running; answers given during it must not call it again
 	state          connState
--- a/internal/front/limits.go
+++ b/internal/front/limits.go
@@ -79,9 +79,9 @@
 
 // hasRead reports whether the client has read since the last call, or has nothing to read.
 func (c *conn) hasRead() bool {
-	pending := c.nc.Pending()
-	progressed := pending == 0 || pending != c.lastPending
-	if c.lastPending = pending; progressed {
+	unread := c.nc.Unacknowledged()
+	progressed := c.nc.Pending() == 0 || unread != c.lastUnread
+	if c.lastUnread = unread; progressed {
 		c.lastReadAt = c.front.loop.Now()
 	}
 	return progressed
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -138,6 +138,18 @@
 // not accepted by then.
 func (c *Conn) Pending() int { return len(c.out) - c.sent + c.unsentAtClose }
 
+// Unacknowledged returns how many written bytes the peer has not acknowledged: Pending, and what the kernel still holds. The kernel
+// accepts more only when a large part of its buffer is free, so that a slow peer shows here long before it shows in Pending.
+func (c *Conn) Unacknowledged() int {
+	inKernel := 0
+	if c.fd >= 0 {
+		if n, err := unix.IoctlGetInt(c.fd, unix.SIOCOUTQ); err == nil {
+			inKernel = n
+		}
+	}
+	return c.Pending() + inKernel
+}
+
 // OnFlush sets a function that is called whenever the kernel has accepted the last of the bytes that Write
 // had queued.
 func (c *Conn) OnFlush(callback func()) { c.onFlush = callback }
