Answer clients whose buffers are reclaimed, and keep unread answers

Cause: when buffers are short Front.reclaimMemory ended connections with an incomplete command, with no error to the client, although the rest may be in the kernel by then, and after those connections with unread answers, to which these and the commands behind them are owed. Unread output could fill the pool, so that the shortage lasted.

An incomplete command is answered with 53300 before its connection ends; so is one that timed out while no buffer was there to read its rest.

Tests: TestUnreadAnswersSurviveMemoryShortage and TestMemoryShortageAnswersSlowWriters, a front with 2 MiB of buffers.

Loss: input has less of the pool while many answers are unread; slow writers are refused then.

--- a/internal/front/limits.go
+++ b/internal/front/limits.go
@@ -100,6 +100,10 @@
 				c.serve()
 				continue
 			}
+			if c.nc.AwaitingBuffer() { // its input may be complete and was not read
+				c.refuseForMemory()
+				continue
+			}
 			if state != stateIdle && state != stateClosing {
 				f.clientLog.Printf(now, "event=client_closed client=%d reason=slow started=%t pending=%d", c.number, c.started, c.nc.Pending())
 			}
@@ -144,15 +148,22 @@
 	return false
 }
 
-// reclaimMemory frees buffers while memory is short, except those of c, which is in use: first those
-// of clients that have not sent a complete packet, oldest first. A usual request is small.
+// reclaimMemory frees buffers while memory is short, except those of c, which is in use: those of clients that have not sent a complete
+// packet, oldest first. A usual request is small. Unread answers are kept: the memory for them is bounded by Options.MaxAnswerBytes.
 func (f *Front) reclaimMemory(c *conn) {
-	for state := stateNew; state < stateIdle && f.loop.BuffersShort(); state++ {
+	for state := stateNew; state <= statePartial && f.loop.BuffersShort(); state++ {
 		for _, other := range f.connsIn(state) {
 			if other != c && other.nc.BufferBytes() > smallBufferBytes && f.loop.BuffersShort() {
 				f.clientLog.Printf(f.loop.Now(), "event=client_closed client=%d reason=memory held=%d", other.number, other.nc.BufferBytes())
-				other.finish(closedMemory) // a plain close with unread input would reset the connection and lose an answer that was just written
+				other.refuseForMemory()
 			}
 		}
 	}
 }
+
+// refuseForMemory ends a connection that has no unanswered command. The last byte of its next command may have been sent already, so that the
+// client is owed an answer.
+func (c *conn) refuseForMemory() {
+	c.nc.Write(pgwire.AppendError(nil, "FATAL", pgwire.CodeTooManyConnections, "the gateway's memory is short; nothing has run", ""))
+	c.finish(closedMemory)
+}
--- /dev/null
+++ b/internal/front/memory_test.go
@@ -0,0 +1,168 @@
+package front
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lilaccove/internal/gateway"
+	"lilaccove/internal/netloop"
+	"lilaccove/internal/pgwire"
+)
+
+// echo is a core that serves each request at once with the same value.
+type echo struct{ row []byte }
+
+func (e *echo) Submit(request *gateway.Request) {
+	request.Client.Served(e.row)
+	request.Client.Released()
+}
+func (*echo) Refuse(request *gateway.Request) {
+	request.Client.Refused(0)
+	request.Client.Released()
+}
+func (*echo) ClientGone(*gateway.Request)   {}
+func (*echo) ResumeStream(*gateway.Request) {}
+func (*echo) Cancel(*gateway.Request)       {}
+
+const (
+	testWait        = 10 * time.Second
+	testBufferBytes = 2 << 20
+	testValueBytes  = 60 << 10
+)
+
+// startFront runs a front whose buffers are limited to testBufferBytes and returns its address.
+func startFront(t *testing.T) string {
+	t.Helper()
+	loop, err := netloop.New(1024, 0, testBufferBytes)
+	require.NoError(t, err)
+	row := append([]byte{pgwire.DataRow}, binary.BigEndian.AppendUint32(nil, testValueBytes+10)...)
+	row = append(row, 0, 1)
+	row = binary.BigEndian.AppendUint32(row, testValueBytes)
+	row = append(row, make([]byte, testValueBytes)...)
+	f := New(loop, &echo{row: row}, Options{
+		Classes: []string{"browse"}, MaxClients: 512, MaxLargeStatementBytes: 1 << 20, MaxAnswerBytes: testBufferBytes / 2,
+		FreeDescriptor: func() bool { return false },
+	})
+	addr, err := f.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	require.NoError(t, err)
+	ended := make(chan struct{})
+	stop := make(chan struct{})
+	loop.OnWake(func() {
+		select {
+		case <-stop:
+			loop.Stop()
+		default:
+		}
+	})
+	go func() {
+		defer close(ended)
+		assert.NoError(t, loop.Run(func() bool { return false }))
+	}()
+	t.Cleanup(func() {
+		close(stop)
+		loop.Wake()
+		<-ended
+		loop.Close()
+	})
+	return addr.String()
+}
+
+// dialFront opens a connection with a small receive buffer and completes the startup.
+func dialFront(t *testing.T, addr string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	require.NoError(t, c.(*net.TCPConn).SetReadBuffer(16<<10))
+	require.NoError(t, c.SetDeadline(time.Now().Add(testWait)))
+	_, err = c.Write(pgwire.Startup("api", "ledger"))
+	require.NoError(t, err)
+	in := bufio.NewReader(c)
+	require.Equal(t, "Z", lastOfAnswer(in))
+	return c, in
+}
+
+// lastOfAnswer reads an answer and returns the types of its rows and errors, and what ended it: Z, or "ended".
+func lastOfAnswer(in *bufio.Reader) (kinds string) {
+	for {
+		var header [5]byte
+		if _, err := io.ReadFull(in, header[:]); err != nil {
+			return kinds + "ended"
+		}
+		if _, err := io.CopyN(io.Discard, in, int64(binary.BigEndian.Uint32(header[1:]))-4); err != nil {
+			return kinds + "ended"
+		}
+		switch header[0] {
+		case pgwire.DataRow, pgwire.ErrorResponse:
+			kinds += string(header[0])
+		case pgwire.Ready:
+			return kinds + "Z"
+		}
+	}
+}
+
+// query returns a read whose text has about the given length.
+func query(id string, length int) string {
+	text := fmt.Sprintf("/* id=%s,c=browse,d=1000,cluster=1 */ SELECT blob FROM rows WHERE handle = '7f3a9c21e0b4d655'", id)
+	return string(pgwire.AppendQuery(nil, text+strings.Repeat(" ", max(0, length-len(text)))))
+}
+
+// Guards against losing answers because memory is short: the connections of clients that had not read them yet were closed.
+func TestUnreadAnswersSurviveMemoryShortage(t *testing.T) {
+	addr := startFront(t)
+	const readers, commands = 12, 100
+	var all sync.WaitGroup
+	startReading := make(chan struct{})
+	for reader := range readers {
+		c, in := dialFront(t, addr)
+		var text strings.Builder
+		for i := range commands {
+			text.WriteString(query(fmt.Sprintf("%d-%d", reader, i), 0))
+		}
+		_, err := io.WriteString(c, text.String())
+		require.NoError(t, err)
+		all.Go(func() {
+			<-startReading
+			for i := range commands {
+				assert.Contains(t, []string{"DZ", "EZ"}, lastOfAnswer(in), "reader %d, command %d", reader, i)
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond) // until the kernel's buffers are full
+	c, in := dialFront(t, addr)
+	_, err := io.WriteString(c, query("other", 0))
+	require.NoError(t, err)
+	assert.Contains(t, []string{"DZ", "EZ"}, lastOfAnswer(in), "others are answered meanwhile")
+	close(startReading)
+	all.Wait()
+}
+
+// Guards against ending connections without an answer because memory is short: those of clients that had written their whole statement.
+func TestMemoryShortageAnswersSlowWriters(t *testing.T) {
+	addr := startFront(t)
+	const writers, length, atOnce = 100, 60 << 10, 50 << 10
+	var all sync.WaitGroup
+	for writer := range writers {
+		c, in := dialFront(t, addr)
+		text := query(fmt.Sprint(writer), length)
+		_, err := io.WriteString(c, text[:atOnce])
+		require.NoError(t, err)
+		all.Go(func() {
+			time.Sleep(time.Second)
+			_, _ = io.WriteString(c, text[atOnce:])
+			assert.Contains(t, []string{"DZ", "Eended"}, lastOfAnswer(in), "writer %d", writer)
+		})
+	}
+	all.Wait()
+}
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -173,6 +173,9 @@
 	})
 }
 
+// AwaitingBuffer reports whether input is not read because no buffer is available.
+func (c *Conn) AwaitingBuffer() bool { return c.awaitingBuffer }
+
 // Resume starts reading again after Pause.
 func (c *Conn) Resume() {
 	c.paused = false
@@ -216,7 +219,7 @@
 		skipped := min(skip, len(part))
 		skip -= skipped
 		if len(part) > skipped {
-			c.out = c.loop.buffers.appendTo(c.out, part[skipped:])
+			c.out = c.loop.buffers.appendOutput(c.out, part[skipped:])
 		}
 	}
 }
@@ -558,13 +561,23 @@
 }
 
 // appendTo appends to a buffer whose size its writer bounds. A buffer over the largest size, or over the limit,
+// is allocated outside the pool.
+func (p *bufferPool) appendTo(b, more []byte) []byte { return p.appendWithin(p.limit, b, more) }
+
+// appendOutput is appendTo for output, which takes at most half of the pool: peers that don't read must not keep it from input.
+func (p *bufferPool) appendOutput(b, more []byte) []byte { return p.appendWithin(p.limit/2, b, more) }
+
+// appendWithin appends to a buffer, which is taken from the pool as long as all buffers together stay within the limit. Otherwise it
 // is allocated outside the pool with an odd capacity, by which put recognizes it.
-func (p *bufferPool) appendTo(b, more []byte) []byte {
+func (p *bufferPool) appendWithin(limit int, b, more []byte) []byte {
 	need := len(b) + len(more)
 	if need <= cap(b) {
 		return append(b, more...)
 	}
-	next := p.get(need)
+	var next []byte
+	if p.allocated+need <= limit {
+		next = p.get(need)
+	}
 	if cap(next) < need {
 		p.put(next)
 		next = make([]byte, 0, need|1)
