Refuse commands of a connection that ends even while its answers are unread

During a shutdown a connection refuses further commands and ends when nothing is outstanding. If its unread answers had reached their limit just then, complete commands would have stayed in its input and been dropped with the end. A refusal is small, so commands are refused whatever is unread.

--- a/internal/front/broken.go
+++ b/internal/front/broken.go
@@ -47,6 +47,7 @@
 		call.filler -= len(piece)
 		c.nc.Write(piece)
 	}
+	c.updateAnswerMemory()
 	if call.filler == 0 {
 		call.Failed()
 	}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -140,10 +140,12 @@
 func (c *conn) acceptsCommand() bool {
 	unsent := c.nc.Pending()
 	switch {
-	case c.nc.Closed() || c.finishing || len(c.calls) >= maxPipelined || unsent+c.bufferedBytes >= maxUnreadBytes:
+	case c.nc.Closed() || c.finishing || len(c.calls) >= maxPipelined:
 		return false
-	case len(c.calls) == 0 && unsent == 0:
+	case c.refusing, len(c.calls) == 0 && unsent == 0: // a refusal is small
 		return true
+	case unsent+c.bufferedBytes >= maxUnreadBytes:
+		return false
 	}
 	c.updateAnswerMemory()
 	return c.front.mayReserveAnswer()
--- a/internal/front/limits.go
+++ b/internal/front/limits.go
@@ -100,7 +100,7 @@
 				c.serve()
 				continue
 			}
-			if c.nc.AwaitingBuffer() { // its input may be complete and was not read
+			if c.nc.AwaitingBuffer() && state != stateUnread && state != stateClosing { // its input may be complete and was not read
 				c.refuseForMemory()
 				continue
 			}
--- a/internal/front/memory_test.go
+++ b/internal/front/memory_test.go
@@ -41,8 +41,8 @@
 	testValueBytes  = 60 << 10
 )
 
-// startFront runs a front whose buffers are limited to testBufferBytes and returns its address.
-func startFront(t *testing.T) string {
+// startFront runs a front whose buffers are limited to testBufferBytes. It returns its address and a function that shuts it down.
+func startFront(t *testing.T) (addr string, shutdown func()) {
 	t.Helper()
 	loop, err := netloop.New(1024, 0, testBufferBytes)
 	require.NoError(t, err)
@@ -54,28 +54,34 @@
 		Classes: []string{"browse"}, MaxClients: 512, MaxLargeStatementBytes: 1 << 20, MaxAnswerBytes: testBufferBytes / 2,
 		FreeDescriptor: func() bool { return false },
 	})
-	addr, err := f.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	listenAddr, err := f.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 	require.NoError(t, err)
 	ended := make(chan struct{})
-	stop := make(chan struct{})
+	tasks := make(chan func(), 2) // for the loop's goroutine
 	loop.OnWake(func() {
-		select {
-		case <-stop:
-			loop.Stop()
-		default:
+		for len(tasks) > 0 {
+			(<-tasks)()
 		}
 	})
+	run := func(task func()) {
+		tasks <- task
+		loop.Wake()
+	}
 	go func() {
 		defer close(ended)
 		assert.NoError(t, loop.Run(func() bool { return false }))
 	}()
 	t.Cleanup(func() {
-		close(stop)
-		loop.Wake()
+		run(loop.Stop)
 		<-ended
 		loop.Close()
 	})
-	return addr.String()
+	return listenAddr.String(), func() {
+		run(func() {
+			f.SetAnswerDeadline(loop.Now() + testWait)
+			f.Shutdown()
+		})
+	}
 }
 
 // dialFront opens a connection with a small receive buffer and completes the startup.
@@ -118,20 +124,27 @@
 	return string(pgwire.AppendQuery(nil, text+strings.Repeat(" ", max(0, length-len(text)))))
 }
 
+// pipeline sends so many reads on a new connection, and returns what reads their answers.
+func pipeline(t *testing.T, addr string, reader, commands int) *bufio.Reader {
+	t.Helper()
+	c, in := dialFront(t, addr)
+	var text strings.Builder
+	for i := range commands {
+		text.WriteString(query(fmt.Sprintf("%d-%d", reader, i), 0))
+	}
+	_, err := io.WriteString(c, text.String())
+	require.NoError(t, err)
+	return in
+}
+
 // Guards against losing answers because memory is short: the connections of clients that had not read them yet were closed.
 func TestUnreadAnswersSurviveMemoryShortage(t *testing.T) {
-	addr := startFront(t)
+	addr, _ := startFront(t)
 	const readers, commands = 12, 100
 	var all sync.WaitGroup
 	startReading := make(chan struct{})
 	for reader := range readers {
-		c, in := dialFront(t, addr)
-		var text strings.Builder
-		for i := range commands {
-			text.WriteString(query(fmt.Sprintf("%d-%d", reader, i), 0))
-		}
-		_, err := io.WriteString(c, text.String())
-		require.NoError(t, err)
+		in := pipeline(t, addr, reader, commands)
 		all.Go(func() {
 			<-startReading
 			for i := range commands {
@@ -150,7 +163,7 @@
 
 // Guards against ending connections without an answer because memory is short: those of clients that had written their whole statement.
 func TestMemoryShortageAnswersSlowWriters(t *testing.T) {
-	addr := startFront(t)
+	addr, _ := startFront(t)
 	const writers, length, atOnce = 100, 60 << 10, 50 << 10
 	var all sync.WaitGroup
 	for writer := range writers {
@@ -166,3 +179,25 @@
 	}
 	all.Wait()
 }
+
+// Guards against dropping commands at shutdown that were left unread because earlier answers of their connection are unread.
+func TestShutdownAnswersCommandsBehindUnreadAnswers(t *testing.T) {
+	addr, shutdown := startFront(t)
+	const readers, commands = 12, 100
+	var all sync.WaitGroup
+	startReading := make(chan struct{})
+	for reader := range readers {
+		in := pipeline(t, addr, reader, commands)
+		all.Go(func() {
+			<-startReading
+			for i := range commands {
+				assert.Contains(t, []string{"DZ", "EZ"}, lastOfAnswer(in), "reader %d, command %d", reader, i)
+			}
+			assert.Equal(t, "ended", lastOfAnswer(in))
+		})
+	}
+	time.Sleep(500 * time.Millisecond) // until the kernel's buffers are full
+	shutdown()
+	close(startReading)
+	all.Wait()
+}
