Let a session see its own write whose value was streamed

Cause: the Result of a streamed value goes to the decision module when it begins; the commit comes at its end, and was reported as the host's position, without the session.

Change: the gateway reports that commit with the event SessionCommitted; Router.recordCommit serves both it and Result.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -43,6 +43,7 @@
 	case req.stream != attempt: // the client disconnected before
 	case outcome == policy.OK:
 		g.notifyAccepted(attempt)
+		g.reportCommit(req, reply)
 		g.endStream(req, &count.Served)
 		req.Client.EndStream()
 	default:
@@ -56,6 +57,13 @@
 	g.release(req)
 }
 
+// reportCommit reports the position at the end of a streamed answer, which the Result at its beginning lacked: for a write, its commit.
+func (g *Gateway) reportCommit(req *Request, reply Reply) {
+	if reply.HasPosition {
+		g.events = append(g.events, policy.SessionCommitted{Session: req.Session, Class: req.Class, Position: reply.Position})
+	}
+}
+
 func (g *Gateway) endStream(req *Request, count *uint64) {
 	req.stream = nil
 	*count++
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -196,6 +196,8 @@
 			r.onRequest(e)
 		case Result:
 			r.onResult(e)
+		case SessionCommitted:
+			r.onSessionCommitted(e)
 		case ProbeResult:
 			r.onProbeResult(e)
 		case SuspensionChanged:
--- a/policy/result.go
+++ b/policy/result.go
@@ -44,9 +44,7 @@
 		position := e.Position
 		if e.Outcome == OK && req.class.Level == Write {
 			position -= r.settings.PositionGranularity
-			if r.settings.TracksSessions {
-				r.sessionCommits[req.Session] = max(r.sessionCommits[req.Session], e.Position)
-			}
+			r.recordCommit(req.Session, e.Position)
 		}
 		r.learnPosition(h, position)
 	}
@@ -71,6 +69,20 @@
 	}
 }
 
+// onSessionCommitted applies a commit that no Result carried.
+func (r *Router) onSessionCommitted(e SessionCommitted) {
+	if r.settings.Classes[e.Class].Level == Write && r.Plausible(e.Position) {
+		r.recordCommit(e.Session, e.Position)
+	}
+}
+
+// recordCommit keeps the newest commit of a session, if sessions are tracked here.
+func (r *Router) recordCommit(session SessionID, commit time.Duration) {
+	if r.settings.TracksSessions {
+		r.sessionCommits[session] = max(r.sessionCommits[session], commit)
+	}
+}
+
 // recordOutcome updates the health of the attempt's host. ranBefore: the outcome is an error, and an earlier
 // attempt may have run.
 func (r *Router) recordOutcome(a *attempt, outcome Outcome, latency time.Duration, ranBefore bool) {
--- a/policy/types.go
+++ b/policy/types.go
@@ -270,6 +270,12 @@
 		Latency time.Duration
 		Report  Report
 	}
+	// SessionCommitted reports the commit of a session's write whose Result came before the end of its answer, and so without it.
+	SessionCommitted struct {
+		Session  SessionID
+		Class    int
+		Position time.Duration
+	}
 	// TimerFired reports that a timer set by SetTimer has expired.
 	TimerFired struct{ ID uint64 }
 	// SuspensionChanged reports an operator override that suspends a host or lifts its suspension. A resumed host
@@ -316,6 +322,7 @@
 func (Result) event()            {}
 func (RequestAbandoned) event()  {}
 func (ProbeResult) event()       {}
+func (SessionCommitted) event()  {}
 func (TimerFired) event()        {}
 func (SuspensionChanged) event() {}
 func (ConcurrencyLimit) event()  {}
