--- /dev/null
+++ b/internal/netloop/bufferpool.go
@@ -0,0 +1,95 @@
+package netloop
+
+// bufferPool recycles buffers of a few sizes and bounds the memory that all of them take.
+type bufferPool struct {
+	limit, allocated int // bytes
+	free             [sizeClasses][][]byte
+}
+
+const (
+	minBufferBytes  = 2 << 10
+	sizeClasses     = 9  // 2 KiB to 512 KiB
+	maxFreeSmallest = 64 // free buffers kept of the smallest size; half as many of each next size
+)
+
+// nearlyFull reports whether at most an eighth of the limit is left. That part is reserved for connections
+// that this process has opened: unsolicited input from clients must not keep it from reading answers.
+func (p *bufferPool) nearlyFull() bool { return p.allocated >= p.limit*7/8 }
+
+// sizeClass returns the index of the smallest size that holds n bytes, or of the largest size.
+func sizeClass(n int) int {
+	index := 0
+	for minBufferBytes<<index < n && index < sizeClasses-1 {
+		index++
+	}
+	return index
+}
+
+// get returns an empty buffer with capacity for n bytes, or for the largest size if n exceeds it; nil if the
+// limit doesn't allow it.
+func (p *bufferPool) get(n int) []byte {
+	class := sizeClass(n)
+	size := minBufferBytes << class
+	if p.allocated+size > p.limit {
+		return nil
+	}
+	p.allocated += size
+	if list := p.free[class]; len(list) > 0 {
+		b := list[len(list)-1]
+		p.free[class] = list[:len(list)-1]
+		return b
+	}
+	return make([]byte, 0, size)
+}
+
+func (p *bufferPool) put(b []byte) {
+	if cap(b) == 0 {
+		return
+	}
+	class := sizeClass(cap(b))
+	if minBufferBytes<<class != cap(b) {
+		return // allocated outside the limit, see appendTo
+	}
+	p.allocated -= minBufferBytes << class
+	if len(p.free[class]) < maxFreeSmallest>>class {
+		p.free[class] = append(p.free[class], b[:0])
+	}
+}
+
+// grow moves b to a buffer of the next size, or returns b if there is no memory for it.
+func (p *bufferPool) grow(b []byte) []byte {
+	next := p.get(cap(b) + 1)
+	if next == nil || cap(next) <= cap(b) {
+		return b
+	}
+	next = append(next, b...)
+	p.put(b)
+	return next
+}
+
+// appendTo appends to a buffer whose size its writer bounds. A buffer over the largest size, or over the limit,
+// is allocated outside the pool.
+func (p *bufferPool) appendTo(b, more []byte) []byte { return p.appendWithin(p.limit, b, more) }
+
+// appendOutput is appendTo for output, which takes at most half of the pool: peers that don't read must not keep it from input.
+func (p *bufferPool) appendOutput(b, more []byte) []byte { return p.appendWithin(p.limit/2, b, more) }
+
+// appendWithin appends to a buffer, which is taken from the pool as long as all buffers together stay within the limit. Otherwise it
+// is allocated outside the pool with an odd capacity, by which put recognizes it.
+func (p *bufferPool) appendWithin(limit int, b, more []byte) []byte {
+	need := len(b) + len(more)
+	if need <= cap(b) {
+		return append(b, more...)
+	}
+	var next []byte
+	if p.allocated+need <= limit {
+		next = p.get(need)
+	}
+	if cap(next) < need {
+		p.put(next)
+		next = make([]byte, 0, need|1)
+	}
+	next = append(append(next, b...), more...)
+	p.put(b)
+	return next
+}
