Call what the tests already have: one reading of peak memory, rows of the stand-in, one set of readers

TestClientFloods read the peak by a loop of its own, memory_test.go built a row that standin.Row builds and had its readers twice; failedMessage was left over.

--- a/cmd/lilaccove/edges_test.go
+++ b/cmd/lilaccove/edges_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -201,16 +200,9 @@
 	close(stop)
 	floods.Wait()
 	assert.Greater(t, served, 45, "of 60")
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", gw.Pid()))
-	require.NoError(t, err)
-	for line := range strings.Lines(string(status)) {
-		if v, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			peakKB, err := strconv.Atoi(strings.Fields(v)[0])
-			require.NoError(t, err)
-			t.Logf("peak resident memory: %d kB", peakKB)
-			assert.Less(t, peakKB, gw.memory<<10+raceMemoryKiB)
-		}
-	}
+	peak := gw.peakMemoryKiB()
+	t.Logf("peak resident memory: %d KiB", peak)
+	assert.Less(t, peak, gw.memory<<10+raceMemoryKiB)
 	assert.True(t, gw.ready())
 	gw.waitServed()
 }
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -43,9 +43,9 @@
 }
 
 // Failed answers that the outcome is unknown.
-func (call *call) Failed() { call.answer(failedMessage) }
-
-var failedMessage = pgwire.AppendError(nil, "ERROR", pgwire.CodeUnknownOutcome, "failed, the statement may have run", "")
+func (call *call) Failed() {
+	call.answer(pgwire.AppendError(nil, "ERROR", pgwire.CodeUnknownOutcome, "failed, the statement may have run", ""))
+}
 
 // answer writes the answer if it is the connection's next one, else buffers it.
 func (call *call) answer(message []byte) {
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -111,7 +111,7 @@
 	}
 }
 
-// abort closes a connection whose current answer cannot be completed or is not being read.
+// abort closes a connection whose current answer is not being read.
 func (c *conn) abort(reason closeReason) {
 	c.front.closedCounts.Add(int(reason))
 	c.nc.Close()
--- a/internal/front/memory_test.go
+++ b/internal/front/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -18,6 +19,7 @@
 	"lilaccove/internal/gateway"
 	"lilaccove/internal/netloop"
 	"lilaccove/internal/pgwire"
+	"lilaccove/internal/standin"
 )
 
 // echo is a core that serves each request at once with the same value.
@@ -46,10 +48,7 @@
 	t.Helper()
 	loop, err := netloop.New(1024, 0, testBufferBytes)
 	require.NoError(t, err)
-	row := append([]byte{pgwire.DataRow}, binary.BigEndian.AppendUint32(nil, testValueBytes+10)...)
-	row = append(row, 0, 1)
-	row = binary.BigEndian.AppendUint32(row, testValueBytes)
-	row = append(row, make([]byte, testValueBytes)...)
+	row := bytes.TrimSuffix(standin.Row(strings.Repeat("x", testValueBytes), ""), readyMessage)
 	f := New(loop, &echo{row: row}, Options{
 		Classes: []string{"browse"}, MaxClients: 512, MaxLargeStatementBytes: 1 << 20, MaxAnswerBytes: testBufferBytes / 2,
 		FreeDescriptor: func() bool { return false },
@@ -137,28 +136,39 @@
 	return in
 }
 
+// startReaders starts clients that send commands and read nothing until the kernel's buffers are full. The function returned reads the answers to
+// all commands, and returns the connections.
+func startReaders(t *testing.T, addr string, readers, commands int) (readAnswers func() []*bufio.Reader) {
+	t.Helper()
+	var connections []*bufio.Reader
+	for reader := range readers {
+		connections = append(connections, pipeline(t, addr, reader, commands))
+	}
+	time.Sleep(500 * time.Millisecond) // until the kernel's buffers are full
+	return func() []*bufio.Reader {
+		var all sync.WaitGroup
+		for reader, in := range connections {
+			all.Go(func() {
+				for i := range commands {
+					assert.Contains(t, []string{"DZ", "EZ"}, lastOfAnswer(in), "reader %d, command %d", reader, i)
+				}
+			})
+		}
+		all.Wait()
+		return connections
+	}
+}
+
 // Guards against losing answers because memory is short: the connections of clients that had not read them yet were closed.
 func TestUnreadAnswersSurviveMemoryShortage(t *testing.T) {
 	addr, _ := startFront(t)
 	const readers, commands = 12, 100
-	var all sync.WaitGroup
-	startReading := make(chan struct{})
-	for reader := range readers {
-		in := pipeline(t, addr, reader, commands)
-		all.Go(func() {
-			<-startReading
-			for i := range commands {
-				assert.Contains(t, []string{"DZ", "EZ"}, lastOfAnswer(in), "reader %d, command %d", reader, i)
-			}
-		})
-	}
-	time.Sleep(500 * time.Millisecond) // until the kernel's buffers are full
+	readAnswers := startReaders(t, addr, readers, commands)
 	c, in := dialFront(t, addr)
 	_, err := io.WriteString(c, query("other", 0))
 	require.NoError(t, err)
 	assert.Contains(t, []string{"DZ", "EZ"}, lastOfAnswer(in), "others are answered meanwhile")
-	close(startReading)
-	all.Wait()
+	readAnswers()
 }
 
 // Guards against ending connections without an answer because memory is short: those of clients that had written their whole statement.
@@ -184,20 +194,9 @@
 func TestShutdownAnswersCommandsBehindUnreadAnswers(t *testing.T) {
 	addr, shutdown := startFront(t)
 	const readers, commands = 12, 100
-	var all sync.WaitGroup
-	startReading := make(chan struct{})
-	for reader := range readers {
-		in := pipeline(t, addr, reader, commands)
-		all.Go(func() {
-			<-startReading
-			for i := range commands {
-				assert.Contains(t, []string{"DZ", "EZ"}, lastOfAnswer(in), "reader %d, command %d", reader, i)
-			}
-			assert.Equal(t, "ended", lastOfAnswer(in))
-		})
-	}
-	time.Sleep(500 * time.Millisecond) // until the kernel's buffers are full
+	readAnswers := startReaders(t, addr, readers, commands)
 	shutdown()
-	close(startReading)
-	all.Wait()
+	for reader, in := range readAnswers() {
+		assert.Equal(t, "ended", lastOfAnswer(in), "reader %d", reader)
+	}
 }
