--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,145 +1,129 @@
 //go:build review
 
-// Case 7: an upgrade of a gateway at a site whose longest deadline is 5 s, while the primary hangs.
+// Case 7: an operator drains a gateway while clients have sent large values that it has not read completely.
 package main
 
 import (
 	"fmt"
-	"net"
-	"net/http"
-	"os"
-	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"lilaccove/review/shared-2"
 )
 
 const (
-	group    = 2
-	clients  = 40
-	sendAt   = 900 * time.Millisecond  // after SIGTERM
-	killAt   = 3700 * time.Millisecond // 3 s, as which the deadline of 5 s counts, and 0.7 s more
-	slack    = 50 * time.Millisecond
-	deadline = 5 * time.Second
+	group       = 2
+	memoryMB    = 64
+	slow        = 10      // clients that write a value of slowBytes slowly, and as many with mediumBytes
+	slowBytes   = 1 << 20 // in a statement a value takes twice as many bytes
+	mediumBytes = 128 << 10
+	pieces      = 90 // in which they write
+	pause       = 20 * time.Millisecond
+	quick       = 10                      // clients that write a value at once
+	bytes       = 100 << 10               // their values
+	quickAt     = 600 * time.Millisecond  // after the slow ones
+	callAt      = 1000 * time.Millisecond // after the slow ones
+	before      = 100 * time.Millisecond  // the last byte was sent so long before the call
+	patience    = 3 * time.Second
 )
 
 func main() {
 	c := shared2.Start(100 * time.Second)
-	var hang atomic.Bool
-	var received sync.Map // ids of the writes that the primary has read
-	var entries []shared2.Entry
-	for _, id := range []string{"p", "a", "b"} {
-		primary := id == "p"
-		d := c.NewDatabase(id, func(s shared2.Statement) shared2.Reply {
-			if primary && hang.Load() {
-				received.Store(s.ID, true)
-				c.Log("database %s got %s %s and hangs", id, s.Class, s.ID)
-				return shared2.Reply{Silent: true}
+	g := c.NewGroup(group, "osu-room", 20*time.Millisecond, "p", "a", "b")
+	var ran sync.Map
+	g.Set(func(members []*shared2.Member) {
+		members[0].Hook = func(s shared2.Statement) (shared2.Reply, bool) {
+			if !s.Write {
+				return shared2.Reply{}, false
 			}
-			time.Sleep(40 * time.Millisecond)
-			if s.Write && !primary {
-				return shared2.Reply{Code: "25006", Position: time.Now()}
-			}
-			return shared2.Reply{Value: []byte("of " + s.ID), Primary: primary, Position: time.Now()}
-		})
-		d.SetReport(func() (float64, int) {
-			if primary {
-				return float64(time.Now().UnixMilli()) / 1000, 1
-			}
-			return float64(time.Now().UnixMilli()) / 1000, 0
-		})
-		role := "replica"
-		if primary {
-			role = "primary"
+			ran.Store(s.ID, true)
+			c.Log("database p runs %s %s of %d bytes", s.Class, s.ID, len(s.Text))
+			time.Sleep(20 * time.Millisecond)
+			return shared2.Reply{Value: []byte("done"), Primary: true, Position: time.Now()}, true
 		}
-		entries = append(entries, shared2.Entry{Host: id, Dial: d.Addr, Site: "duluth", Class: "std-4", Block: group, Health: "in_service", Share: 1, Role: role})
-	}
-	discovery := c.NewDiscovery(entries)
-
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Must(err, "clients' socket")
-	socket, err := listener.(*net.TCPListener).File()
-	c.Must(err, "clients' socket")
-	temp := filepath.Join(c.Temp, "shared")
-	c.Must(os.MkdirAll(temp, 0o700), "shared folder")
-	start := func() *shared2.Gateway {
-		return c.StartGateway(shared2.GatewayOptions{Name: "n1", Listen: listener.Addr().String(), Discovery: discovery.Addr, MemoryMB: 192, Sockets: 1024,
-			Known: discovery.List(), Settings: shared2.Lakeshore(), TempDir: temp, Inherited: socket})
-	}
-	old := start()
-	old.WaitReady()
+	})
+	discovery := c.NewDiscovery(g.Entries())
+	gateway := c.StartGateway(shared2.GatewayOptions{Name: "n1", Discovery: discovery.Addr, MemoryMB: memoryMB, Sockets: 1024,
+		Known: discovery.List(), Settings: shared2.Accra()})
+	gateway.WaitReady()
 
+	// Each connection has carried a request before.
 	var conns []*shared2.Client
-	for range clients {
-		cl := c.MustDial(old.Listen)
-		a := cl.Query(shared2.WriteText(shared2.NewID(), "quote-save", group, deadline, "00aa", "01"), 6*time.Second)
-		if a.Kind() != "served" {
-			c.Log("warm-up: %s", a.Kind())
+	for range 2*slow + quick {
+		conn := c.MustDial(gateway.Listen)
+		_ = conn.Buffer(400_000)
+		if a := conn.Query(shared2.WriteText(shared2.NewID(), "licence-write", group, patience, "7f3a", "01"), patience); a.Kind() != "served" {
+			c.End(shared2.NotRun, "a first request: %s", a.Kind())
 		}
-		conns = append(conns, cl)
+		conns = append(conns, conn)
 	}
+	time.Sleep(200 * time.Millisecond)
 
-	successor := start()
-	c.Until(6*time.Second, "the new process says yes", func() bool {
-		response, err := http.Get("http://" + successor.Management + "/v1/readyz")
-		if err != nil {
-			return false
-		}
-		response.Body.Close()
-		return response.StatusCode/100 == 2
-	})
-	hang.Store(c.Trouble)
-	c.Log("the primary hangs: %t", c.Trouble)
-	term := time.Now()
-	old.Signal(syscall.SIGTERM)
-	time.Sleep(time.Until(term.Add(sendAt)))
-
+	var call atomic.Int64 // when drain was called, in Unix nanoseconds; 0: not yet
+	var served, refused, cut, lost atomic.Int64
+	begin := time.Now()
 	var wg sync.WaitGroup
-	answers := make([]string, len(conns))
-	for i, cl := range conns {
+	for i, conn := range conns {
 		wg.Go(func() {
+			defer conn.Close()
 			id := shared2.NewID()
-			text := shared2.WriteText(id, "quote-save", group, deadline, fmt.Sprintf("%04x", i), "02")
-			sent := time.Now()
-			if err := cl.Send(text); err != nil {
-				answers[i] = "closed before"
-				return
-			}
-			a := cl.Read(time.Until(term.Add(killAt + slack)))
-			kind := a.Kind()
-			if a.TimedUp {
-				kind = "unanswered"
+			key := fmt.Sprintf("7f3a%04x", i)
+			var err error
+			var first, last time.Time
+			if i < 2*slow {
+				n := slowBytes
+				if i >= slow {
+					n = mediumBytes
+					time.Sleep(pause)
+				}
+				text := shared2.WriteText(id, "licence-write", group, patience, key, strings.Repeat("9f", n))
+				first = time.Now()
+				err = conn.SendPieces(text, len(text)/pieces+1, pause)
+			} else {
+				text := shared2.WriteText(id, "licence-write", group, patience, key, strings.Repeat("9f", bytes))
+				time.Sleep(time.Until(begin.Add(quickAt)))
+				first = time.Now()
+				err = conn.Send(text)
 			}
-			_, reached := received.Load(id)
-			if kind == "ended" && !reached {
-				kind = "closed unread" // the client would send it once more on a new connection
+			last = time.Now()
+			a := conn.Read(patience + time.Second)
+			at := call.Load()
+			whole := err == nil && at != 0 && last.UnixNano() < at-int64(before)
+			_, didRun := ran.Load(id)
+			c.Log("client %d: write %s: first byte %.3f, last byte %.3f, error %v, %s %.3f, all sent %v before the call: %t, has run: %t", i, id,
+				c.At(first), c.At(last), err, a.Kind(), c.At(a.At), before, whole, didRun)
+			switch kind := a.Kind(); {
+			case kind == "served":
+				served.Add(1)
+			case a.Code != "":
+				refused.Add(1)
+			case whole:
+				lost.Add(1)
+			default:
+				cut.Add(1)
 			}
-			answers[i] = kind
-			c.Log("request %s sent %.3f s after SIGTERM on connection %d: %s %.3f s after SIGTERM, reached the primary: %t", id,
-				sent.Sub(term).Seconds(), i, kind, a.At.Sub(term).Seconds(), reached)
 		})
 	}
-	wg.Wait()
-	time.Sleep(time.Until(term.Add(killAt + slack)))
-	exited := old.Exited()
-	if !exited {
-		old.Signal(syscall.SIGKILL)
-	}
-	counts := map[string]int{}
-	for _, kind := range answers {
-		counts[kind]++
+	time.Sleep(time.Until(begin.Add(callAt)))
+	if c.Trouble {
+		call.Store(time.Now().UnixNano())
+		status := c.Call("PUT", gateway.Management, "/v1/gateway/drain")
+		c.Log("drain: %d", status)
+		if status/100 != 2 {
+			c.End(shared2.NotRun, "the drain was answered %d", status)
+		}
+	} else {
+		call.Store(time.Now().UnixNano())
 	}
-	c.Log("old process ended by itself: %t, answers %v", exited, counts)
-	lost := counts["unanswered"] + counts["ended"]
+	wg.Wait()
+	summary := fmt.Sprintf("%d served, %d refused or failed, %d cut off while they were sent", served.Load(), refused.Load(), cut.Load())
 	switch {
-	case len(conns)-counts["closed before"]-counts["closed unread"] == 0:
-		c.End(shared2.NotRun, "no connection was open any more %v after SIGTERM", sendAt)
-	case lost > 0:
-		c.End(shared2.Broken, "%d requests that came %v after SIGTERM had no answer at SIGKILL %v after it: %v", lost, sendAt, killAt, counts)
+	case lost.Load() > 0:
+		c.End(shared2.Broken, "%d writes that were sent whole %v or more before the call had no answer: the gateway ended their connections (%s)", lost.Load(),
+			before, summary)
 	default:
-		c.End(shared2.Held, "all requests were answered before SIGKILL: %v", counts)
+		c.End(shared2.Held, "each write that was sent whole had an answer (%s)", summary)
 	}
 }
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -1,118 +1,128 @@
 //go:build review
 
-// Case 8: an upgrade of a gateway at a site where the gateway remembers the sessions' writes.
+// Case 8: some clients write large values slowly, others send theirs at once and wait a short time.
 package main
 
 import (
 	"fmt"
-	"net"
-	"os"
-	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"lilaccove/review/shared-2"
 )
 
 const (
-	group    = 2
-	sessions = 20
-	lag      = 2 * time.Second
-	gap      = 400 * time.Millisecond // from a session's write to its read: 220 to 620 ms
-	upgrade  = 3 * time.Second        // after the start of the sessions
-	length   = 8 * time.Second
+	group       = 2
+	memoryMB    = 64
+	slow        = 10      // clients that write values of slowBytes slowly, and as many with mediumBytes
+	slowBytes   = 1 << 20 // in a statement a value takes twice as many bytes
+	mediumBytes = 128 << 10
+	pieces      = 90 // in which they write
+	pause       = 20 * time.Millisecond
+	quick       = 10        // clients that send a value at once
+	quickBytes  = 100 << 10 // their values
+	between     = 200 * time.Millisecond
+	slowWait    = 3 * time.Second         // the class's time
+	quickWait   = 1260 * time.Millisecond // 42% of it
+	late        = 500 * time.Millisecond  // an answer until then only earns nothing
+	slack       = 50 * time.Millisecond
+	length      = 8 * time.Second
 )
 
 func main() {
 	c := shared2.Start(100 * time.Second)
-	g := c.NewGroup(group, "osu-room", 20*time.Millisecond, "p", "a", "b")
-	g.Set(func(members []*shared2.Member) { members[1].Lag, members[2].Lag = lag, lag })
+	g := c.NewGroup(group, "osu-room", 0, "p", "a", "b")
+	g.Set(func(members []*shared2.Member) {
+		members[0].Hook = func(s shared2.Statement) (shared2.Reply, bool) {
+			if !s.Write {
+				return shared2.Reply{}, false
+			}
+			c.Log("database p runs %s %s of %d bytes, which it may take %v for", s.Class, s.ID, len(s.Text), s.Wait)
+			time.Sleep(70 * time.Millisecond)
+			return shared2.Reply{Value: []byte("done"), Primary: true, Position: time.Now()}, true
+		}
+	})
 	discovery := c.NewDiscovery(g.Entries())
-	settings := shared2.Accra()
-	settings["Domain"].(map[string]any)["SessionMarks"] = "router"
-
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Must(err, "clients' socket")
-	socket, err := listener.(*net.TCPListener).File()
-	c.Must(err, "clients' socket")
-	temp := filepath.Join(c.Temp, "shared")
-	c.Must(os.MkdirAll(temp, 0o700), "shared folder")
-	start := func() *shared2.Gateway {
-		return c.StartGateway(shared2.GatewayOptions{Name: "n1", Listen: listener.Addr().String(), Discovery: discovery.Addr, MemoryMB: 192, Sockets: 1024,
-			Known: discovery.List(), Settings: settings, TempDir: temp, Inherited: socket})
-	}
-	old := start()
-	old.WaitReady()
+	gateway := c.StartGateway(shared2.GatewayOptions{Name: "n1", Discovery: discovery.Addr, MemoryMB: memoryMB, Sockets: 1024,
+		Known: discovery.List(), Settings: shared2.Accra()})
+	gateway.WaitReady()
 
-	var wg sync.WaitGroup
-	var reads, stale, writes atomic.Int64
+	var answered, lost, slowLost, other atomic.Int64
 	begin := time.Now()
-	for i := range sessions {
+	var wg sync.WaitGroup
+	// write sends a write and judges when its answer comes.
+	write := func(conn **shared2.Client, bytes, pieceCount int, wait time.Duration) (tooLate, counted bool) {
+		if *conn == nil {
+			var err error
+			if *conn, err = c.Dial(gateway.Listen); err != nil {
+				time.Sleep(between)
+				return false, false
+			}
+			_ = (*conn).Buffer(400_000)
+			// No request is the first on its connection.
+			(*conn).Query(shared2.WriteText(shared2.NewID(), "licence-write", group, slowWait, "7f3a", "01"), slowWait)
+		}
+		id := shared2.NewID()
+		text := shared2.WriteText(id, "licence-write", group, wait, "7f3a"+id, strings.Repeat("9f", bytes))
+		first := time.Now()
+		err := (*conn).SendPieces(text, len(text)/pieceCount+1, pause)
+		last := time.Now()
+		if err != nil {
+			(*conn).Close()
+			*conn = nil
+			return false, false
+		}
+		a := (*conn).Read(time.Until(last.Add(wait + late + slack)))
+		tooLate = a.TimedUp
+		c.Log("write %s of %d bytes, first byte %.3f, last byte %.3f, to wait %v: %s after %.3f s", id, len(text), c.At(first), c.At(last), wait, a.Kind(),
+			a.At.Sub(last).Seconds())
+		if a.TimedUp { // for the record: when does it come?
+			b := (*conn).Read(4 * time.Second)
+			c.Log("write %s: %s after %.3f s", id, b.Kind(), b.At.Sub(last).Seconds())
+			a = b
+		}
+		if a.Ended || a.TimedUp {
+			(*conn).Close()
+			*conn = nil
+		}
+		return tooLate, true
+	}
+	run := func(start time.Duration, bytes, pieceCount int, wait time.Duration, lostCount *atomic.Int64) {
 		wg.Go(func() {
-			key := fmt.Sprintf("7f3a%04x", i)
 			var conn *shared2.Client
-			// query sends a request, once more on a new connection if the gateway has closed the one between requests.
-			query := func(text string) shared2.Answer {
-				for range 2 {
-					if conn == nil {
-						if conn, err = c.Dial(old.Listen); err != nil {
-							return shared2.Answer{Ended: true}
-						}
-					}
-					a := conn.Query(text, 5*time.Second)
-					if !a.Ended {
-						return a
-					}
-					conn.Close()
-					conn = nil
-				}
-				return shared2.Answer{Ended: true}
-			}
-			time.Sleep(time.Duration(i) * gap / sessions)
-			for n := 1; time.Since(begin) < length; n++ {
-				value := fmt.Sprintf("%04x", n)
-				a := query(shared2.WriteText(shared2.NewID(), "licence-write", group, 3*time.Second, key, value))
-				c.Log("session %s: write of %s: %s", key, value, a.Kind())
-				if a.Kind() != "served" {
-					continue
-				}
-				writes.Add(1)
-				time.Sleep(gap)
-				id := shared2.NewID()
-				a = query(shared2.ReadText(id, "own-read", group, 1500*time.Millisecond, key, ""))
-				c.Log("session %s: read %s: %s %s", key, id, a.Kind(), a.Value)
-				if a.Kind() != "served" {
-					continue
-				}
-				reads.Add(1)
-				if a.Value < value {
-					stale.Add(1)
-					c.Log("session %s: STALE: the session's write of %s was answered before, its read %s got %s", key, value, id, a.Value)
+			time.Sleep(time.Until(begin.Add(start)))
+			for time.Since(begin) < length {
+				switch tooLate, counted := write(&conn, bytes, pieceCount, wait); {
+				case !counted:
+					other.Add(1)
+				case tooLate:
+					lostCount.Add(1)
+				default:
+					answered.Add(1)
 				}
+				time.Sleep(between)
 			}
 		})
 	}
-	time.Sleep(time.Until(begin.Add(upgrade)))
-	if c.Trouble {
-		successor := start()
-		c.WaitYes(successor)
-		old.Signal(syscall.SIGTERM)
-		go func() {
-			time.Sleep(3700 * time.Millisecond)
-			if !old.Exited() {
-				old.Signal(syscall.SIGKILL)
-			}
-		}()
+	for i := range slow {
+		if c.Trouble {
+			run(time.Duration(i)*pause, slowBytes, pieces, slowWait, &slowLost)
+			run(time.Duration(i)*pause+pause/2, mediumBytes, pieces, slowWait, &slowLost)
+		}
+	}
+	for i := range quick {
+		run(time.Second+time.Duration(i)*between/quick, quickBytes, 1, quickWait, &lost)
 	}
 	wg.Wait()
+	summary := fmt.Sprintf("%d writes were answered by then, %d of the slow clients were not, %d connections ended", answered.Load(), slowLost.Load(), other.Load())
 	switch {
-	case writes.Load() < sessions || reads.Load() < sessions:
-		c.End(shared2.NotRun, "only %d writes and %d reads were served", writes.Load(), reads.Load())
-	case stale.Load() > 0:
-		c.End(shared2.Broken, "%d of %d reads of sessions lack a write that this gateway had answered before", stale.Load(), reads.Load())
+	case answered.Load() == 0:
+		c.End(shared2.NotRun, "no write was answered")
+	case lost.Load()+slowLost.Load() > 0:
+		c.End(shared2.Broken, "%d writes that were sent whole had no answer %v after the client's time of %v was over (%s)", lost.Load(), late, quickWait, summary)
 	default:
-		c.End(shared2.Held, "all of %d reads show the sessions' writes", reads.Load())
+		c.End(shared2.Held, "each write had its answer in time (%s)", summary)
 	}
 }
--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,128 +1,145 @@
 //go:build review
 
-// Case 9: some clients write large values slowly, others send theirs at once and wait a short time.
+// Case 9: an upgrade of a gateway at a site whose longest deadline is 5 s, while the primary hangs.
 package main
 
 import (
 	"fmt"
-	"strings"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"lilaccove/review/shared-2"
 )
 
 const (
-	group       = 2
-	memoryMB    = 64
-	slow        = 10      // clients that write values of slowBytes slowly, and as many with mediumBytes
-	slowBytes   = 1 << 20 // in a statement a value takes twice as many bytes
-	mediumBytes = 128 << 10
-	pieces      = 90 // in which they write
-	pause       = 20 * time.Millisecond
-	quick       = 10        // clients that send a value at once
-	quickBytes  = 100 << 10 // their values
-	between     = 200 * time.Millisecond
-	slowWait    = 3 * time.Second         // the class's time
-	quickWait   = 1260 * time.Millisecond // 42% of it
-	late        = 500 * time.Millisecond  // an answer until then only earns nothing
-	slack       = 50 * time.Millisecond
-	length      = 8 * time.Second
+	group    = 2
+	clients  = 40
+	sendAt   = 900 * time.Millisecond  // after SIGTERM
+	killAt   = 3700 * time.Millisecond // 3 s, as which the deadline of 5 s counts, and 0.7 s more
+	slack    = 50 * time.Millisecond
+	deadline = 5 * time.Second
 )
 
 func main() {
 	c := shared2.Start(100 * time.Second)
-	g := c.NewGroup(group, "osu-room", 0, "p", "a", "b")
-	g.Set(func(members []*shared2.Member) {
-		members[0].Hook = func(s shared2.Statement) (shared2.Reply, bool) {
-			if !s.Write {
-				return shared2.Reply{}, false
+	var hang atomic.Bool
+	var received sync.Map // ids of the writes that the primary has read
+	var entries []shared2.Entry
+	for _, id := range []string{"p", "a", "b"} {
+		primary := id == "p"
+		d := c.NewDatabase(id, func(s shared2.Statement) shared2.Reply {
+			if primary && hang.Load() {
+				received.Store(s.ID, true)
+				c.Log("database %s got %s %s and hangs", id, s.Class, s.ID)
+				return shared2.Reply{Silent: true}
 			}
-			c.Log("database p runs %s %s of %d bytes, which it may take %v for", s.Class, s.ID, len(s.Text), s.Wait)
-			time.Sleep(70 * time.Millisecond)
-			return shared2.Reply{Value: []byte("done"), Primary: true, Position: time.Now()}, true
+			time.Sleep(40 * time.Millisecond)
+			if s.Write && !primary {
+				return shared2.Reply{Code: "25006", Position: time.Now()}
+			}
+			return shared2.Reply{Value: []byte("of " + s.ID), Primary: primary, Position: time.Now()}
+		})
+		d.SetReport(func() (float64, int) {
+			if primary {
+				return float64(time.Now().UnixMilli()) / 1000, 1
+			}
+			return float64(time.Now().UnixMilli()) / 1000, 0
+		})
+		role := "replica"
+		if primary {
+			role = "primary"
 		}
-	})
-	discovery := c.NewDiscovery(g.Entries())
-	gateway := c.StartGateway(shared2.GatewayOptions{Name: "n1", Discovery: discovery.Addr, MemoryMB: memoryMB, Sockets: 1024,
-		Known: discovery.List(), Settings: shared2.Accra()})
-	gateway.WaitReady()
+		entries = append(entries, shared2.Entry{Host: id, Dial: d.Addr, Site: "duluth", Class: "std-4", Block: group, Health: "in_service", Share: 1, Role: role})
+	}
+	discovery := c.NewDiscovery(entries)
 
-	var answered, lost, slowLost, other atomic.Int64
-	begin := time.Now()
-	var wg sync.WaitGroup
-	// write sends a write and judges when its answer comes.
-	write := func(conn **shared2.Client, bytes, pieceCount int, wait time.Duration) (tooLate, counted bool) {
-		if *conn == nil {
-			var err error
-			if *conn, err = c.Dial(gateway.Listen); err != nil {
-				time.Sleep(between)
-				return false, false
-			}
-			_ = (*conn).Buffer(400_000)
-			// No request is the first on its connection.
-			(*conn).Query(shared2.WriteText(shared2.NewID(), "licence-write", group, slowWait, "7f3a", "01"), slowWait)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Must(err, "clients' socket")
+	socket, err := listener.(*net.TCPListener).File()
+	c.Must(err, "clients' socket")
+	temp := filepath.Join(c.Temp, "shared")
+	c.Must(os.MkdirAll(temp, 0o700), "shared folder")
+	start := func() *shared2.Gateway {
+		return c.StartGateway(shared2.GatewayOptions{Name: "n1", Listen: listener.Addr().String(), Discovery: discovery.Addr, MemoryMB: 192, Sockets: 1024,
+			Known: discovery.List(), Settings: shared2.Lakeshore(), TempDir: temp, Inherited: socket})
+	}
+	old := start()
+	old.WaitReady()
+
+	var conns []*shared2.Client
+	for range clients {
+		cl := c.MustDial(old.Listen)
+		a := cl.Query(shared2.WriteText(shared2.NewID(), "quote-save", group, deadline, "00aa", "01"), 6*time.Second)
+		if a.Kind() != "served" {
+			c.Log("warm-up: %s", a.Kind())
 		}
-		id := shared2.NewID()
-		text := shared2.WriteText(id, "licence-write", group, wait, "7f3a"+id, strings.Repeat("9f", bytes))
-		first := time.Now()
-		err := (*conn).SendPieces(text, len(text)/pieceCount+1, pause)
-		last := time.Now()
+		conns = append(conns, cl)
+	}
+
+	successor := start()
+	c.Until(6*time.Second, "the new process says yes", func() bool {
+		response, err := http.Get("http://" + successor.Management + "/v1/readyz")
 		if err != nil {
-			(*conn).Close()
-			*conn = nil
-			return false, false
+			return false
 		}
-		a := (*conn).Read(time.Until(last.Add(wait + late + slack)))
-		tooLate = a.TimedUp
-		c.Log("write %s of %d bytes, first byte %.3f, last byte %.3f, to wait %v: %s after %.3f s", id, len(text), c.At(first), c.At(last), wait, a.Kind(),
-			a.At.Sub(last).Seconds())
-		if a.TimedUp { // for the record: when does it come?
-			b := (*conn).Read(4 * time.Second)
-			c.Log("write %s: %s after %.3f s", id, b.Kind(), b.At.Sub(last).Seconds())
-			a = b
-		}
-		if a.Ended || a.TimedUp {
-			(*conn).Close()
-			*conn = nil
-		}
-		return tooLate, true
-	}
-	run := func(start time.Duration, bytes, pieceCount int, wait time.Duration, lostCount *atomic.Int64) {
+		response.Body.Close()
+		return response.StatusCode/100 == 2
+	})
+	hang.Store(c.Trouble)
+	c.Log("the primary hangs: %t", c.Trouble)
+	term := time.Now()
+	old.Signal(syscall.SIGTERM)
+	time.Sleep(time.Until(term.Add(sendAt)))
+
+	var wg sync.WaitGroup
+	answers := make([]string, len(conns))
+	for i, cl := range conns {
 		wg.Go(func() {
-			var conn *shared2.Client
-			time.Sleep(time.Until(begin.Add(start)))
-			for time.Since(begin) < length {
-				switch tooLate, counted := write(&conn, bytes, pieceCount, wait); {
-				case !counted:
-					other.Add(1)
-				case tooLate:
-					lostCount.Add(1)
-				default:
-					answered.Add(1)
-				}
-				time.Sleep(between)
+			id := shared2.NewID()
+			text := shared2.WriteText(id, "quote-save", group, deadline, fmt.Sprintf("%04x", i), "02")
+			sent := time.Now()
+			if err := cl.Send(text); err != nil {
+				answers[i] = "closed before"
+				return
 			}
+			a := cl.Read(time.Until(term.Add(killAt + slack)))
+			kind := a.Kind()
+			if a.TimedUp {
+				kind = "unanswered"
+			}
+			_, reached := received.Load(id)
+			if kind == "ended" && !reached {
+				kind = "closed unread" // the client would send it once more on a new connection
+			}
+			answers[i] = kind
+			c.Log("request %s sent %.3f s after SIGTERM on connection %d: %s %.3f s after SIGTERM, reached the primary: %t", id,
+				sent.Sub(term).Seconds(), i, kind, a.At.Sub(term).Seconds(), reached)
 		})
 	}
-	for i := range slow {
-		if c.Trouble {
-			run(time.Duration(i)*pause, slowBytes, pieces, slowWait, &slowLost)
-			run(time.Duration(i)*pause+pause/2, mediumBytes, pieces, slowWait, &slowLost)
-		}
+	wg.Wait()
+	time.Sleep(time.Until(term.Add(killAt + slack)))
+	exited := old.Exited()
+	if !exited {
+		old.Signal(syscall.SIGKILL)
 	}
-	for i := range quick {
-		run(time.Second+time.Duration(i)*between/quick, quickBytes, 1, quickWait, &lost)
+	counts := map[string]int{}
+	for _, kind := range answers {
+		counts[kind]++
 	}
-	wg.Wait()
-	summary := fmt.Sprintf("%d writes were answered by then, %d of the slow clients were not, %d connections ended", answered.Load(), slowLost.Load(), other.Load())
+	c.Log("old process ended by itself: %t, answers %v", exited, counts)
+	lost := counts["unanswered"] + counts["ended"]
 	switch {
-	case answered.Load() == 0:
-		c.End(shared2.NotRun, "no write was answered")
-	case lost.Load()+slowLost.Load() > 0:
-		c.End(shared2.Broken, "%d writes that were sent whole had no answer %v after the client's time of %v was over (%s)", lost.Load(), late, quickWait, summary)
+	case len(conns)-counts["closed before"]-counts["closed unread"] == 0:
+		c.End(shared2.NotRun, "no connection was open any more %v after SIGTERM", sendAt)
+	case lost > 0:
+		c.End(shared2.Broken, "%d requests that came %v after SIGTERM had no answer at SIGKILL %v after it: %v", lost, sendAt, killAt, counts)
 	default:
-		c.End(shared2.Held, "each write had its answer in time (%s)", summary)
+		c.End(shared2.Held, "all requests were answered before SIGKILL: %v", counts)
 	}
 }
--- a/review/shared-2/pg.go
+++ b/review/shared-2/pg.go
@@ -414,3 +414,13 @@
 	}
 	return nil
 }
+
+// Flood writes commands at once and reads whatever comes for a time.
+func (cl *Client) Flood(commands []byte, limit time.Duration) {
+	_ = cl.Conn.SetDeadline(time.Now().Add(limit))
+	go cl.Conn.Write(commands)
+	_, _ = io.Copy(io.Discard, cl.reader)
+}
+
+// QueryBytes returns a query as a client writes it.
+func QueryBytes(text string) []byte { return message('Q', append([]byte(text), 0)) }
--- a/review/shared-2/shared.go
+++ b/review/shared-2/shared.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -259,3 +260,18 @@
 
 // At returns a time as the record gives it: in seconds since the start.
 func (c *Case) At(t time.Time) float64 { return t.Sub(c.start).Seconds() }
+
+// AnonymousMemory returns the resident anonymous memory of the process in bytes, which does not count the program's file; 0: unknown.
+func (g *Gateway) AnonymousMemory() int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(text), "\n") {
+		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == "RssAnon:" {
+			n, _ := strconv.Atoi(fields[1])
+			return n << 10
+		}
+	}
+	return 0
+}
